--- /dev/null
+++ b/src/transport/rpc_server.cpp
@@ -0,0 +1,96 @@
+#include "parsleylead/transport/rpc_server.hpp"
+
+#include <asio/ip/address.hpp>
+
+#include "parsleylead/base/error.hpp"
+
+namespace parsleylead {
+namespace {
+
+using asio::ip::tcp;
+
+constexpr std::chrono::milliseconds accept_retry_delay{50};
+
+// A broken connection is an ordinary event; its calls have already been rejected.
+class ignore_errors : public kj::TaskSet::ErrorHandler {
+public:
+  void taskFailed(kj::Exception&& /*exception*/) override {}
+};
+
+ignore_errors& shared_error_handler() {
+  static ignore_errors handler;
+  return handler;
+}
+
+} // namespace
+
+rpc_server::rpc_server(rpc_loop& loop, capnp::Capability::Client bootstrap)
+    : loop_(loop), bootstrap_(kj::mv(bootstrap)), acceptor_(loop.io()),
+      watchers_(kj::heap<kj::TaskSet>(shared_error_handler())),
+      alive_(std::make_shared<bool>(true)) {}
+
+rpc_server::~rpc_server() {
+  *alive_ = false;
+  watchers_ = nullptr;
+}
+
+absl::Status rpc_server::listen(const endpoint& address) {
+  asio::error_code error;
+  const tcp::endpoint local(asio::ip::make_address(address.ip, error), address.port);
+  if (!error) {
+    acceptor_.open(local.protocol(), error);
+  }
+  if (!error) {
+    acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    acceptor_.bind(local, error);
+  }
+  if (!error) {
+    acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return make_error(absl::StatusCode::kUnavailable, step::connect, to_string(address),
+                      "cannot listen: " + error.message());
+  }
+  accept_next();
+  return absl::OkStatus();
+}
+
+endpoint rpc_server::local_endpoint() const {
+  const auto local = acceptor_.local_endpoint();
+  return {local.address().to_string(), local.port()};
+}
+
+void rpc_server::stop_accepting() {
+  asio::error_code ignored;
+  acceptor_.close(ignored);
+}
+
+void rpc_server::accept_next() {
+  acceptor_.async_accept([this, alive = alive_](const asio::error_code& error, tcp::socket socket) {
+    if (!*alive || !acceptor_.is_open()) {
+      return;
+    }
+    if (error) {
+      // Without descriptors accept fails at once; a pause keeps the loop from spinning.
+      watchers_->add(loop_.sleep_for(accept_retry_delay).then([this] { accept_next(); }));
+      return;
+    }
+    add(std::move(socket));
+    accept_next();
+  });
+}
+
+void rpc_server::add(tcp::socket socket) {
+  auto connection = kj::heap<rpc_connection>(make_stream(std::move(socket)), bootstrap_);
+  auto& added = *connection;
+  connections_.push_back(kj::mv(connection));
+  const auto position = std::prev(connections_.end());
+  // evalLater: the connection must not be destroyed inside its own callback.
+  watchers_->add(added.on_disconnect().then([this, position] {
+    return kj::evalLater([this, position] { connections_.erase(position); });
+  }));
+}
+
+} // namespace parsleylead
