--- /dev/null
+++ b/include/parsleylead/settings/agent_settings.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "parsleylead/settings/common_settings.hpp"
+
+namespace parsleylead {
+
+/// The upstream beside the agent.
+struct upstream_settings {
+  /// Where the agent listens for the upstream's announcement.
+  endpoint announce_address;
+  std::uint32_t slots = 8;
+  std::uint32_t connections = 64;
+  std::uint32_t cores = 0;
+  std::uint64_t memory_mb = 0;
+  /// An announcement that is not repeated within this time lapses.
+  std::chrono::milliseconds lease{3000};
+  std::chrono::milliseconds connect_timeout{250};
+  std::size_t max_answer_bytes = 1024UL * 1024;
+};
+
+/// Settings of parsleylead-agent.
+struct agent_settings {
+  std::string name;
+  std::string region;
+  std::string availability_zone;
+  endpoint rpc_address;
+  endpoint operations_address;
+  /// RPC addresses of entries.
+  std::vector<endpoint> seeds;
+  std::chrono::milliseconds announce_interval{1000};
+  std::chrono::milliseconds max_announce_interval{10'000};
+  /// How long the state of an entry without a session is kept.
+  std::chrono::seconds state_retention{60};
+  /// A planned stop ends running tasks truthfully after this time.
+  std::chrono::milliseconds drain_limit{60'000};
+  upstream_settings upstream;
+  logging_settings logging;
+  trace_settings traces;
+};
+
+} // namespace parsleylead
