Add a relay that imitates faulty network paths

Cause: connections that go silent must be tested from outside the processes. Change: standin-relay silences, cuts, refuses or delays connections on command.

--- /dev/null
+++ b/standins/standin-relay/relay.cpp
@@ -0,0 +1,204 @@
+#include "relay.hpp"
+
+#include <algorithm>
+#include <array>
+#include <asio/buffer.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+
+namespace parsleylead::standin {
+
+using asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t chunk_bytes = 64UL * 1024;
+
+tcp::endpoint to_asio(const endpoint& value) {
+  return {asio::ip::make_address(value.ip), value.port};
+}
+
+} // namespace
+
+// Copies bytes between a client and the target until one side closes.
+class relay_connection : public std::enable_shared_from_this<relay_connection> {
+public:
+  relay_connection(relay& owner, tcp::socket client)
+      : owner_(owner), client_(std::move(client)), target_(owner.io_) {}
+
+  void start() {
+    target_.async_connect(to_asio(owner_.target_),
+                          [self = shared_from_this()](const asio::error_code& error) {
+                            if (error) {
+                              self->close();
+                              return;
+                            }
+                            self->set_no_delay();
+                            self->pump(self->client_, self->target_, self->upward_);
+                            self->pump(self->target_, self->client_, self->downward_);
+                          });
+  }
+
+  void silence() {
+    if (!silent_) {
+      silent_ = true;
+      ++owner_.stats_.silenced;
+    }
+  }
+
+  void close() {
+    asio::error_code ignored;
+    client_.close(ignored);
+    target_.close(ignored);
+    open_ = false;
+  }
+
+  bool is_open() const { return open_; }
+
+private:
+  struct direction {
+    explicit direction(asio::io_context& io) : timer(io) {}
+    std::array<char, chunk_bytes> buffer{};
+    asio::steady_timer timer;
+  };
+
+  void set_no_delay() {
+    asio::error_code ignored;
+    client_.set_option(tcp::no_delay(true), ignored);
+    target_.set_option(tcp::no_delay(true), ignored);
+  }
+
+  void pump(tcp::socket& from, tcp::socket& to, direction& way) {
+    from.async_read_some(asio::buffer(way.buffer),
+                         [self = shared_from_this(), &from, &to,
+                          &way](const asio::error_code& error, std::size_t count) {
+                           self->on_read(from, to, way, error, count);
+                         });
+  }
+
+  void on_read(tcp::socket& from, tcp::socket& to, direction& way, const asio::error_code& error,
+               std::size_t count) {
+    if (silent_) {
+      // A lost connection hides the other side's close as well.
+      owner_.stats_.bytes_swallowed += count;
+      if (!error) {
+        pump(from, to, way);
+      }
+      return;
+    }
+    if (error) {
+      close();
+      return;
+    }
+    if (owner_.delay_.count() == 0) {
+      forward(from, to, way, count);
+      return;
+    }
+    way.timer.expires_after(owner_.delay_);
+    way.timer.async_wait([self = shared_from_this(), &from, &to, &way,
+                          count](const asio::error_code&) { self->forward(from, to, way, count); });
+  }
+
+  void forward(tcp::socket& from, tcp::socket& to, direction& way, std::size_t count) {
+    owner_.stats_.bytes_forwarded += count;
+    asio::async_write(
+        to, asio::buffer(way.buffer.data(), count),
+        [self = shared_from_this(), &from, &to, &way](const asio::error_code& error, std::size_t) {
+          if (error) {
+            self->close();
+            return;
+          }
+          self->pump(from, to, way);
+        });
+  }
+
+  relay& owner_;
+  tcp::socket client_;
+  tcp::socket target_;
+  direction upward_{owner_.io_};
+  direction downward_{owner_.io_};
+  bool silent_ = false;
+  bool open_ = true;
+};
+
+relay::relay(asio::io_context& io, const endpoint& listen, endpoint target)
+    : io_(io), acceptor_(io, to_asio(listen)), target_(std::move(target)) {
+  accept_next();
+}
+
+endpoint relay::local_endpoint() const {
+  const auto local = acceptor_.local_endpoint();
+  return {local.address().to_string(), local.port()};
+}
+
+void relay::silence_open() {
+  for (const auto& connection : open_connections()) {
+    connection->silence();
+  }
+}
+
+void relay::silence_all() {
+  silence_new_ = true;
+  silence_open();
+}
+
+void relay::cut_open() {
+  for (const auto& connection : open_connections()) {
+    connection->close();
+  }
+}
+
+void relay::refuse_all() {
+  refuse_new_ = true;
+  cut_open();
+}
+
+void relay::heal() {
+  silence_new_ = false;
+  refuse_new_ = false;
+}
+
+relay_stats relay::stats() const {
+  relay_stats result = stats_;
+  result.open = static_cast<std::size_t>(
+      std::count_if(connections_.begin(), connections_.end(), [](const auto& weak) {
+        const auto connection = weak.lock();
+        return connection != nullptr && connection->is_open();
+      }));
+  return result;
+}
+
+void relay::accept_next() {
+  acceptor_.async_accept([this](const asio::error_code& error, tcp::socket socket) {
+    if (!error) {
+      start(std::move(socket));
+    }
+    accept_next();
+  });
+}
+
+void relay::start(tcp::socket client) {
+  ++stats_.accepted;
+  if (refuse_new_) {
+    return;
+  }
+  auto connection = std::make_shared<relay_connection>(*this, std::move(client));
+  if (silence_new_) {
+    connection->silence();
+  }
+  connection->start();
+  std::erase_if(connections_, [](const auto& weak) { return weak.expired(); });
+  connections_.push_back(connection);
+}
+
+std::vector<std::shared_ptr<relay_connection>> relay::open_connections() {
+  std::vector<std::shared_ptr<relay_connection>> open;
+  for (const auto& weak : connections_) {
+    if (auto connection = weak.lock(); connection != nullptr && connection->is_open()) {
+      open.push_back(std::move(connection));
+    }
+  }
+  return open;
+}
+
+} // namespace parsleylead::standin
--- /dev/null
+++ b/standins/standin-relay/relay.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <chrono>
+#include <memory>
+#include <vector>
+
+#include "parsleylead/base/endpoint.hpp"
+
+namespace parsleylead::standin {
+
+class relay_connection;
+
+/// Counts of a relay since its start.
+struct relay_stats {
+  std::size_t accepted = 0;
+  std::size_t open = 0;
+  std::size_t silenced = 0;
+  std::uint64_t bytes_forwarded = 0;
+  std::uint64_t bytes_swallowed = 0;
+};
+
+/// A TCP relay that imitates a faulty network path between two processes. One thread runs `io`.
+class relay {
+public:
+  relay(asio::io_context& io, const endpoint& listen, endpoint target);
+
+  /// The address in use.
+  endpoint local_endpoint() const;
+
+  /// Every connection that is open now reads and discards all data from now on; new connections
+  /// work. This imitates a middlebox that lost its connection table.
+  void silence_open();
+
+  /// As `silence_open`, and new connections are accepted but silent too, until `heal`.
+  void silence_all();
+
+  /// Closes every open connection; new connections work.
+  void cut_open();
+
+  /// Closes every open connection and accepts-and-closes new ones, until `heal`.
+  void refuse_all();
+
+  /// New connections work again. Silenced connections stay silent.
+  void heal();
+
+  /// Delays every chunk in both directions.
+  void set_delay(std::chrono::milliseconds delay) { delay_ = delay; }
+
+  relay_stats stats() const;
+
+private:
+  friend class relay_connection;
+  void accept_next();
+  void start(asio::ip::tcp::socket client);
+  std::vector<std::shared_ptr<relay_connection>> open_connections();
+
+  asio::io_context& io_;
+  asio::ip::tcp::acceptor acceptor_;
+  endpoint target_;
+  std::vector<std::weak_ptr<relay_connection>> connections_;
+  std::chrono::milliseconds delay_{0};
+  bool silence_new_ = false;
+  bool refuse_new_ = false;
+  relay_stats stats_;
+};
+
+} // namespace parsleylead::standin
