--- /dev/null
+++ b/include/parsleylead/entry/job_reply.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "parsleylead/base/failure.hpp"
+
+namespace parsleylead {
+
+/// What a caller may conclude about the run of its submission.
+enum class run_truth { not_run, may_have_run, ran };
+
+/// Stable name of the value, as in answers.
+std::string_view to_string(run_truth value);
+
+/// An HTTP answer for a caller.
+struct job_reply {
+  int status = 0;
+  /// JSON object.
+  std::string body;
+};
+
+/// 200 with every answer in task order. Answers that are not valid UTF-8 become {"base64": "..."}.
+job_reply make_complete_reply(std::string_view submission, const std::vector<std::string>& answers);
+
+/// 202 for a job that is still open.
+job_reply make_open_reply(std::string_view submission, std::size_t tasks, std::size_t finished);
+
+/// The state is "refused", "failed" or "cancelled", by the reason and the truth about the run; the
+/// status follows docs/CALLERS.md.
+job_reply make_failure_reply(std::string_view submission, run_truth run, const failure& why);
+
+} // namespace parsleylead
--- /dev/null
+++ b/src/entry/job_reply.cpp
@@ -0,0 +1,121 @@
+#include "parsleylead/entry/job_reply.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include "parsleylead/base/base64.hpp"
+
+namespace parsleylead {
+namespace {
+
+using nlohmann::json;
+
+// nlohmann::json reports invalid UTF-8 only while it writes, so each answer is written once here.
+json answer_value(const std::string& answer) {
+  json value = answer;
+  try {
+    static_cast<void>(value.dump());
+    return value;
+  } catch (const json::type_error&) {
+    return {{"base64", encode_base64(answer)}};
+  }
+}
+
+std::string safe_text(std::string_view text) {
+  const json value = text;
+  return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+int refusal_status(reason why) {
+  switch (why) {
+  case reason::malformed_request:
+  case reason::invalid_key:
+  case reason::job_too_large:
+    return 400;
+  case reason::unknown_kind:
+  case reason::unknown_submission:
+    return 404;
+  case reason::duplicate_key:
+    return 409;
+  case reason::key_expired:
+  case reason::answer_expired:
+    return 410;
+  case reason::rate_limited:
+  case reason::queue_full:
+    return 429;
+  case reason::cancelled:
+    return 499;
+  case reason::deadline_exceeded:
+    return 504;
+  default:
+    return 503;
+  }
+}
+
+int failure_status(reason why) {
+  switch (why) {
+  case reason::cancelled:
+    return 499;
+  case reason::duplicate_key:
+    return 409;
+  case reason::answer_expired:
+    return 410;
+  case reason::unknown_submission:
+    return 404;
+  case reason::deadline_exceeded:
+    return 504;
+  default:
+    return 502;
+  }
+}
+
+std::string_view state_name(run_truth run, reason why) {
+  if (why == reason::cancelled) {
+    return "cancelled";
+  }
+  return run == run_truth::not_run ? "refused" : "failed";
+}
+
+} // namespace
+
+std::string_view to_string(run_truth value) {
+  switch (value) {
+  case run_truth::not_run:
+    return "not_run";
+  case run_truth::ran:
+    return "ran";
+  case run_truth::may_have_run:
+    break;
+  }
+  return "may_have_run";
+}
+
+job_reply make_complete_reply(std::string_view submission,
+                              const std::vector<std::string>& answers) {
+  json list = json::array();
+  for (const auto& answer : answers) {
+    list.push_back(answer_value(answer));
+  }
+  const json body = {
+      {"submission", submission}, {"state", "complete"}, {"answers", std::move(list)}};
+  return {200, body.dump()};
+}
+
+job_reply make_open_reply(std::string_view submission, std::size_t tasks, std::size_t finished) {
+  const json body = {
+      {"submission", submission}, {"state", "open"}, {"tasks", tasks}, {"finished", finished}};
+  return {202, body.dump()};
+}
+
+job_reply make_failure_reply(std::string_view submission, run_truth run, const failure& why) {
+  std::string body = "{\"submission\":" + safe_text(submission);
+  body += ",\"state\":" + safe_text(state_name(run, why.why));
+  body += ",\"run\":" + safe_text(to_string(run));
+  body += ",\"reason\":" + safe_text(to_string(why.why));
+  body += ",\"step\":" + safe_text(to_string(why.at));
+  body += ",\"peer\":" + safe_text(why.peer);
+  body += ",\"detail\":" + safe_text(why.detail) + "}";
+  const int status = run == run_truth::not_run ? refusal_status(why.why) : failure_status(why.why);
+  return {status, std::move(body)};
+}
+
+} // namespace parsleylead
