--- /dev/null
+++ b/include/parsleylead/catalogue/catalogue_replica.hpp
@@ -0,0 +1,123 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "parsleylead/catalogue/catalogue_change.hpp"
+#include "parsleylead/catalogue/catalogue_snapshot.hpp"
+#include "parsleylead/platform_log/log_service.hpp"
+
+namespace parsleylead {
+
+/// What became of a record.
+enum class change_result : std::uint8_t { accepted, conflict, duplicate, corrupt, snapshot };
+
+std::string_view to_string(change_result value);
+
+/// One line of the history.
+struct applied_change {
+  std::uint64_t offset = 0;
+  wall_time appended{};
+  change_result result = change_result::corrupt;
+  /// Why the change was not accepted; empty if it was.
+  std::string detail;
+  /// Default values if the record is corrupt.
+  uuid id;
+  std::string operator_name;
+  catalogue_subject subject;
+  bool removal = false;
+};
+
+/// Removed subjects are forgotten after this log time: the drains of replaced processes would
+/// otherwise pile up. Far longer than any retry of an append.
+inline constexpr std::chrono::hours tombstone_lifetime{24 * 7};
+
+inline constexpr std::size_t history_size = 1000;
+
+/// A replica of the catalogue (docs/design.md, D6): a deterministic function of the log's records.
+/// Not thread-safe: control thread only.
+class catalogue_replica {
+public:
+  /// The state before the first record of the log.
+  catalogue_replica() = default;
+  explicit catalogue_replica(const catalogue_snapshot& snapshot);
+
+  /// Applies records in order. Records at or below `applied()` are skipped. Stops before a record
+  /// that does not follow directly: `has_gap()` is then true until `install` closes the gap.
+  /// Returns what became of each applied record.
+  std::vector<applied_change> apply(std::span<const log_record> records);
+
+  /// Moves to the snapshot if it is newer, and says whether it did. Never moves back.
+  bool install(const catalogue_snapshot& snapshot);
+
+  /// Offset of the last applied record.
+  std::uint64_t applied() const { return applied_; }
+  /// Records after `applied()` were lost; `install` a snapshot, see `load_catalogue`.
+  bool has_gap() const { return gap_; }
+
+  /// The definition of a kind with its revision, or null. Valid until the next change.
+  const revised_entry* find(const catalogue_subject& subject) const;
+  const kind_definition* find_kind(std::string_view name) const;
+  const owner_quota* find_owner(std::string_view name) const;
+  bool is_draining(std::string_view process) const;
+  /// Revision of an entry or tombstone; 0 for an unknown subject.
+  std::uint64_t revision(const catalogue_subject& subject) const;
+  /// All entries in force, sorted by subject.
+  std::vector<revised_entry> list() const;
+
+  /// The last 1000 records that were not snapshots, oldest first.
+  const std::deque<applied_change>& history() const { return history_; }
+  /// The first record in the history with this change id, or null.
+  const applied_change* find_change(const uuid& id) const;
+
+  catalogue_snapshot snapshot() const;
+  /// Digest of `snapshot()`; equal at all replicas with the same `applied()`.
+  std::uint64_t state_digest() const;
+  std::uint64_t corrupt_records() const { return corrupt_records_; }
+
+  /// Says whether the log needs a new snapshot: the oldest accepted change not covered by one, or
+  /// the newest snapshot itself, is at least `after` old. Use a different `after` at each entry, so
+  /// that not all of them append one at once.
+  bool snapshot_due(wall_time now, std::chrono::seconds after) const;
+
+private:
+  friend struct catalogue_loader;
+
+  struct subject_state {
+    std::optional<revised_entry> entry;
+    std::uint64_t revision = 0;
+    uuid change;
+    wall_time removed{};
+  };
+  struct uncovered_change {
+    std::uint64_t offset = 0;
+    wall_time appended{};
+  };
+
+  applied_change apply_record(const log_record& record);
+  applied_change apply_change(const log_record& record, const catalogue_change& change);
+  void accept(const log_record& record, const catalogue_change& change);
+  void note_snapshot(const log_record& record, std::uint64_t covered);
+  void drop_old_tombstones(wall_time now);
+  void remember(const applied_change& change);
+
+  std::map<catalogue_subject, subject_state> subjects_;
+  std::uint64_t applied_ = 0;
+  bool gap_ = false;
+  std::uint64_t corrupt_records_ = 0;
+  std::deque<applied_change> history_;
+  /// Accepted changes that no snapshot in the log covers.
+  std::deque<uncovered_change> uncovered_;
+  /// Log time of the newest snapshot record, or of the first applied record if there is none.
+  std::optional<wall_time> snapshot_base_;
+  bool snapshot_seen_ = false;
+};
+
+} // namespace parsleylead
--- /dev/null
+++ b/include/parsleylead/catalogue/catalogue_snapshot.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "parsleylead/base/time.hpp"
+#include "parsleylead/base/uuid.hpp"
+#include "parsleylead/catalogue/catalogue_entry.hpp"
+
+namespace parsleylead {
+
+/// A catalogue entry in force.
+struct revised_entry {
+  catalogue_entry entry;
+  /// Offset of the change that set it.
+  std::uint64_t revision = 0;
+  /// Id of that change.
+  uuid change;
+
+  bool operator==(const revised_entry&) const = default;
+};
+
+/// A removed subject.
+struct tombstone {
+  catalogue_subject subject;
+  /// Offset of the removal.
+  std::uint64_t revision = 0;
+  /// Id of the removal.
+  uuid change;
+  /// Log time of the removal.
+  wall_time removed{};
+
+  bool operator==(const tombstone&) const = default;
+};
+
+/// The whole state of the catalogue after the record at offset `covered`. Entries and tombstones
+/// are sorted by subject.
+struct catalogue_snapshot {
+  std::uint64_t covered = 0;
+  std::vector<revised_entry> entries;
+  std::vector<tombstone> tombstones;
+
+  bool operator==(const catalogue_snapshot&) const = default;
+};
+
+} // namespace parsleylead
--- /dev/null
+++ b/include/parsleylead/claim/claim_table.hpp
@@ -0,0 +1,127 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "parsleylead/claim/claim_record.hpp"
+#include "parsleylead/claim/claim_rules.hpp"
+#include "parsleylead/platform_log/log_service.hpp"
+
+namespace parsleylead {
+
+/// How a submission ended, as far as the log says.
+struct claim_outcome {
+  std::string state;
+  /// Nothing if the answer was too large or is no longer held.
+  std::optional<std::string> answer;
+
+  bool operator==(const claim_outcome&) const = default;
+};
+
+/// Who holds a key.
+struct claim_holder {
+  uuid submission;
+  std::string entry_name;
+  std::string entry_address;
+  std::optional<claim_outcome> outcome;
+
+  bool operator==(const claim_holder&) const = default;
+};
+
+/// The result of one claim, at its first appearance in the log.
+enum class claim_result : std::uint8_t {
+  won,
+  /// Another submission holds the key.
+  lost,
+  /// The submission won, lost or released the key before; this record changes nothing.
+  repeated,
+  expired,
+  too_far_ahead,
+  not_v7,
+};
+
+/// A claim item that was read.
+struct applied_claim {
+  uuid key;
+  uuid submission;
+  claim_result result = claim_result::repeated;
+};
+
+/// What one record did.
+struct applied_claim_record {
+  std::optional<uuid> id;
+  std::vector<applied_claim> claims;
+};
+
+struct claim_table_statistics {
+  std::uint64_t bad_items = 0;
+  std::uint64_t invalid_keys = 0;
+  std::uint64_t ignored_outcomes = 0;
+  std::uint64_t gaps = 0;
+  std::uint64_t evicted_answers = 0;
+};
+
+/// A replica of one claim stream: a deterministic function of the log's records, except for the
+/// answers, which are a bounded cache. Not thread-safe: control thread only.
+class claim_table {
+public:
+  /// `next_offset` is the first offset that will be read. `max_answer_bytes` bounds the memory for
+  /// answers; the oldest are dropped first.
+  claim_table(claim_rules rules, std::uint64_t next_offset, std::size_t max_answer_bytes);
+
+  /// Applies one record; nothing if it was applied before.
+  std::optional<applied_claim_record> apply(const log_record& record);
+
+  /// The holder of a key, if there is one within the key's lifetime.
+  std::optional<claim_holder> find(const uuid& key) const;
+
+  /// False if records that might concern the key were lost: nothing may be granted for it.
+  bool is_certain(const uuid& key) const;
+
+  std::uint64_t next_offset() const { return next_offset_; }
+  /// Latest append time that was read.
+  wall_time log_time() const { return log_time_; }
+  std::size_t size() const { return keys_.size(); }
+  const claim_rules& rules() const { return rules_; }
+  const claim_table_statistics& statistics() const { return statistics_; }
+  /// Digest of the holders and outcome states. Equal at replicas that applied the same records.
+  std::uint64_t digest() const;
+
+private:
+  struct key_state {
+    std::optional<uuid> holder;
+    std::uint32_t entry = 0;
+    std::string outcome;
+    std::optional<std::string> answer;
+    /// Submissions that lost or released the key; they never hold it again.
+    std::vector<uuid> closed;
+  };
+  using entry_identity = std::pair<std::string, std::string>;
+
+  bool skip_invalid(const uuid& key, wall_time appended);
+  claim_result apply_claim(const claim_item& item, wall_time appended);
+  void apply_release(const release_item& item, wall_time appended);
+  void apply_outcome(outcome_item item, wall_time appended);
+  void drop_expired();
+  void keep_answer(const uuid& key, std::string answer);
+  std::uint32_t intern(const std::string& name, const std::string& address);
+
+  claim_rules rules_;
+  std::uint64_t next_offset_;
+  std::size_t max_answer_bytes_;
+  std::size_t answer_bytes_ = 0;
+  wall_time log_time_{};
+  std::optional<wall_time> lost_until_;
+  /// Sorted by creation time, since a version 7 key starts with it.
+  std::map<uuid, key_state> keys_;
+  std::deque<uuid> answer_order_;
+  std::vector<entry_identity> entries_;
+  std::map<entry_identity, std::uint32_t> entry_index_;
+  claim_table_statistics statistics_;
+};
+
+} // namespace parsleylead
--- a/include/parsleylead/platform_log/log_service.hpp
+++ b/include/parsleylead/platform_log/log_service.hpp
@@ -45,6 +45,10 @@
   virtual absl::StatusOr<log_read_result> read(std::string_view stream, std::uint64_t from,
                                                std::size_t max_records,
                                                std::chrono::milliseconds max_wait) = 0;
+
+  /// Ends the calls in progress with an error and refuses later ones (kCancelled). Called before
+  /// the threads that use the log are stopped, so that they need not wait for their time-outs.
+  virtual void close() {}
 };
 
 } // namespace parsleylead
--- /dev/null
+++ b/include/parsleylead/platform_log/log_tailer.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+
+#include "parsleylead/platform_log/log_service.hpp"
+
+namespace parsleylead {
+
+struct log_tailer_options {
+  std::string stream;
+  std::uint64_t from = 1;
+  std::size_t max_records = 1000;
+  /// Longest wait of one read.
+  std::chrono::milliseconds poll_wait{500};
+  /// Pause after a failed read; doubles up to `max_backoff`.
+  std::chrono::milliseconds min_backoff{50};
+  std::chrono::milliseconds max_backoff{1000};
+  /// Pause after a read that returned nothing, so that a log that does not wait is not flooded.
+  std::chrono::milliseconds empty_read_pause{5};
+};
+
+/// The result of one successful read.
+struct log_batch {
+  /// Offset at which the read began. Records from here to `read.earliest` are lost, if any.
+  std::uint64_t from = 0;
+  log_read_result read;
+};
+
+/// Reads a stream from an offset on in its own thread and hands over each batch in order. Keeps
+/// trying while the log is down. The callbacks run on that thread: post to the control thread.
+class log_tailer {
+public:
+  /// Called after each successful read, also after an empty one.
+  using batch_callback = std::function<void(log_batch)>;
+  /// Called after each failed read.
+  using error_callback = std::function<void(const absl::Status&)>;
+
+  /// Starts reading. `log` must outlive the tailer.
+  log_tailer(log_service& log, log_tailer_options options, batch_callback on_batch,
+             error_callback on_error = {});
+  ~log_tailer();
+  log_tailer(const log_tailer&) = delete;
+  log_tailer& operator=(const log_tailer&) = delete;
+
+  /// Ends the thread; afterwards no callback runs. Waits for the read in progress: at most
+  /// `poll_wait` plus the log's time-outs, or not at all after `log_service::close`. Idempotent.
+  /// Precondition: not called from a callback.
+  void stop();
+
+private:
+  void run();
+  bool stopped() const;
+  void pause(std::chrono::milliseconds time);
+
+  log_service& log_;
+  log_tailer_options options_;
+  batch_callback on_batch_;
+  error_callback on_error_;
+  mutable std::mutex mutex_;
+  std::condition_variable stop_changed_;
+  bool stop_ = false;
+  std::thread thread_;
+};
+
+} // namespace parsleylead
