--- /dev/null
+++ b/include/parsleylead/account/account.hpp
@@ -0,0 +1,124 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "parsleylead/base/failure.hpp"
+
+namespace parsleylead {
+
+/// Why a message was wasted (section 8 of docs/design.md).
+enum class waste_cause : std::uint8_t {
+  refused_dispatch,
+  recalled_credit,
+  returned_credit,
+  probe,
+  announce,
+  want_without_grant,
+  duplicate_result,
+};
+inline constexpr std::size_t waste_causes = 7;
+
+/// How an accepted job ended.
+enum class job_outcome : std::uint8_t { complete, failed, cancelled, refused_after_acceptance };
+
+std::string_view to_string(waste_cause value);
+std::string_view to_string(job_outcome value);
+
+/// Totals of one kind and owner. Invariant: accepted is the sum of the other fields.
+struct job_totals {
+  std::string kind;
+  std::string owner;
+  std::uint64_t accepted = 0;
+  std::uint64_t complete = 0;
+  std::uint64_t failed = 0;
+  std::uint64_t cancelled = 0;
+  std::uint64_t refused_after_acceptance = 0;
+  std::uint64_t open = 0;
+
+  bool balances() const {
+    return accepted == complete + failed + cancelled + refused_after_acceptance + open;
+  }
+};
+
+/// Ends of jobs without an answer, by reason and step.
+struct reason_total {
+  /// "refused_before", "failed", "cancelled" or "refused_after_acceptance".
+  std::string_view category;
+  std::string kind;
+  std::string owner;
+  reason why = reason::none;
+  step at = step::none;
+  std::uint64_t count = 0;
+};
+
+/// All totals at one moment.
+struct account_snapshot {
+  std::vector<job_totals> jobs;
+  std::vector<reason_total> reasons;
+  std::uint64_t tasks_started = 0;
+  std::uint64_t tasks_finished = 0;
+  std::uint64_t messages = 0;
+  /// By `waste_cause`.
+  std::array<std::uint64_t, waste_causes> wasted{};
+  /// The exchange of members, counted apart from `messages`.
+  std::uint64_t control_messages = 0;
+  bool balances = true;
+
+  std::uint64_t wasted_messages() const;
+};
+
+/// Counts every outcome of jobs, tasks and messages of one process. Not thread-safe.
+class account {
+public:
+  /// A job was refused before acceptance. `kind` and `owner` may be empty if they are unknown.
+  void refused_before(const std::string& kind, const std::string& owner, const failure& why);
+  void accepted(const std::string& kind, const std::string& owner);
+  void completed(const std::string& kind, const std::string& owner);
+  /// An accepted job ended without an answer. Precondition: `outcome` is not complete.
+  void ended(const std::string& kind, const std::string& owner, job_outcome outcome,
+             const failure& why);
+
+  void task_started() { ++tasks_started_; }
+  void task_finished() { ++tasks_finished_; }
+  /// Counts RPC calls and returns sent by this process.
+  void messages(std::uint64_t count = 1) { messages_ += count; }
+  void control_messages(std::uint64_t count = 1) { control_messages_ += count; }
+  /// Counts messages, already counted by `messages`, that turned out to be wasted.
+  void wasted(waste_cause cause, std::uint64_t count = 1);
+
+  /// Whether accepted = complete + failed + cancelled + refused after acceptance + open for each
+  /// kind and owner.
+  bool balances() const;
+  /// The same, with open jobs counted independently by (kind, owner), for example from a job table.
+  bool balances(const std::map<std::pair<std::string, std::string>, std::uint64_t>& open) const;
+  account_snapshot snapshot() const;
+
+private:
+  struct reason_key {
+    std::string_view category;
+    std::string kind;
+    std::string owner;
+    reason why = reason::none;
+    step at = step::none;
+
+    auto operator<=>(const reason_key&) const = default;
+  };
+  job_totals& totals(const std::string& kind, const std::string& owner);
+
+  std::map<std::pair<std::string, std::string>, job_totals> jobs_;
+  std::map<reason_key, std::uint64_t> reasons_;
+  std::uint64_t tasks_started_ = 0;
+  std::uint64_t tasks_finished_ = 0;
+  std::uint64_t messages_ = 0;
+  std::uint64_t control_messages_ = 0;
+  std::array<std::uint64_t, waste_causes> wasted_{};
+};
+
+} // namespace parsleylead
--- /dev/null
+++ b/include/parsleylead/admission/run_time_estimator.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <string>
+
+namespace parsleylead {
+
+/// Learns run times per kind and the relative speed of each worker from reported run times.
+/// One sample moves an estimate by a bounded amount only. Not thread-safe.
+class run_time_estimator {
+public:
+  using duration = std::chrono::microseconds;
+
+  /// `prior`: run time assumed for a kind without samples.
+  explicit run_time_estimator(duration prior = std::chrono::milliseconds(300)) : prior_(prior) {}
+
+  /// Adds the run time of one finished task.
+  void add(const std::string& kind, const std::string& worker, duration run_time);
+
+  /// Expected run time of the kind on an average worker; the prior without samples.
+  duration mean(const std::string& kind) const;
+  /// Expected run time of the kind on the worker.
+  duration mean(const std::string& kind, const std::string& worker) const;
+  /// Quantile of the kind's recent run times, 0 <= `q` <= 1. The prior without samples.
+  duration quantile(const std::string& kind, double q) const;
+  /// Quantile of the kind's run times scaled to the worker.
+  duration quantile(const std::string& kind, const std::string& worker, double q) const;
+  /// Run time of the worker relative to the others: below 1 is faster, 1 if unknown.
+  double speed_factor(const std::string& worker) const;
+  /// Number of samples of a kind.
+  std::size_t samples(const std::string& kind) const;
+
+  void forget_worker(const std::string& worker) { workers_.erase(worker); }
+  void forget_kind(const std::string& kind) { kinds_.erase(kind); }
+
+private:
+  static constexpr std::size_t recent_samples = 64;
+
+  struct kind_estimate {
+    double mean_us = 0;
+    std::size_t samples = 0;
+    std::array<double, recent_samples> recent_us{};
+  };
+  struct worker_estimate {
+    double log_factor = 0;
+    std::size_t samples = 0;
+  };
+
+  duration prior_;
+  std::map<std::string, kind_estimate> kinds_;
+  std::map<std::string, worker_estimate> workers_;
+};
+
+} // namespace parsleylead
--- /dev/null
+++ b/include/parsleylead/job/job_table.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "parsleylead/job/job.hpp"
+
+namespace parsleylead {
+
+/// Owns the submissions of an entry, open ones and ended ones within their retention.
+/// Not thread-safe. References to jobs stay valid until `purge` removes them.
+class job_table {
+public:
+  /// `retention`: how long an ended job stays, counted from `settle`.
+  explicit job_table(std::chrono::milliseconds retention) : retention_(retention) {}
+
+  /// Adds an open job. Null if the id is already present.
+  job* insert(job_request request);
+  /// Null if the id is unknown or its retention has passed.
+  job* find(const uuid& id);
+  const job* find(const uuid& id) const;
+
+  /// Starts the retention of a job that has ended. Call it once after each end that did not come
+  /// from `expire`; repeated calls change nothing.
+  void settle(const uuid& id, monotonic_time now);
+
+  /// Earliest deadline of the open jobs.
+  std::optional<monotonic_time> next_deadline() const;
+  /// Ends all open jobs whose deadline is not after `now`, and returns them in deadline order.
+  std::vector<job*> expire(monotonic_time now);
+  /// Removes ended jobs whose retention has passed; returns their number.
+  std::size_t purge(monotonic_time now);
+
+  /// Ids of the open jobs in deadline order.
+  std::vector<uuid> open_jobs() const;
+  std::size_t open() const { return deadlines_.size(); }
+  std::size_t size() const { return jobs_.size(); }
+
+private:
+  std::chrono::milliseconds retention_;
+  std::map<uuid, std::unique_ptr<job>> jobs_;
+  std::set<std::pair<monotonic_time, uuid>> deadlines_;
+  std::deque<std::pair<monotonic_time, uuid>> ended_;
+};
+
+} // namespace parsleylead
--- /dev/null
+++ b/include/parsleylead/placement/placement_policy.hpp
@@ -0,0 +1,146 @@
+#pragma once
+
+#include <chrono>
+#include <concepts>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "parsleylead/admission/limits.hpp"
+#include "parsleylead/base/time.hpp"
+#include "parsleylead/base/uuid.hpp"
+#include "parsleylead/placement/worker_pool.hpp"
+
+namespace parsleylead {
+
+/// The next task of a job, as a policy sees it.
+struct task_request {
+  uuid submission;
+  std::string kind;
+  worker_needs needs;
+  /// Waiting tasks of the job, this one included.
+  std::size_t waiting = 1;
+  /// Expected run time on an average worker.
+  std::chrono::microseconds run_time{0};
+};
+
+/// Chooses the worker for a task; nothing means that the task waits.
+template <class Policy>
+concept placement_policy = requires(Policy policy, const task_request& task,
+                                    const worker_pool& workers, monotonic_time now) {
+  { policy.choose(task, workers, now) } -> std::same_as<std::optional<std::string>>;
+  /// Whether a dispatch spends a credit; without credits the agent queues (`queueIfBusy`).
+  { Policy::spends_credits } -> std::convertible_to<bool>;
+};
+
+/// Places on workers with credits only, on the one with the shortest expected completion. The last
+/// tasks of a job are kept from a slow worker while a faster one is expected to complete them
+/// sooner, for no longer than that can gain (D2, D3).
+class credit_policy {
+public:
+  static constexpr bool spends_credits = true;
+  /// Tasks that count as the last ones of a job.
+  static constexpr std::size_t last_tasks = 8;
+  /// Gain that justifies to wait, as a share of the slow worker's run time.
+  static constexpr double min_gain = 0.2;
+
+  std::optional<std::string> choose(const task_request& task, const worker_pool& workers,
+                                    monotonic_time now);
+
+private:
+  struct hold {
+    monotonic_time until;
+    std::size_t waiting = 0;
+  };
+  bool should_wait(const task_request& task, const worker_view& slow, const worker_pool& workers,
+                   monotonic_time now);
+  std::map<uuid, hold> holds_;
+};
+
+/// Baseline: a random usable worker.
+class random_policy {
+public:
+  static constexpr bool spends_credits = false;
+  explicit random_policy(std::uint64_t seed) : random_(seed) {}
+  std::optional<std::string> choose(const task_request& task, const worker_pool& workers,
+                                    monotonic_time now);
+
+private:
+  std::mt19937_64 random_;
+};
+
+/// Baseline: the usable workers of a kind in turn.
+class round_robin_policy {
+public:
+  static constexpr bool spends_credits = false;
+  std::optional<std::string> choose(const task_request& task, const worker_pool& workers,
+                                    monotonic_time now);
+
+private:
+  std::map<std::string, std::size_t> next_;
+};
+
+/// Baseline: of two random usable workers, the one with fewer tasks of this entry in flight.
+class two_choices_policy {
+public:
+  static constexpr bool spends_credits = false;
+  explicit two_choices_policy(std::uint64_t seed) : random_(seed) {}
+  std::optional<std::string> choose(const task_request& task, const worker_pool& workers,
+                                    monotonic_time now);
+
+private:
+  std::mt19937_64 random_;
+};
+
+/// Baseline with late binding: the entry asks the workers of `probes` for one reservation each and
+/// starts the task where a grant, held as a credit, arrives first.
+class probing_policy {
+public:
+  static constexpr bool spends_credits = true;
+  static constexpr std::size_t probes_per_task = 2;
+  explicit probing_policy(std::uint64_t seed) : random_(seed) {}
+  /// A worker with a granted reservation.
+  std::optional<std::string> choose(const task_request& task, const worker_pool& workers,
+                                    monotonic_time now);
+  /// Distinct workers to ask for a reservation, at most `probes_per_task`.
+  std::vector<std::string> probes(const task_request& task, const worker_pool& workers);
+
+private:
+  std::mt19937_64 random_;
+};
+
+static_assert(placement_policy<credit_policy>);
+static_assert(placement_policy<random_policy>);
+static_assert(placement_policy<round_robin_policy>);
+static_assert(placement_policy<two_choices_policy>);
+static_assert(placement_policy<probing_policy>);
+
+/// The policy selected by name at the start of an entry. Not thread-safe.
+class selected_policy {
+public:
+  /// Names: "credits", "random", "round_robin", "two_choices", "probing" (`policy_settings`).
+  /// Errors: kInvalidArgument for another name.
+  static absl::StatusOr<selected_policy> make(std::string_view name, std::uint64_t seed);
+
+  std::optional<std::string> choose(const task_request& task, const worker_pool& workers,
+                                    monotonic_time now);
+  bool spends_credits() const;
+  /// Workers to ask for reservations; empty for all policies but "probing".
+  std::vector<std::string> probes(const task_request& task, const worker_pool& workers);
+
+private:
+  using any_policy = std::variant<credit_policy, random_policy, round_robin_policy,
+                                  two_choices_policy, probing_policy>;
+  explicit selected_policy(any_policy policy) : policy_(std::move(policy)) {}
+
+  any_policy policy_;
+};
+
+} // namespace parsleylead
--- /dev/null
+++ b/include/parsleylead/placement/worker_pool.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "parsleylead/placement/worker_view.hpp"
+
+namespace parsleylead {
+
+/// The known workers, indexed by kind so that a placement does not scan all of them. At the target
+/// scale (540 workers, 12,000 starts per second) a scan for each task costs too much.
+/// Not thread-safe.
+class worker_pool {
+public:
+  /// Preference among workers with credits: speed in steps of `speed_step`, own availability zone,
+  /// exact speed, id.
+  using preference = std::tuple<int, bool, double, std::string>;
+  using ranking = std::map<preference, const worker_view*>;
+
+  /// Speeds within one step count as equal; 5 % of a 50 ms task is above a cross-zone round trip.
+  static constexpr double speed_step = 1.05;
+
+  /// `availability_zone`: the zone of this entry.
+  explicit worker_pool(std::string availability_zone)
+      : availability_zone_(std::move(availability_zone)) {}
+
+  /// Adds a worker or replaces what is known about it.
+  void put(worker_view view);
+  void remove(const std::string& id);
+  /// Null if unknown.
+  const worker_view* find(const std::string& id) const;
+  /// Applies `change` to a known worker and updates the indexes. False if unknown. `change` must
+  /// not alter the id.
+  bool update(const std::string& id, const std::function<void(worker_view&)>& change);
+
+  /// Workers that serve the kind and are not ejected, in no particular order.
+  const std::vector<const worker_view*>& usable(const std::string& kind) const;
+  /// The usable ones with credits, best first.
+  const ranking& with_credits(const std::string& kind) const;
+
+  /// Workers that serve the kind and could hold such a task, ejected ones included.
+  std::size_t capable(const std::string& kind, const worker_needs& needs) const;
+  /// All slots of these workers.
+  std::size_t capable_slots(const std::string& kind, const worker_needs& needs) const;
+  /// Lowest speed factor of the usable workers of the kind; 1 if there is none.
+  double best_speed(const std::string& kind) const;
+
+  const std::map<std::string, std::unique_ptr<worker_view>>& all() const { return workers_; }
+  std::size_t size() const { return workers_.size(); }
+
+private:
+  struct kind_index {
+    std::vector<const worker_view*> usable;
+    ranking with_credits;
+    std::multiset<double> speeds;
+  };
+
+  preference rank(const worker_view& view) const;
+  void link(const worker_view& view);
+  void unlink(const worker_view& view);
+  bool relink_needed(const worker_view& before, const worker_view& after) const;
+
+  std::string availability_zone_;
+  std::map<std::string, std::unique_ptr<worker_view>> workers_;
+  std::map<std::string, kind_index> kinds_;
+};
+
+} // namespace parsleylead
--- /dev/null
+++ b/include/parsleylead/placement/worker_view.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "parsleylead/admission/limits.hpp"
+#include "parsleylead/base/time.hpp"
+
+namespace parsleylead {
+
+/// What this entry knows about one worker.
+struct worker_view {
+  /// Name of the worker's agent.
+  std::string id;
+  std::set<std::string> kinds;
+  std::string availability_zone;
+  std::uint32_t slots = 0;
+  std::uint32_t cores = 0;
+  std::uint64_t memory_mb = 0;
+  /// Unused credits of this entry.
+  std::uint32_t credits = 0;
+  /// Expected ends of this entry's tasks in flight at the worker.
+  std::multiset<monotonic_time> expected_ends;
+  /// Relative run time: below 1 is faster (`run_time_estimator::speed_factor`).
+  double speed = 1;
+  /// Takes no work: ejected by `worker_health`, or without a usable session.
+  bool ejected = false;
+
+  std::size_t in_flight() const { return expected_ends.size(); }
+  /// Whether a task with these needs fits. A worker that declares no size holds everything.
+  bool holds(const worker_needs& needs) const;
+};
+
+} // namespace parsleylead
--- /dev/null
+++ b/include/parsleylead/slot/credit_book.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace parsleylead {
+
+/// Credits of one worker session or of all; granted = spent + returned + voided + unused.
+struct credit_totals {
+  std::uint64_t granted = 0;
+  std::uint64_t spent = 0;
+  /// Given up after a recall or without being asked.
+  std::uint64_t returned = 0;
+  /// Lost with their session.
+  std::uint64_t voided = 0;
+  std::uint64_t unused = 0;
+
+  bool balances() const { return granted == spent + returned + voided + unused; }
+  bool operator==(const credit_totals&) const = default;
+};
+
+/// The entry's credits of each worker session (D3). Calls for a session other than the worker's
+/// current one change nothing: credits of a fenced session are void. Not thread-safe.
+class credit_book {
+public:
+  /// Starts a session; unused credits of the worker's earlier session become void.
+  void open(const std::string& worker, std::uint64_t session);
+  /// Ends the worker's session; its unused credits become void.
+  void close(const std::string& worker);
+  /// The agent voided all credits of the session, which stays open (`leaving`).
+  void void_credits(const std::string& worker, std::uint64_t session);
+
+  /// False if the session is not current; the credits are then ignored.
+  bool grant(const std::string& worker, std::uint64_t session, std::uint32_t credits);
+  /// Spends one credit. False if there is none.
+  bool spend(const std::string& worker);
+  /// Gives up at most `asked` unused credits of the session and returns their number.
+  std::uint32_t give_up(const std::string& worker, std::uint64_t session, std::uint32_t asked);
+
+  std::uint32_t unused(const std::string& worker) const;
+  /// Current session of the worker, 0 for none.
+  std::uint64_t session(const std::string& worker) const;
+  const credit_totals& totals() const { return totals_; }
+
+private:
+  struct worker_state {
+    std::uint64_t session = 0;
+    std::uint32_t unused = 0;
+  };
+  worker_state* current(const std::string& worker, std::uint64_t session);
+  void void_unused(worker_state& state);
+
+  std::map<std::string, worker_state> workers_;
+  credit_totals totals_;
+};
+
+} // namespace parsleylead
