--- a/include/parsleylead/entry/job_request.hpp
+++ b/include/parsleylead/entry/caller_request.hpp
@@ -12,7 +12,7 @@
 namespace parsleylead {
 
 /// A caller's job, as received.
-struct job_request {
+struct caller_request {
   std::string kind;
   /// Request key; required for non-idempotent kinds.
   std::optional<std::string> key;
@@ -26,6 +26,6 @@
 
 /// Parses the body of POST /v1/jobs. A task is a string, or {"base64": "..."} for binary payloads.
 /// Errors: malformed_request at step receive, with the path of the first bad field. Thread-safe.
-std::variant<job_request, failure> parse_job_request(std::string_view body);
+std::variant<caller_request, failure> parse_caller_request(std::string_view body);
 
 } // namespace parsleylead
--- a/include/parsleylead/entry/job_reply.hpp
+++ b/include/parsleylead/entry/job_reply.hpp
@@ -6,15 +6,10 @@
 #include <vector>
 
 #include "parsleylead/base/failure.hpp"
+#include "parsleylead/job/job.hpp"
 
 namespace parsleylead {
 
-/// What a caller may conclude about the run of its submission.
-enum class run_truth { not_run, may_have_run, ran };
-
-/// Stable name of the value, as in answers.
-std::string_view to_string(run_truth value);
-
 /// An HTTP answer for a caller.
 struct job_reply {
   int status = 0;
--- a/src/entry/job_request.cpp
+++ b/src/entry/caller_request.cpp
@@ -1,4 +1,4 @@
-#include "parsleylead/entry/job_request.hpp"
+#include "parsleylead/entry/caller_request.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -32,7 +32,7 @@
   return "expected a string or {\"base64\": \"...\"}";
 }
 
-std::string read_tasks(const json& value, job_request& request) {
+std::string read_tasks(const json& value, caller_request& request) {
   if (!value.is_array() || value.empty()) {
     return "tasks: expected an array with at least one task";
   }
@@ -46,7 +46,7 @@
   return "";
 }
 
-std::string read_field(const std::string& name, const json& value, job_request& request) {
+std::string read_field(const std::string& name, const json& value, caller_request& request) {
   if (name == "kind") {
     if (!value.is_string() || value.get_ref<const std::string&>().empty()) {
       return "kind: expected a non-empty string";
@@ -83,12 +83,12 @@
 
 } // namespace
 
-std::variant<job_request, failure> parse_job_request(std::string_view body) {
+std::variant<caller_request, failure> parse_caller_request(std::string_view body) {
   const auto document = json::parse(body, nullptr, false);
   if (!document.is_object()) {
     return malformed("the body is not a JSON object");
   }
-  job_request request;
+  caller_request request;
   for (const auto& [name, value] : document.items()) {
     auto problem = read_field(name, value, request);
     if (!problem.empty()) {
--- a/src/entry/job_request_test.cpp
+++ b/src/entry/caller_request_test.cpp
@@ -3,21 +3,21 @@
 #include <nlohmann/json.hpp>
 
 #include "parsleylead/entry/job_reply.hpp"
-#include "parsleylead/entry/job_request.hpp"
+#include "parsleylead/entry/caller_request.hpp"
 
 namespace parsleylead {
 namespace {
 
 std::string problem_of(std::string_view body) {
-  const auto parsed = parse_job_request(body);
+  const auto parsed = parse_caller_request(body);
   const auto* problem = std::get_if<failure>(&parsed);
   return problem == nullptr ? "" : problem->detail;
 }
 
 TEST_CASE("a job request is read whole") {
-  const auto parsed = parse_job_request(
+  const auto parsed = parse_caller_request(
       R"({"kind":"quote","key":"k","budget_ms":500,"wait":false,"tasks":["a",{"base64":"AP8="}]})");
-  const auto& request = std::get<job_request>(parsed);
+  const auto& request = std::get<caller_request>(parsed);
   CHECK(request.kind == "quote");
   CHECK(request.key == "k");
   CHECK(request.budget == std::chrono::milliseconds(500));
--- a/src/entry/job_reply.cpp
+++ b/src/entry/job_reply.cpp
@@ -77,18 +77,6 @@
 
 } // namespace
 
-std::string_view to_string(run_truth value) {
-  switch (value) {
-  case run_truth::not_run:
-    return "not_run";
-  case run_truth::ran:
-    return "ran";
-  case run_truth::may_have_run:
-    break;
-  }
-  return "may_have_run";
-}
-
 job_reply make_complete_reply(std::string_view submission,
                               const std::vector<std::string>& answers) {
   json list = json::array();
