Add the dispatcher and the link to agents

Cause: the decision parts need one place that connects them. Change: dispatcher decides submissions without I/O; agent_link holds one session with resume.

--- a/include/parsleylead/base/invariant.hpp
+++ b/include/parsleylead/base/invariant.hpp
@@ -20,4 +20,4 @@
   }
 }
 
-}  // namespace parsleylead
+} // namespace parsleylead
--- /dev/null
+++ b/include/parsleylead/entry/agent_link.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <kj/async.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "generated/parsleylead.capnp.h"
+#include "parsleylead/entry/dispatcher.hpp"
+#include "parsleylead/session/dispatch_ledger.hpp"
+#include "parsleylead/transport/rpc_connection.hpp"
+
+namespace parsleylead {
+
+/// How an agent is reached.
+struct agent_address {
+  std::string name;
+  std::uint64_t incarnation = 0;
+  endpoint address;
+
+  bool operator==(const agent_address&) const = default;
+};
+
+/// What all links of an entry share. All members outlive the links.
+struct link_context {
+  rpc_loop& loop;
+  const session_settings& settings;
+  sequence_allocator& numbers;
+  dispatcher& decisions;
+  /// Fills in the entry's own description for a hello.
+  std::function<void(wire::EntryInfo::Builder)> describe_entry;
+  /// Fills in the catalogue revisions for a hello.
+  std::function<std::vector<std::pair<std::string, std::uint64_t>>()> revisions;
+  /// An agent knows a newer revision of a kind than this entry.
+  std::function<void()> on_stale_revision;
+};
+
+/// The session of this entry with one agent: connection, calls, silence detection and resume (D1,
+/// D7). Control thread only.
+class agent_link : public std::enable_shared_from_this<agent_link> {
+ public:
+  agent_link(link_context& context, agent_address address);
+  ~agent_link();
+  agent_link(const agent_link&) = delete;
+  agent_link& operator=(const agent_link&) = delete;
+
+  const agent_address& address() const { return address_; }
+
+  /// The agent announced itself: it has no session to this entry, or it was started anew.
+  void on_announced(const agent_address& address, monotonic_time now);
+
+  /// Performs what is due: probe, new connection. Must not be called from a KJ continuation.
+  /// Returns false if the agent is lost and the link has to be removed.
+  bool tick(monotonic_time now);
+
+  bool dispatch(const dispatch_request& request);
+  void cancel(const uuid& submission);
+  void want(const demand& waiting);
+  void give_back(std::uint32_t credits);
+  void push_revisions(const std::vector<std::pair<std::string, std::uint64_t>>& revisions);
+
+  bool is_open() const { return ledger_.can_dispatch(); }
+  bool is_leaving() const { return leaving_; }
+  std::size_t outstanding() const { return ledger_.outstanding(); }
+
+ private:
+  class receiver;
+  struct session_connection;
+
+  void open(monotonic_time now);
+  void on_reply(std::uint64_t counter, wire::SessionReply::Reader reply, monotonic_time now);
+  void on_result(std::uint64_t sequence, wire::TaskResult::Reader result);
+  void on_call_failed(std::uint64_t sequence, const kj::Exception& error);
+  void collect(std::uint64_t sequence);
+  void apply(const outstanding_dispatch& dispatch, task_outcome outcome);
+  void watch_call(kj::Promise<void> call);
+  void update_agent(wire::AgentInfo::Reader agent);
+  bool is_current(std::uint64_t counter) const;
+
+  link_context& context_;
+  agent_address address_;
+  dispatch_ledger ledger_;
+  std::unique_ptr<session_connection> session_;
+  std::optional<kj::Promise<void>> opening_;
+  std::uint64_t counter_ = 0;
+  monotonic_time opened_at_;
+  bool leaving_ = false;
+  bool first_open_ = true;
+};
+
+}  // namespace parsleylead
--- /dev/null
+++ b/include/parsleylead/entry/dispatcher.hpp
@@ -0,0 +1,197 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "parsleylead/account/account.hpp"
+#include "parsleylead/admission/admission_control.hpp"
+#include "parsleylead/admission/run_time_estimator.hpp"
+#include "parsleylead/catalogue/catalogue_entry.hpp"
+#include "parsleylead/entry/caller_request.hpp"
+#include "parsleylead/entry/gateways.hpp"
+#include "parsleylead/job/job_table.hpp"
+#include "parsleylead/placement/backlog.hpp"
+#include "parsleylead/placement/demand_tracker.hpp"
+#include "parsleylead/placement/placement_policy.hpp"
+#include "parsleylead/placement/worker_health.hpp"
+#include "parsleylead/placement/worker_pool.hpp"
+#include "parsleylead/slot/credit_book.hpp"
+
+namespace parsleylead {
+
+struct dispatcher_options {
+  std::string availability_zone;
+  /// Number of this entry among those that share the limits, and their count.
+  std::uint32_t entry_slot = 1;
+  std::uint32_t entry_slots = 1;
+  std::chrono::milliseconds answer_retention{600'000};
+  backlog_settings order;
+};
+
+/// An agent with an open session.
+struct agent_description {
+  std::string name;
+  std::string availability_zone;
+  std::set<std::string> kinds;
+  std::uint32_t slots = 0;
+  std::uint32_t cores = 0;
+  std::uint64_t memory_mb = 0;
+};
+
+/// Decides everything about the submissions of one entry: admission, claims, the order of the
+/// backlog, placement, outcomes and replies. Performs no I/O; messages leave through the gateways.
+/// Not thread-safe: control thread only. `now` never decreases.
+class dispatcher {
+public:
+  using reply_callback = std::function<void(job_reply)>;
+
+  /// The gateways must outlive the dispatcher.
+  dispatcher(const dispatcher_options& options, selected_policy policy, agent_gateway& agents,
+             claim_gateway& claims, peer_gateway& peers);
+
+  /// Accepts or refuses a submission. `reply` is called exactly once: at the end of the job, or at
+  /// once if the request does not wait or is refused.
+  void submit(caller_request request, monotonic_time now, reply_callback reply);
+
+  /// Gives the reply of a known submission, at its end if `wait`. False if it is unknown; `reply`
+  /// is then not called.
+  bool fetch(const uuid& submission, bool wait, reply_callback reply);
+
+  /// Ends a submission at its caller's request and gives its reply. False if it is unknown.
+  bool cancel(const uuid& submission, monotonic_time now, reply_callback reply);
+
+  /// The catalogue is known from here on.
+  void set_catalogue_known() { catalogue_known_ = true; }
+  void set_kind(const std::string& name, const kind_definition& definition, std::uint64_t revision,
+                monotonic_time now);
+  /// New submissions of the kind are refused; accepted ones run to their end. `revision` is that of
+  /// the removal.
+  void remove_kind(const std::string& name, std::uint64_t revision);
+  void set_owner(const std::string& name, const owner_quota& quota, monotonic_time now);
+  void remove_owner(const std::string& name);
+
+  void on_claim(const claim_decision& decision, monotonic_time now);
+
+  /// A session to the agent was opened or resumed. `session` grows with each session.
+  void on_session_opened(const agent_description& agent, std::uint64_t session,
+                         std::uint32_t credits, monotonic_time now);
+  /// The description of the agent's upstream changed; without slots it takes no work.
+  void on_agent_changed(const agent_description& agent, monotonic_time now);
+  /// The session takes no work for the moment.
+  void on_session_suspended(const std::string& agent);
+  /// The agent is gone: outcomes of its dispatches follow, or came before.
+  void on_agent_lost(const std::string& agent);
+  /// The agent is leaving: its credits are void.
+  void on_agent_leaving(const std::string& agent, std::uint64_t session);
+  void on_credits(const std::string& agent, std::uint64_t session, std::uint32_t credits,
+                  monotonic_time now);
+  /// Gives up unused credits and returns their number.
+  std::uint32_t on_recall(const std::string& agent, std::uint64_t session, std::uint32_t credits);
+  void on_outcome(const uuid& submission, task_attempt task, task_outcome outcome,
+                  monotonic_time now);
+
+  /// Ends what is past its deadline, places what can be placed. Call it at least at `next_event`.
+  void tick(monotonic_time now);
+  std::optional<monotonic_time> next_event(monotonic_time now) const;
+
+  /// New submissions are refused with `why` from here on.
+  void refuse_new(const failure& why) { refusal_ = why; }
+  /// Ends all open submissions with `why`.
+  void abandon_all(const failure& why, monotonic_time now);
+  std::size_t open_jobs() const { return jobs_.open(); }
+
+  account& accounts() { return account_; }
+  const account& accounts() const { return account_; }
+  const worker_pool& workers() const { return pool_; }
+  const credit_book& credits() const { return credits_; }
+  std::size_t waiting_tasks() const { return backlog_.waiting(); }
+  std::size_t tasks_in_flight() const { return in_flight_.size(); }
+  bool is_ejected(const std::string& agent) const { return health_.ejected(agent); }
+
+private:
+  using dispatch_key = std::tuple<uuid, std::uint32_t, std::uint32_t>;
+  enum class claim_state { none, requested, granted };
+
+  struct kind_state {
+    kind_definition definition;
+    std::uint64_t revision = 0;
+    bool removed = false;
+  };
+  struct submission_state {
+    std::vector<reply_callback> waiters;
+    std::optional<uuid> key;
+    claim_state claim = claim_state::none;
+    std::size_t waiting = 0;
+    std::string traceparent;
+  };
+  struct dispatch_state {
+    std::string agent;
+    std::string kind;
+    monotonic_time expected_end;
+    bool trial = false;
+  };
+
+  std::optional<failure> check_request(const caller_request& request,
+                                       std::optional<uuid>& key) const;
+  void refuse(const caller_request& request, const failure& why, const reply_callback& reply);
+  capacity_estimate estimate_capacity(const caller_request& request, monotonic_time now) const;
+  void accept(caller_request request, const std::optional<uuid>& key,
+              std::chrono::milliseconds budget, monotonic_time now, reply_callback reply);
+  void enqueue(job& accepted, monotonic_time now);
+  void send_probes(const job& accepted);
+  void answer_duplicate(job& duplicate, const claim_holder& holder, monotonic_time now);
+
+  void place(monotonic_time now);
+  bool place_trials(monotonic_time now);
+  bool place_next(monotonic_time now);
+  void dispatch(const uuid& submission, const std::string& agent, bool trial, monotonic_time now);
+  void send_wants(monotonic_time now);
+
+  void record_outcome(job& target, submission_state& state, task_attempt task,
+                      const dispatch_state& sent, task_outcome& outcome, monotonic_time now);
+  void learn(const dispatch_state& sent, const task_outcome& outcome, monotonic_time now);
+  void apply_health(const std::string& agent, worker_health::change change);
+  void update_usable(const std::string& agent);
+  void sync_credits(const std::string& agent);
+  void end_job(job& ended, monotonic_time now);
+  void end_job(job& ended, monotonic_time now, const job_reply& reply);
+  void settle_claim(const job& ended, const submission_state& state, const job_reply& reply,
+                    monotonic_time now);
+  void expire(monotonic_time now);
+  job_reply reply_of(const job& target) const;
+  task_request request_of(const backlog_candidate& candidate) const;
+
+  dispatcher_options options_;
+  selected_policy policy_;
+  agent_gateway& agents_;
+  claim_gateway& claims_;
+  peer_gateway& peers_;
+
+  bool catalogue_known_ = false;
+  std::optional<failure> refusal_;
+  std::map<std::string, kind_state> kinds_;
+  job_table jobs_;
+  std::map<uuid, submission_state> submissions_;
+  std::map<dispatch_key, dispatch_state> in_flight_;
+  admission_control admission_;
+  run_time_estimator run_times_;
+  backlog backlog_;
+  worker_pool pool_;
+  worker_health health_;
+  credit_book credits_;
+  demand_tracker demands_;
+  account account_;
+  std::set<std::string> open_sessions_;
+  monotonic_time next_want_pass_;
+  bool placing_ = false;
+};
+
+} // namespace parsleylead
--- a/src/entry/caller_request_test.cpp
+++ b/src/entry/caller_request_test.cpp
@@ -2,8 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
-#include "parsleylead/entry/job_reply.hpp"
 #include "parsleylead/entry/caller_request.hpp"
+#include "parsleylead/entry/job_reply.hpp"
 
 namespace parsleylead {
 namespace {
--- /dev/null
+++ b/src/entry/dispatcher.cpp
@@ -0,0 +1,757 @@
+#include "parsleylead/entry/dispatcher.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "parsleylead/base/invariant.hpp"
+
+namespace parsleylead {
+namespace {
+
+// With 540 workers a pass over all of them costs more than a placement, so passes are spaced.
+constexpr std::chrono::milliseconds want_pass_interval{10};
+
+// A call and its return.
+constexpr std::uint64_t messages_per_call = 2;
+
+admission_limits to_admission_limits(const kind_limits& limits) {
+  return {limits.in_flight, limits.queue, limits.rate_per_s, limits.job_tasks, limits.budget};
+}
+
+worker_needs to_worker_needs(const kind_needs& needs) {
+  return {needs.cores, needs.memory_mb};
+}
+
+worker_view to_view(const agent_description& agent) {
+  worker_view view;
+  view.id = agent.name;
+  view.kinds = agent.kinds;
+  view.availability_zone = agent.availability_zone;
+  view.slots = agent.slots;
+  view.cores = agent.cores;
+  view.memory_mb = agent.memory_mb;
+  return view;
+}
+
+job_outcome outcome_of(job_state state) {
+  switch (state) {
+  case job_state::complete:
+    return job_outcome::complete;
+  case job_state::cancelled:
+    return job_outcome::cancelled;
+  case job_state::refused:
+    return job_outcome::refused_after_acceptance;
+  default:
+    return job_outcome::failed;
+  }
+}
+
+// Failures that say something about the worker: cancelled and expired tasks do not.
+bool counts_against_worker(reason why) {
+  return why == reason::task_failed || why == reason::upstream_disconnected ||
+         why == reason::answer_too_large;
+}
+
+} // namespace
+
+dispatcher::dispatcher(const dispatcher_options& options, selected_policy policy,
+                       agent_gateway& agents, claim_gateway& claims, peer_gateway& peers)
+    : options_(options), policy_(std::move(policy)), agents_(agents), claims_(claims),
+      peers_(peers), jobs_(options.answer_retention),
+      admission_(options.entry_slot, options.entry_slots), backlog_(options.order),
+      pool_(options.availability_zone) {}
+
+// Submissions.
+
+std::optional<failure> dispatcher::check_request(const caller_request& request,
+                                                 std::optional<uuid>& key) const {
+  if (refusal_) {
+    return refusal_;
+  }
+  if (!catalogue_known_) {
+    return failure{reason::catalogue_unavailable, step::admit, "",
+                   "the catalogue is not known yet"};
+  }
+  const auto kind = kinds_.find(request.kind);
+  if (kind == kinds_.end()) {
+    return failure{reason::unknown_kind, step::admit, "",
+                   "kind \"" + request.kind + "\" is not in the catalogue"};
+  }
+  if (kind->second.removed) {
+    return failure{reason::kind_removed, step::admit, "",
+                   "kind \"" + request.kind + "\" was removed from the catalogue"};
+  }
+  if (kind->second.definition.idempotent) {
+    return std::nullopt;
+  }
+  if (!request.key) {
+    return failure{reason::invalid_key, step::admit, "",
+                   "a non-idempotent kind needs a request key"};
+  }
+  key = uuid::parse(*request.key);
+  if (!key || !key->created()) {
+    return failure{reason::invalid_key, step::admit, "", "the request key is not a UUID version 7"};
+  }
+  return std::nullopt;
+}
+
+void dispatcher::submit(caller_request request, monotonic_time now, reply_callback reply) {
+  std::optional<uuid> key;
+  if (const auto problem = check_request(request, key)) {
+    refuse(request, *problem, reply);
+    return;
+  }
+  const auto budget = admission_.budget(request.kind, request.budget);
+  check_invariant(budget.has_value(), "every kind of the catalogue has a time budget");
+  const admission_request asked{request.kind, request.tasks.size(), now + *budget};
+  const auto decision = admission_.admit(asked, estimate_capacity(request, now), now);
+  if (!decision.admitted()) {
+    refuse(request, *decision.refusal, reply);
+    return;
+  }
+  accept(std::move(request), key, *budget, now, std::move(reply));
+  place(now);
+}
+
+void dispatcher::refuse(const caller_request& request, const failure& why,
+                        const reply_callback& reply) {
+  const auto kind = kinds_.find(request.kind);
+  const bool known = kind != kinds_.end();
+  // Unknown names come from callers; counting them by name would let the account grow for ever.
+  account_.refused_before(known ? request.kind : "", known ? kind->second.definition.owner : "",
+                          why);
+  reply(make_failure_reply("", run_truth::not_run, why));
+}
+
+capacity_estimate dispatcher::estimate_capacity(const caller_request& request,
+                                                monotonic_time now) const {
+  const auto needs = to_worker_needs(kinds_.at(request.kind).definition.needs);
+  capacity_estimate estimate;
+  estimate.capable_workers = pool_.capable(request.kind, needs);
+  estimate.slots = static_cast<double>(pool_.capable_slots(request.kind, needs));
+  constexpr double low_quantile = 0.1;
+  const auto quantile = run_times_.quantile(request.kind, low_quantile);
+  // Before any sample the prior is a guess, and a guess must not refuse a job.
+  const bool learned = run_times_.samples(request.kind) > 0;
+  const double run_time = learned ? static_cast<double>(quantile.count()) : 0;
+  estimate.run_time = std::chrono::microseconds(
+      static_cast<std::int64_t>(run_time * pool_.best_speed(request.kind)));
+  if (learned) {
+    const auto key = backlog_.key_of_new(request.kind, request.tasks.size());
+    estimate.work_ahead = backlog_.work_before(key);
+  }
+  estimate.suspended = health_.kind_suspended(request.kind, now);
+  return estimate;
+}
+
+void dispatcher::accept(caller_request request, const std::optional<uuid>& key,
+                        std::chrono::milliseconds budget, monotonic_time now,
+                        reply_callback reply) {
+  job_request accepted;
+  accepted.id = uuid::make_v7(wall_now());
+  accepted.kind = request.kind;
+  accepted.owner = kinds_.at(request.kind).definition.owner;
+  accepted.key = request.key;
+  accepted.accepted = now;
+  accepted.deadline = now + budget;
+  accepted.payloads = std::move(request.tasks);
+  job* added = jobs_.insert(std::move(accepted));
+  check_invariant(added != nullptr, "submission ids are unique");
+  account_.accepted(added->kind(), added->owner());
+  auto& state = submissions_[added->id()];
+  state.key = key;
+  state.traceparent = std::move(request.traceparent);
+  state.waiting = added->size();
+  if (request.wait) {
+    state.waiters.push_back(std::move(reply));
+  } else {
+    reply(make_open_reply(added->id().to_string(), added->size(), 0));
+  }
+  if (!key) {
+    enqueue(*added, now);
+    return;
+  }
+  state.claim = claim_state::requested;
+  const uuid id = added->id();
+  if (const auto decision = claims_.request_claim(*key, id, added->deadline(), now)) {
+    on_claim(*decision, now);
+  }
+}
+
+void dispatcher::enqueue(job& accepted, monotonic_time now) {
+  backlog_.add({accepted.id(), accepted.kind(), accepted.owner(), accepted.size(),
+                accepted.accepted(), accepted.deadline()},
+               now);
+  send_probes(accepted);
+}
+
+void dispatcher::send_probes(const job& accepted) {
+  task_request task{accepted.id(), accepted.kind(),
+                    to_worker_needs(kinds_.at(accepted.kind()).definition.needs), accepted.size(),
+                    run_times_.mean(accepted.kind())};
+  std::map<std::string, std::uint32_t> reservations;
+  for (std::size_t i = 0; i < accepted.size(); ++i) {
+    for (const auto& agent : policy_.probes(task, pool_)) {
+      ++reservations[agent];
+    }
+  }
+  for (const auto& [agent, count] : reservations) {
+    agents_.want(agent, {0, count});
+  }
+}
+
+bool dispatcher::fetch(const uuid& submission, bool wait, reply_callback reply) {
+  const job* target = jobs_.find(submission);
+  if (target == nullptr) {
+    return false;
+  }
+  if (wait && !target->ended()) {
+    submissions_.at(submission).waiters.push_back(std::move(reply));
+    return true;
+  }
+  reply(reply_of(*target));
+  return true;
+}
+
+bool dispatcher::cancel(const uuid& submission, monotonic_time now, reply_callback reply) {
+  job* target = jobs_.find(submission);
+  if (target == nullptr) {
+    return false;
+  }
+  if (target->cancel({reason::cancelled, step::receive, "", "cancelled by the caller"})) {
+    end_job(*target, now);
+    place(now);
+  }
+  reply(reply_of(*target));
+  return true;
+}
+
+// Catalogue.
+
+void dispatcher::set_kind(const std::string& name, const kind_definition& definition,
+                          std::uint64_t revision, monotonic_time now) {
+  kinds_[name] = {definition, revision, false};
+  admission_.set_kind(name, definition.owner, to_admission_limits(definition.limits), now);
+  backlog_.unblock(definition.owner);
+}
+
+void dispatcher::remove_kind(const std::string& name, std::uint64_t revision) {
+  const auto kind = kinds_.find(name);
+  if (kind == kinds_.end()) {
+    return;
+  }
+  // The definition stays for the jobs that were accepted under it.
+  kind->second.removed = true;
+  kind->second.revision = revision;
+  admission_.remove_kind(name);
+}
+
+void dispatcher::set_owner(const std::string& name, const owner_quota& quota, monotonic_time now) {
+  admission_.set_owner(name, {quota.in_flight, quota.rate_per_s}, now);
+  backlog_.unblock(name);
+}
+
+void dispatcher::remove_owner(const std::string& name) {
+  admission_.remove_owner(name);
+  backlog_.unblock(name);
+}
+
+// Claims.
+
+void dispatcher::on_claim(const claim_decision& decision, monotonic_time now) {
+  job* target = jobs_.find(decision.submission);
+  if (target == nullptr || target->ended()) {
+    if (decision.verdict == claim_verdict::granted) {
+      claims_.release(decision.key, decision.submission);
+    }
+    return;
+  }
+  auto& state = submissions_.at(decision.submission);
+  check_invariant(state.claim == claim_state::requested, "a claim is decided once");
+  switch (decision.verdict) {
+  case claim_verdict::granted:
+    state.claim = claim_state::granted;
+    enqueue(*target, now);
+    place(now);
+    return;
+  case claim_verdict::duplicate:
+    state.claim = claim_state::none;
+    check_invariant(decision.holder.has_value(), "a duplicate names the holder");
+    answer_duplicate(*target, *decision.holder, now);
+    return;
+  case claim_verdict::refused:
+    state.claim = claim_state::none;
+    target->abandon({decision.why, step::claim, "", decision.detail});
+    end_job(*target, now);
+    return;
+  }
+}
+
+void dispatcher::answer_duplicate(job& duplicate, const claim_holder& holder, monotonic_time now) {
+  const failure why{reason::duplicate_key, step::claim, holder.entry_name,
+                    "submission " + holder.submission.to_string() + " holds the request key"};
+  const auto wait = std::chrono::ceil<std::chrono::milliseconds>(duplicate.deadline() - now);
+  duplicate.abandon(why);
+  // Until the holder's outcome is known, the request may have run, although this submission did
+  // not.
+  const auto unknown =
+      make_failure_reply(holder.submission.to_string(), run_truth::may_have_run, why);
+  if (holder.outcome && holder.outcome->answer) {
+    const int status = holder.outcome->state == "complete" ? 200 : 409;
+    end_job(duplicate, now, {status, *holder.outcome->answer});
+    return;
+  }
+  if (holder.outcome) {
+    const failure ended{reason::answer_expired, step::claim, holder.entry_name,
+                        "submission " + holder.submission.to_string() + " ended as " +
+                            holder.outcome->state + "; its answer is not in the log"};
+    const auto expired =
+        make_failure_reply(holder.submission.to_string(), run_truth::may_have_run, ended);
+    auto waiters = std::exchange(submissions_.at(duplicate.id()).waiters, {});
+    end_job(duplicate, now, expired);
+    peers_.fetch_job(holder, std::chrono::milliseconds(0),
+                     [waiters = std::move(waiters), expired](std::optional<job_reply> reply) {
+                       for (const auto& waiter : waiters) {
+                         waiter(reply.value_or(expired));
+                       }
+                     });
+    return;
+  }
+  auto waiters = std::exchange(submissions_.at(duplicate.id()).waiters, {});
+  end_job(duplicate, now, unknown);
+  if (jobs_.find(holder.submission) != nullptr) {
+    for (auto& waiter : waiters) {
+      fetch(holder.submission, true, std::move(waiter));
+    }
+    return;
+  }
+  peers_.fetch_job(holder, wait,
+                   [waiters = std::move(waiters), unknown](std::optional<job_reply> reply) {
+                     for (const auto& waiter : waiters) {
+                       waiter(reply.value_or(unknown));
+                     }
+                   });
+}
+
+// Agents.
+
+void dispatcher::on_session_opened(const agent_description& agent, std::uint64_t session,
+                                   std::uint32_t credits, monotonic_time now) {
+  if (pool_.find(agent.name) == nullptr) {
+    health_.add_worker(agent.name);
+  }
+  on_agent_changed(agent, now);
+  open_sessions_.insert(agent.name);
+  demands_.forget(agent.name);
+  credits_.open(agent.name, session);
+  credits_.grant(agent.name, session, credits);
+  sync_credits(agent.name);
+  update_usable(agent.name);
+  place(now);
+}
+
+void dispatcher::on_agent_changed(const agent_description& agent, monotonic_time now) {
+  auto view = to_view(agent);
+  if (const auto* known = pool_.find(agent.name)) {
+    view.expected_ends = known->expected_ends;
+  }
+  view.credits = credits_.unused(agent.name);
+  view.speed = run_times_.speed_factor(agent.name);
+  pool_.put(std::move(view));
+  update_usable(agent.name);
+  place(now);
+}
+
+void dispatcher::on_session_suspended(const std::string& agent) {
+  open_sessions_.erase(agent);
+  credits_.close(agent);
+  sync_credits(agent);
+  update_usable(agent);
+}
+
+void dispatcher::on_agent_lost(const std::string& agent) {
+  on_session_suspended(agent);
+  demands_.forget(agent);
+  pool_.remove(agent);
+  run_times_.forget_worker(agent);
+  for (const auto& readmitted : health_.remove_worker(agent)) {
+    update_usable(readmitted);
+  }
+}
+
+void dispatcher::on_agent_leaving(const std::string& agent, std::uint64_t session) {
+  credits_.void_credits(agent, session);
+  open_sessions_.erase(agent);
+  sync_credits(agent);
+  update_usable(agent);
+}
+
+void dispatcher::on_credits(const std::string& agent, std::uint64_t session, std::uint32_t credits,
+                            monotonic_time now) {
+  if (credits == 0 || !credits_.grant(agent, session, credits)) {
+    return;
+  }
+  sync_credits(agent);
+  place(now);
+}
+
+std::uint32_t dispatcher::on_recall(const std::string& agent, std::uint64_t session,
+                                    std::uint32_t credits) {
+  const auto given = credits_.give_up(agent, session, credits);
+  sync_credits(agent);
+  if (given > 0) {
+    account_.wasted(waste_cause::recalled_credit);
+  }
+  return given;
+}
+
+void dispatcher::sync_credits(const std::string& agent) {
+  pool_.set_credits(agent, credits_.unused(agent));
+}
+
+void dispatcher::update_usable(const std::string& agent) {
+  const auto* view = pool_.find(agent);
+  if (view == nullptr) {
+    return;
+  }
+  const bool usable = open_sessions_.contains(agent) && view->slots > 0 && !health_.ejected(agent);
+  pool_.set_ejected(agent, !usable);
+}
+
+void dispatcher::apply_health(const std::string& agent, worker_health::change change) {
+  if (change == worker_health::change::none) {
+    return;
+  }
+  update_usable(agent);
+  const auto* view = pool_.find(agent);
+  if (change == worker_health::change::readmitted || view == nullptr) {
+    return;
+  }
+  const auto unused = credits_to_give_back(*view, false);
+  if (unused > 0) {
+    credits_.give_up(agent, credits_.session(agent), unused);
+    sync_credits(agent);
+    agents_.give_back(agent, unused);
+    account_.wasted(waste_cause::returned_credit);
+  }
+}
+
+// Placement.
+
+task_request dispatcher::request_of(const backlog_candidate& candidate) const {
+  const auto& definition = kinds_.at(candidate.kind).definition;
+  return {candidate.id, candidate.kind, to_worker_needs(definition.needs), candidate.waiting,
+          run_times_.mean(candidate.kind)};
+}
+
+void dispatcher::place(monotonic_time now) {
+  // A dispatch can fail at once and report its outcome from within this loop.
+  if (placing_) {
+    return;
+  }
+  placing_ = true;
+  // A process that was paused must not start work past its deadline.
+  expire(now);
+  backlog_.age(now);
+  while (place_trials(now) || place_next(now)) {
+  }
+  send_wants(now);
+  placing_ = false;
+}
+
+bool dispatcher::place_trials(monotonic_time now) {
+  if (health_.ejected_count() == 0) {
+    return false;
+  }
+  const auto due = health_.next_trial();
+  if (!due || *due > now) {
+    return false;
+  }
+  std::optional<std::pair<uuid, std::string>> chosen;
+  backlog_.visit([&](const backlog_candidate& candidate) {
+    if (!admission_.may_start(candidate.kind)) {
+      return visit_step::block_kind;
+    }
+    for (const auto& [name, view] : pool_.all()) {
+      const bool fits = view->kinds.contains(candidate.kind) && view->slots > 0 &&
+                        view->holds(request_of(candidate).needs);
+      if (fits && open_sessions_.contains(name) && health_.trial_due(name, now)) {
+        chosen.emplace(candidate.id, name);
+        return visit_step::stop;
+      }
+    }
+    return visit_step::next_kind;
+  });
+  if (!chosen) {
+    return false;
+  }
+  health_.begin_trial(chosen->second);
+  dispatch(chosen->first, chosen->second, true, now);
+  return true;
+}
+
+bool dispatcher::place_next(monotonic_time now) {
+  std::optional<std::pair<uuid, std::string>> chosen;
+  backlog_.visit([&](const backlog_candidate& candidate) {
+    if (!admission_.may_start(candidate.kind)) {
+      return visit_step::block_kind;
+    }
+    const auto agent = policy_.choose(request_of(candidate), pool_, now);
+    if (agent) {
+      chosen.emplace(candidate.id, *agent);
+      return visit_step::stop;
+    }
+    const bool free_worker = !pool_.with_credits(candidate.kind).empty();
+    return free_worker ? visit_step::next_job : visit_step::next_kind;
+  });
+  if (!chosen) {
+    return false;
+  }
+  dispatch(chosen->first, chosen->second, false, now);
+  return true;
+}
+
+void dispatcher::dispatch(const uuid& submission, const std::string& agent, bool trial,
+                          monotonic_time now) {
+  job* target = jobs_.find(submission);
+  check_invariant(target != nullptr && !target->ended(), "only open jobs are in the backlog");
+  auto& state = submissions_.at(submission);
+  check_invariant(!state.key || state.claim == claim_state::granted,
+                  "a non-idempotent task is dispatched only with its claim");
+  const auto task = target->take_waiting();
+  check_invariant(task.has_value(), "a job in the backlog has a waiting task");
+  backlog_.take(submission, now);
+  --state.waiting;
+  admission_.start_task(target->kind());
+  if (policy_.spends_credits() && !trial) {
+    const bool spent = credits_.spend(agent);
+    check_invariant(spent, "a dispatch spends a credit");
+    sync_credits(agent);
+  }
+  const auto& kind = target->kind();
+  const dispatch_state sent{agent, kind, now + run_times_.mean(kind, agent), trial};
+  in_flight_.emplace(dispatch_key{submission, task->index, task->attempt}, sent);
+  pool_.task_sent(agent, sent.expected_end);
+
+  dispatch_request request;
+  request.agent = agent;
+  request.submission = submission;
+  request.task = *task;
+  request.kind = kind;
+  request.revision = kinds_.at(kind).revision;
+  request.budget = std::chrono::floor<std::chrono::milliseconds>(target->deadline() - now);
+  request.payload = &target->payload(task->index);
+  request.traceparent = state.traceparent;
+  request.waiting = backlog_.waiting_demand(pool_.find(agent)->kinds);
+  request.queue_if_busy = !policy_.spends_credits();
+  if (!agents_.dispatch(request)) {
+    task_outcome refused;
+    refused.state = outcome_state::not_run;
+    refused.why = {reason::disconnected, step::dispatch, agent, "the session takes no work"};
+    on_outcome(submission, *task, std::move(refused), now);
+    return;
+  }
+  demands_.dispatched(agent, request.waiting);
+  account_.task_started();
+}
+
+void dispatcher::send_wants(monotonic_time now) {
+  if (!policy_.spends_credits() || backlog_.waiting() == 0 || now < next_want_pass_) {
+    return;
+  }
+  next_want_pass_ = now + want_pass_interval;
+  for (const auto& [name, view] : pool_.all()) {
+    if (view->ejected) {
+      continue;
+    }
+    const auto waiting = backlog_.waiting_demand(view->kinds);
+    if (demands_.want_due(name, waiting, view->credits > 0, now)) {
+      agents_.want(name, waiting);
+    }
+  }
+}
+
+// Outcomes.
+
+void dispatcher::on_outcome(const uuid& submission, task_attempt task, task_outcome outcome,
+                            monotonic_time now) {
+  const auto found = in_flight_.find({submission, task.index, task.attempt});
+  if (found == in_flight_.end()) {
+    account_.wasted(waste_cause::duplicate_result);
+    return;
+  }
+  const dispatch_state sent = found->second;
+  in_flight_.erase(found);
+  pool_.task_ended(sent.agent, sent.expected_end);
+  learn(sent, outcome, now);
+  if (outcome.state == outcome_state::not_run) {
+    account_.wasted(waste_cause::refused_dispatch, messages_per_call);
+  } else {
+    account_.task_finished();
+  }
+  job* target = jobs_.find(submission);
+  if (target == nullptr || target->ended()) {
+    admission_.end_task(sent.kind);
+  } else {
+    record_outcome(*target, submissions_.at(submission), task, sent, outcome, now);
+  }
+  backlog_.unblock(admission_.owner_of(sent.kind));
+  place(now);
+}
+
+void dispatcher::record_outcome(job& target, submission_state& state, task_attempt task,
+                                const dispatch_state& sent, task_outcome& outcome,
+                                monotonic_time now) {
+  auto effect = record_effect::ignored;
+  switch (outcome.state) {
+  case outcome_state::finished:
+    effect = target.record_answer(task, std::move(outcome.answer));
+    break;
+  case outcome_state::failed:
+    effect = known_to_have_run(outcome.why.why) ? target.record_failed(task, outcome.why)
+                                                : target.record_unknown(task, outcome.why);
+    break;
+  case outcome_state::unknown:
+    effect = target.record_unknown(task, outcome.why);
+    break;
+  case outcome_state::not_run:
+    effect = target.record_not_run(task, outcome.why);
+    break;
+  }
+  if (outcome.state == outcome_state::not_run && effect == record_effect::recorded) {
+    admission_.put_back_task(sent.kind);
+    backlog_.put_back(target.id(), now);
+    ++state.waiting;
+    return;
+  }
+  admission_.end_task(sent.kind);
+  if (effect == record_effect::ended) {
+    end_job(target, now);
+  }
+}
+
+void dispatcher::learn(const dispatch_state& sent, const task_outcome& outcome,
+                       monotonic_time now) {
+  const bool finished = outcome.state == outcome_state::finished;
+  if (finished) {
+    run_times_.add(sent.kind, sent.agent, outcome.run_time);
+    pool_.set_speed(sent.agent, run_times_.speed_factor(sent.agent));
+    backlog_.set_run_time(sent.kind, run_times_.mean(sent.kind), now);
+  }
+  const bool judged = finished || (outcome.state == outcome_state::failed &&
+                                   counts_against_worker(outcome.why.why));
+  if (pool_.find(sent.agent) == nullptr) {
+    return;
+  }
+  if (!judged) {
+    if (sent.trial) {
+      health_.abandon_trial(sent.agent, now);
+    }
+    return;
+  }
+  const auto change = sent.trial ? health_.record_trial(sent.agent, sent.kind, !finished, now)
+                                 : health_.record(sent.agent, sent.kind, !finished, now);
+  apply_health(sent.agent, change);
+}
+
+void dispatcher::end_job(job& ended, monotonic_time now) {
+  end_job(ended, now, reply_of(ended));
+}
+
+void dispatcher::end_job(job& ended, monotonic_time now, const job_reply& reply) {
+  auto state = std::move(submissions_.at(ended.id()));
+  submissions_.erase(ended.id());
+  admission_.drop_queued(ended.kind(), state.waiting);
+  backlog_.remove(ended.id());
+  std::set<std::string> busy_agents;
+  for (const auto& task : ended.outstanding()) {
+    const auto sent = in_flight_.find({ended.id(), task.index, task.attempt});
+    if (sent != in_flight_.end()) {
+      busy_agents.insert(sent->second.agent);
+    }
+  }
+  for (const auto& agent : busy_agents) {
+    agents_.cancel(agent, ended.id());
+  }
+  if (ended.state() == job_state::complete) {
+    account_.completed(ended.kind(), ended.owner());
+  } else {
+    account_.ended(ended.kind(), ended.owner(), outcome_of(ended.state()), *ended.end());
+  }
+  jobs_.settle(ended.id(), now);
+  settle_claim(ended, state, reply, now);
+  for (const auto& waiter : state.waiters) {
+    waiter(reply);
+  }
+}
+
+void dispatcher::settle_claim(const job& ended, const submission_state& state,
+                              const job_reply& reply, monotonic_time now) {
+  switch (state.claim) {
+  case claim_state::none:
+    return;
+  case claim_state::requested:
+    claims_.abandon(*state.key, ended.id());
+    return;
+  case claim_state::granted:
+    break;
+  }
+  if (ended.run() == run_truth::not_run) {
+    claims_.release(*state.key, ended.id());
+    return;
+  }
+  claims_.record_outcome(*state.key, ended.id(), std::string(to_string(ended.state())), reply.body,
+                         now);
+}
+
+void dispatcher::expire(monotonic_time now) {
+  for (job* expired : jobs_.expire(now)) {
+    end_job(*expired, now);
+  }
+}
+
+job_reply dispatcher::reply_of(const job& target) const {
+  const auto id = target.id().to_string();
+  if (target.state() == job_state::complete) {
+    const auto* answers = target.answers();
+    check_invariant(answers != nullptr, "a complete job holds its answers");
+    return make_complete_reply(id, *answers);
+  }
+  if (!target.ended()) {
+    const auto waiting = submissions_.at(target.id()).waiting;
+    const auto finished = target.size() - waiting - target.outstanding().size();
+    return make_open_reply(id, target.size(), finished);
+  }
+  return make_failure_reply(id, target.run(), *target.end());
+}
+
+void dispatcher::tick(monotonic_time now) {
+  expire(now);
+  jobs_.purge(now);
+  place(now);
+}
+
+std::optional<monotonic_time> dispatcher::next_event(monotonic_time now) const {
+  std::optional<monotonic_time> next = jobs_.next_deadline();
+  const auto include = [&next](std::optional<monotonic_time> time) {
+    if (time && (!next || *time < *next)) {
+      next = time;
+    }
+  };
+  include(health_.next_trial());
+  if (backlog_.waiting() > 0) {
+    include(now + want_pass_interval);
+  }
+  return next;
+}
+
+void dispatcher::abandon_all(const failure& why, monotonic_time now) {
+  for (const auto& id : jobs_.open_jobs()) {
+    job* open = jobs_.find(id);
+    if (open->abandon(why)) {
+      end_job(*open, now);
+    }
+  }
+}
+
+} // namespace parsleylead
