--- a/include/parsleylead/entry/dispatcher.hpp
+++ b/include/parsleylead/entry/dispatcher.hpp
@@ -190,7 +190,8 @@
   demand_tracker demands_;
   account account_;
   std::set<std::string> open_sessions_;
-  monotonic_time next_want_pass_;
+  /// A credit is left although work waits: the policy holds a task for a faster worker.
+  bool credit_unused_ = false;
   bool placing_ = false;
 };
 
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -8,8 +8,8 @@
 namespace parsleylead {
 namespace {
 
-// With 540 workers a pass over all of them costs more than a placement, so passes are spaced.
-constexpr std::chrono::milliseconds want_pass_interval{10};
+// A task that waits for a faster worker is looked at again after this time.
+constexpr std::chrono::milliseconds hold_interval{10};
 
 // A call and its return.
 constexpr std::uint64_t messages_per_call = 2;
@@ -342,7 +342,7 @@
   }
   on_agent_changed(agent, now);
   open_sessions_.insert(agent.name);
-  demands_.forget(agent.name);
+  demands_.add_worker(agent.name);
   credits_.open(agent.name, session);
   credits_.grant(agent.name, session, credits);
   sync_credits(agent.name);
@@ -371,7 +371,7 @@
 
 void dispatcher::on_agent_lost(const std::string& agent) {
   on_session_suspended(agent);
-  demands_.forget(agent);
+  demands_.remove_worker(agent);
   pool_.remove(agent);
   run_times_.forget_worker(agent);
   for (const auto& readmitted : health_.remove_worker(agent)) {
@@ -492,6 +492,7 @@
 
 bool dispatcher::place_next(monotonic_time now) {
   std::optional<std::pair<uuid, std::string>> chosen;
+  credit_unused_ = false;
   backlog_.visit([&](const backlog_candidate& candidate) {
     if (!admission_.may_start(candidate.kind)) {
       return visit_step::block_kind;
@@ -501,8 +502,11 @@
       chosen.emplace(candidate.id, *agent);
       return visit_step::stop;
     }
-    const bool free_worker = !pool_.with_credits(candidate.kind).empty();
-    return free_worker ? visit_step::next_job : visit_step::next_kind;
+    if (pool_.with_credits(candidate.kind).empty()) {
+      return visit_step::next_kind;
+    }
+    credit_unused_ = true;
+    return visit_step::next_job;
   });
   if (!chosen) {
     return false;
@@ -556,18 +560,16 @@
 }
 
 void dispatcher::send_wants(monotonic_time now) {
-  if (!policy_.spends_credits() || backlog_.waiting() == 0 || now < next_want_pass_) {
+  if (!policy_.spends_credits()) {
     return;
   }
-  next_want_pass_ = now + want_pass_interval;
-  for (const auto& [name, view] : pool_.all()) {
-    if (view->ejected) {
-      continue;
-    }
-    const auto waiting = backlog_.waiting_demand(view->kinds);
-    if (demands_.want_due(name, waiting, view->credits > 0, now)) {
-      agents_.want(name, waiting);
-    }
+  demands_.set_demand(backlog_.waiting_demand());
+  const auto serves_waiting = [this](const std::string& agent) {
+    const auto* view = pool_.find(agent);
+    return view != nullptr && !view->ejected && !backlog_.waiting_demand(view->kinds).none();
+  };
+  for (const auto& agent : demands_.wants_due(credit_unused_, now, serves_waiting)) {
+    agents_.want(agent, backlog_.waiting_demand(pool_.find(agent)->kinds));
   }
 }
 
@@ -739,8 +741,9 @@
     }
   };
   include(health_.next_trial());
-  if (backlog_.waiting() > 0) {
-    include(now + want_pass_interval);
+  include(demands_.next_due());
+  if (credit_unused_) {
+    include(now + hold_interval);
   }
   return next;
 }
