--- /dev/null
+++ b/src/settings/object_reader.cpp
@@ -0,0 +1,299 @@
+#include "object_reader.hpp"
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+namespace parsleylead {
+namespace {
+
+constexpr std::size_t max_identifier_size = 64;
+
+/// Edit distance (Levenshtein), for suggestions of field names.
+std::size_t edit_distance(std::string_view a, std::string_view b) {
+  std::vector<std::size_t> row(b.size() + 1);
+  for (std::size_t j = 0; j <= b.size(); ++j) {
+    row[j] = j;
+  }
+  for (std::size_t i = 1; i <= a.size(); ++i) {
+    std::size_t diagonal = row[0];
+    row[0] = i;
+    for (std::size_t j = 1; j <= b.size(); ++j) {
+      const std::size_t replaced = diagonal + (a[i - 1] == b[j - 1] ? 0 : 1);
+      diagonal = row[j];
+      row[j] = std::min({replaced, row[j] + 1, row[j - 1] + 1});
+    }
+  }
+  return row.back();
+}
+
+std::string in_quotes(std::string_view text) {
+  return "\"" + std::string(text) + "\"";
+}
+
+std::string shown(const nlohmann::json& value) {
+  constexpr std::size_t max_shown = 80;
+  std::string text = value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  if (text.size() > max_shown) {
+    text = text.substr(0, max_shown) + "...";
+  }
+  return text;
+}
+
+bool is_identifier(std::string_view text) {
+  const auto allowed = [](char c) {
+    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' ||
+           c == '_' || c == '.';
+  };
+  return !text.empty() && text.size() <= max_identifier_size &&
+         std::all_of(text.begin(), text.end(), allowed);
+}
+
+/// Finds fields that are repeated in one object, which the JSON parser alone accepts silently.
+class duplicate_finder {
+public:
+  explicit duplicate_finder(std::vector<setting_error>& errors) : errors_(&errors) {}
+
+  void see(nlohmann::json::parse_event_t event, const nlohmann::json& parsed) {
+    using event_t = nlohmann::json::parse_event_t;
+    if (event == event_t::object_start) {
+      names_.emplace_back();
+    } else if (event == event_t::object_end) {
+      names_.pop_back();
+    } else if (event == event_t::key && !names_.back().insert(parsed.get<std::string>()).second) {
+      errors_->push_back({parsed.get<std::string>(), "the field twice in one object", "once"});
+    }
+  }
+
+private:
+  std::vector<setting_error>* errors_;
+  std::vector<std::set<std::string>> names_;
+};
+
+} // namespace
+
+object_reader::object_reader(const nlohmann::json* value, std::string path,
+                             std::vector<setting_error>& errors)
+    : value_(value), path_(std::move(path)), errors_(&errors) {
+  if (value_ != nullptr && !value_->is_object()) {
+    errors_->push_back({path_, shown(*value_), "an object"});
+    value_ = nullptr;
+  }
+}
+
+object_reader object_reader::object(std::string_view name) {
+  return {find(name, presence::optional, "an object"), path_of(name), *errors_};
+}
+
+void object_reader::ratio(std::string_view name, double& target) {
+  constexpr auto allowed = "a number from 0 to 1";
+  const auto* found = find(name, presence::optional, allowed);
+  if (found == nullptr) {
+    return;
+  }
+  if (!found->is_number() || found->get<double>() < 0 || found->get<double>() > 1) {
+    fault(name, shown(*found), allowed);
+    return;
+  }
+  target = found->get<double>();
+}
+
+void object_reader::text(std::string_view name, std::string& target) {
+  constexpr auto allowed = "a string";
+  const auto* found = find(name, presence::optional, allowed);
+  if (found == nullptr) {
+    return;
+  }
+  if (!found->is_string()) {
+    fault(name, shown(*found), allowed);
+    return;
+  }
+  target = found->get<std::string>();
+}
+
+void object_reader::identifier(std::string_view name, std::string& target) {
+  constexpr auto allowed = "1 to 64 letters, digits, '-', '_' or '.'";
+  const auto* found = find(name, presence::required, allowed);
+  if (found == nullptr) {
+    return;
+  }
+  if (!found->is_string() || !is_identifier(found->get_ref<const std::string&>())) {
+    fault(name, shown(*found), allowed);
+    return;
+  }
+  target = found->get<std::string>();
+}
+
+void object_reader::choice(std::string_view name, std::string& target,
+                           const std::vector<std::string_view>& allowed) {
+  std::string names;
+  for (const auto option : allowed) {
+    names.append(names.empty() ? "" : ", ").append(in_quotes(option));
+  }
+  const auto* found = find(name, presence::optional, names);
+  if (found == nullptr) {
+    return;
+  }
+  const bool listed =
+      found->is_string() && std::find(allowed.begin(), allowed.end(),
+                                      found->get_ref<const std::string&>()) != allowed.end();
+  if (!listed) {
+    fault(name, shown(*found), names);
+    return;
+  }
+  target = found->get<std::string>();
+}
+
+void object_reader::address(std::string_view name, endpoint& target) {
+  const auto* found = find(name, presence::required, "an address \"ip:port\"");
+  if (found != nullptr) {
+    read_address(*found, path_of(name), target);
+  }
+}
+
+void object_reader::addresses(std::string_view name, std::vector<endpoint>& target,
+                              presence needed) {
+  constexpr auto allowed = "a list of addresses \"ip:port\"";
+  const auto* found = find(name, needed, allowed);
+  if (found == nullptr) {
+    return;
+  }
+  if (!found->is_array() || (found->empty() && needed == presence::required)) {
+    fault(name, shown(*found),
+          needed == presence::required ? "a list of at least one address" : allowed);
+    return;
+  }
+  std::vector<endpoint> read;
+  for (std::size_t i = 0; i < found->size(); ++i) {
+    endpoint one;
+    const std::string place = path_of(name) + "[" + std::to_string(i) + "]";
+    if (!read_address((*found)[i], place, one)) {
+      continue;
+    }
+    if (std::find(read.begin(), read.end(), one) != read.end()) {
+      errors_->push_back({place, shown((*found)[i]), "each address once"});
+    }
+    read.push_back(std::move(one));
+  }
+  target = std::move(read);
+}
+
+void object_reader::fault(std::string_view name, std::string value, std::string allowed) {
+  errors_->push_back({path_of(name), std::move(value), std::move(allowed)});
+}
+
+void object_reader::finish() {
+  if (value_ == nullptr) {
+    return;
+  }
+  for (const auto& item : value_->items()) {
+    if (std::find(known_.begin(), known_.end(), item.key()) != known_.end()) {
+      continue;
+    }
+    const auto nearest =
+        std::min_element(known_.begin(), known_.end(), [&](const auto& a, const auto& b) {
+          return edit_distance(a, item.key()) < edit_distance(b, item.key());
+        });
+    fault(item.key(), "an unknown field",
+          nearest == known_.end() ? "no field"
+                                  : "the nearest known field is " + in_quotes(*nearest));
+  }
+}
+
+const nlohmann::json* object_reader::find(std::string_view name, presence needed,
+                                          std::string_view allowed) {
+  known_.emplace_back(name);
+  if (value_ != nullptr) {
+    const auto found = value_->find(std::string(name));
+    if (found != value_->end()) {
+      return &*found;
+    }
+  }
+  if (needed == presence::required) {
+    fault(name, "nothing", std::string(allowed));
+  }
+  return nullptr;
+}
+
+bool object_reader::read_integer(std::string_view name, std::int64_t& target,
+                                 integer_range allowed) {
+  const std::string range =
+      "an integer from " + std::to_string(allowed.min) + " to " + std::to_string(allowed.max);
+  const auto* found = find(name, presence::optional, range);
+  if (found == nullptr) {
+    return false;
+  }
+  // An unsigned value above the range of a signed one must not wrap to a negative number.
+  const bool fits = found->is_number_integer() &&
+                    (!found->is_number_unsigned() ||
+                     found->get<std::uint64_t>() <= static_cast<std::uint64_t>(allowed.max));
+  if (!fits || found->get<std::int64_t>() < allowed.min ||
+      found->get<std::int64_t>() > allowed.max) {
+    fault(name, shown(*found), range);
+    return false;
+  }
+  target = found->get<std::int64_t>();
+  return true;
+}
+
+bool object_reader::read_address(const nlohmann::json& value, const std::string& path,
+                                 endpoint& target) {
+  if (value.is_string()) {
+    auto parsed = parse_endpoint(value.get_ref<const std::string&>());
+    if (parsed.ok()) {
+      target = *std::move(parsed);
+      return true;
+    }
+  }
+  errors_->push_back({path, shown(value), "an address \"ip:port\" with a numeric IP address"});
+  return false;
+}
+
+std::string object_reader::path_of(std::string_view name) const {
+  return path_.empty() ? std::string(name) : path_ + "." + std::string(name);
+}
+
+nlohmann::json parse_settings_text(std::string_view text, std::vector<setting_error>& errors) {
+  duplicate_finder duplicates(errors);
+  const auto see = [&](int, nlohmann::json::parse_event_t event, nlohmann::json& parsed) {
+    duplicates.see(event, parsed);
+    return true;
+  };
+  try {
+    return nlohmann::json::parse(text, see, true, true);
+  } catch (const nlohmann::json::exception& error) {
+    errors.push_back({"", error.what(), "JSON with comments"});
+    return nlohmann::json(nlohmann::json::value_t::discarded);
+  }
+}
+
+bool read_settings_file(const std::string& path, std::string& text,
+                        std::vector<setting_error>& errors) {
+  std::ifstream file(path);
+  std::ostringstream content;
+  // Reading a directory succeeds at opening and fails here.
+  if (!file || !(content << file.rdbuf())) {
+    errors.push_back({"", "file \"" + path + "\" (" + std::strerror(errno) + ")",
+                      "a readable file that is not empty"});
+    return false;
+  }
+  text = std::move(content).str();
+  return true;
+}
+
+void require_unique_addresses(object_reader& reader, const std::vector<named_address>& addresses) {
+  for (auto it = addresses.begin(); it != addresses.end(); ++it) {
+    const auto first = std::find_if(addresses.begin(), it, [&](const named_address& earlier) {
+      return earlier.address == it->address;
+    });
+    if (it->address.port != 0 && first != it) {
+      reader.fault(it->field, in_quotes(to_string(it->address)),
+                   "an address other than that of " + std::string(first->field));
+    }
+  }
+}
+
+} // namespace parsleylead
