--- /dev/null
+++ b/include/parsleylead/observe/make_logger.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <memory>
+#include <spdlog/formatter.h>
+#include <spdlog/logger.h>
+#include <string>
+
+#include "parsleylead/settings/common_settings.hpp"
+
+namespace parsleylead {
+
+/// Creates the logger of one part of a process ("entry", "catalogue", ...). It writes to standard
+/// error on a thread of its own, so that a reader that stalls never blocks a control thread; if the
+/// queue of 8192 lines is full, the oldest lines are dropped. Thread-safe. Lines that are queued
+/// when the process exits through `main` are still written.
+std::shared_ptr<spdlog::logger> make_logger(const std::string& part,
+                                            const logging_settings& settings);
+
+/// Number of log lines dropped so far in this process. Thread-safe.
+std::size_t dropped_log_lines();
+
+/// The format of `make_logger`. Plain: "2026-01-31T12:00:00.000Z info entry: message". JSON: one
+/// object a line with "time", "level", "part" and "message". Line breaks and other control
+/// characters in messages are escaped, so that each message is one line.
+std::unique_ptr<spdlog::formatter> make_log_formatter(const std::string& part,
+                                                      const std::string& format);
+
+} // namespace parsleylead
