Add the entry process

Cause: the thin path needs the entry end to end. Change: claim, catalogue and member services, RPC and HTTP interfaces, drain. Result: library builds; the path has not run yet.

--- a/include/parsleylead/entry/agent_link.hpp
+++ b/include/parsleylead/entry/agent_link.hpp
@@ -35,6 +35,8 @@
   std::function<std::vector<std::pair<std::string, std::uint64_t>>()> revisions;
   /// An agent knows a newer revision of a kind than this entry.
   std::function<void()> on_stale_revision;
+  /// A session was opened.
+  std::function<void(const std::string& agent)> on_opened;
 };
 
 /// The session of this entry with one agent: connection, calls, silence detection and resume (D1,
@@ -61,6 +63,9 @@
   void give_back(std::uint32_t credits);
   void push_revisions(const std::vector<std::pair<std::string, std::uint64_t>>& revisions);
 
+  /// Asks the agent to leave.
+  void drain();
+
   bool is_open() const { return ledger_.can_dispatch(); }
   bool is_leaving() const { return leaving_; }
   std::size_t outstanding() const { return ledger_.outstanding(); }
--- /dev/null
+++ b/include/parsleylead/entry/entry_process.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <memory>
+
+#include "absl/status/status.h"
+#include "parsleylead/base/endpoint.hpp"
+#include "parsleylead/platform_log/log_service.hpp"
+#include "parsleylead/settings/entry_settings.hpp"
+
+namespace parsleylead {
+
+/// The whole of parsleylead-entry: serves callers, other entries, agents and operators.
+///
+/// Example:
+///   entry_process process(settings, log);
+///   if (const auto status = process.start(); status.ok()) {
+///     process.run();  // until request_stop, or a drain by the catalogue
+///   }
+class entry_process {
+ public:
+  /// `log` must outlive the process.
+  entry_process(const entry_settings& settings, log_service& log);
+  ~entry_process();
+  entry_process(const entry_process&) = delete;
+  entry_process& operator=(const entry_process&) = delete;
+
+  /// Binds all ports and starts the threads. Errors: kUnavailable with the address as peer.
+  /// Precondition: called on the thread that constructed the process.
+  absl::Status start();
+
+  /// Runs the control loop until the process has stopped. Same thread as `start`.
+  void run();
+
+  /// The first call starts a graceful shutdown: open jobs finish. The second one ends it at once;
+  /// callers still open get a truthful failure. Thread-safe.
+  void request_stop();
+
+  /// Addresses in use. Precondition: `start` succeeded.
+  endpoint caller_endpoint() const;
+  endpoint operations_endpoint() const;
+  endpoint rpc_endpoint() const;
+
+ private:
+  class state;
+  std::unique_ptr<state> state_;
+};
+
+}  // namespace parsleylead
--- a/schema/parsleylead.capnp
+++ b/schema/parsleylead.capnp
@@ -122,6 +122,8 @@
   readCatalogue @2 () -> (snapshot :Text);
   fetchJob @3 (submission :Text, waitMs :UInt32) -> (reply :JobReply);
   cancelJob @4 (submission :Text) -> (reply :JobReply);
+  # The agents with a session to this entry, for an entry that has just started.
+  listAgents @5 () -> (agents :List(AgentInfo));
 }
 
 interface AgentPort {
@@ -138,6 +140,8 @@
   giveBack @4 (credits :UInt32) -> ();
   revisions @5 (revisions :List(KindRevision)) -> ();
   probe @6 (acknowledged :List(UInt64)) -> ();
+  # The catalogue asks this agent to leave: it stops gracefully.
+  drain @7 () -> ();
 }
 
 interface SessionReceiver {
--- a/src/entry/agent_link.cpp
+++ b/src/entry/agent_link.cpp
@@ -303,6 +303,7 @@
   }));
   context_.decisions.on_session_opened(to_description(reply.getAgent()), counter,
                                        reply.getCredits(), now);
+  context_.on_opened(address_.name);
   for (const auto& outcome : outcomes) {
     const auto sequence = outcome.dispatch.sequence;
     if (outcome.state == resumed_state::running) {
@@ -488,6 +489,14 @@
   watch_call(call.send().ignoreResult());
 }
 
+void agent_link::drain() {
+  if (session_ == nullptr) {
+    return;
+  }
+  context_.decisions.accounts().control_messages();
+  watch_call(session_->session.drainRequest().send().ignoreResult());
+}
+
 void agent_link::update_agent(wire::AgentInfo::Reader agent) {
   context_.decisions.on_agent_changed(to_description(agent), now_on_loop());
 }
--- /dev/null
+++ b/src/entry/catalogue_service.cpp
@@ -0,0 +1,184 @@
+#include "catalogue_service.hpp"
+
+#include <asio/post.hpp>
+#include <set>
+#include <utility>
+
+#include "parsleylead/catalogue/catalogue_codec.hpp"
+#include "parsleylead/catalogue/load_catalogue.hpp"
+
+namespace parsleylead {
+namespace {
+
+constexpr const char* catalogue_stream = "catalogue";
+
+// Entries append snapshots at different ages, so that one of them usually does it for all.
+constexpr std::chrono::seconds snapshot_stagger{600};
+
+}  // namespace
+
+catalogue_service::catalogue_service(asio::io_context& io, log_service& log,
+                                     const entry_settings& settings)
+    : io_(io),
+      log_(log),
+      settings_(settings.catalogue),
+      snapshot_after_(settings.catalogue.snapshot_after +
+                      snapshot_stagger * (settings.entry_slot - 1)),
+      alive_(std::make_shared<bool>(true)) {}
+
+catalogue_service::~catalogue_service() { stop(); }
+
+void catalogue_service::start(change_callback on_change) {
+  on_change_ = std::move(on_change);
+  appender_ = std::make_unique<log_appender>(
+      log_, log_appender_options{catalogue_stream, std::chrono::milliseconds(100), 1});
+  log_tailer_options options;
+  options.stream = catalogue_stream;
+  options.poll_wait = settings_.poll_wait;
+  options.max_backoff = settings_.poll_wait;
+  tailer_ = std::make_unique<log_tailer>(
+      log_, options,
+      [this, alive = alive_](log_batch batch) {
+        asio::post(io_, [this, alive, batch = std::move(batch)] {
+          if (*alive) {
+            on_batch(batch);
+          }
+        });
+      },
+      [this, alive = alive_](const absl::Status&) {
+        asio::post(io_, [this, alive] {
+          if (*alive) {
+            log_reachable_ = false;
+          }
+        });
+      });
+}
+
+void catalogue_service::stop() {
+  *alive_ = false;
+  tailer_.reset();
+  appender_.reset();
+}
+
+bool catalogue_service::needs_peer() const {
+  if (!replica_) {
+    return true;
+  }
+  return replica_->has_gap() || behind_log_;
+}
+
+void catalogue_service::on_batch(const log_batch& batch) {
+  log_reachable_ = true;
+  constexpr std::size_t full_batch = 1000;
+  if (!replica_ || replica_->has_gap()) {
+    if (unloaded_.empty()) {
+      earliest_ = batch.read.earliest;
+    }
+    unloaded_.insert(unloaded_.end(), batch.read.records.begin(), batch.read.records.end());
+    caught_up_ = batch.read.records.size() < full_batch;
+    if (caught_up_) {
+      load();
+    }
+    return;
+  }
+  apply(batch);
+}
+
+void catalogue_service::load() {
+  const auto base = replica_ ? std::optional(replica_->snapshot()) : peer_;
+  auto loaded = load_catalogue(unloaded_, earliest_, base);
+  if (!loaded) {
+    return;
+  }
+  if (!replica_) {
+    replica_ = std::move(*loaded);
+  } else if (!replica_->install(loaded->snapshot())) {
+    return;
+  }
+  unloaded_.clear();
+  publish_changes();
+}
+
+void catalogue_service::apply(const log_batch& batch) {
+  replica_->apply(batch.read.records);
+  // Without records to apply the replica cannot see that the log dropped some.
+  behind_log_ = batch.read.earliest > replica_->applied() + 1;
+  if (replica_->has_gap()) {
+    earliest_ = batch.read.earliest;
+    unloaded_ = batch.read.records;
+    load();
+    return;
+  }
+  publish_changes();
+  append_snapshot_if_due();
+}
+
+void catalogue_service::on_peer_snapshot(const catalogue_snapshot& snapshot) {
+  if (replica_) {
+    if (replica_->install(snapshot)) {
+      publish_changes();
+    }
+    return;
+  }
+  if (peer_ && peer_->covered >= snapshot.covered) {
+    return;
+  }
+  peer_ = snapshot;
+  if (caught_up_) {
+    load();
+  } else if (!log_reachable_) {
+    // The log is down: the peer's state is the newest that can be had.
+    replica_.emplace(snapshot);
+    publish_changes();
+  }
+}
+
+void catalogue_service::publish_changes() {
+  if (published_offset_ == replica_->applied()) {
+    return;
+  }
+  published_offset_ = replica_->applied();
+  std::vector<subject_change> changes;
+  const auto in_force = replica_->list();
+  std::map<catalogue_subject, std::uint64_t> current;
+  for (const auto& item : in_force) {
+    current.emplace(item.entry.subject, item.revision);
+    const auto known = published_.find(item.entry.subject);
+    if (known == published_.end() || known->second != item.revision) {
+      changes.push_back({item.entry.subject, item.revision, &item.entry.value});
+    }
+  }
+  for (const auto& [subject, revision] : published_) {
+    if (!current.contains(subject)) {
+      changes.push_back({subject, replica_->revision(subject), nullptr});
+    }
+  }
+  published_ = std::move(current);
+  on_change_(changes);
+}
+
+void catalogue_service::append_snapshot_if_due() {
+  if (snapshot_in_flight_ || !replica_->snapshot_due(wall_now(), snapshot_after_)) {
+    return;
+  }
+  snapshot_in_flight_ = appender_->append(
+      encode_snapshot(replica_->snapshot()), [this, alive = alive_](absl::StatusOr<std::uint64_t>) {
+        asio::post(io_, [this, alive] {
+          if (*alive) {
+            snapshot_in_flight_ = false;
+          }
+        });
+      });
+}
+
+std::vector<std::pair<std::string, std::uint64_t>> catalogue_service::kind_revisions() const {
+  std::vector<std::pair<std::string, std::uint64_t>> revisions;
+  for (const auto& [subject, revision] : published_) {
+    if (subject.type == subject_type::kind) {
+      revisions.emplace_back(subject.name, revision);
+    }
+  }
+  return revisions;
+}
+
+}  // namespace parsleylead
--- /dev/null
+++ b/src/entry/claim_service.hpp
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "parsleylead/claim/claimant.hpp"
+#include "parsleylead/entry/gateways.hpp"
+#include "parsleylead/platform_log/log_appender.hpp"
+#include "parsleylead/platform_log/log_tailer.hpp"
+#include "parsleylead/settings/entry_settings.hpp"
+
+namespace parsleylead {
+
+/// Connects the claimants of all partitions to the platform's log. Control thread only, except for
+/// the threads that it starts.
+class claim_service : public claim_gateway {
+ public:
+  using decision_callback = std::function<void(const claim_decision&)>;
+
+  /// `log` must outlive the service.
+  claim_service(asio::io_context& io, log_service& log, const entry_settings& settings);
+  ~claim_service() override;
+  claim_service(const claim_service&) = delete;
+  claim_service& operator=(const claim_service&) = delete;
+
+  /// Starts the threads. `rpc_address` is where other entries reach this one, "ip:port".
+  void start(std::string rpc_address, decision_callback on_decision);
+
+  /// Ends the threads. Precondition: the log was closed.
+  void stop();
+
+  std::optional<claim_decision> request_claim(const uuid& key, const uuid& submission,
+                                              monotonic_time deadline,
+                                              monotonic_time now) override;
+  void release(const uuid& key, const uuid& submission) override;
+  void abandon(const uuid& key, const uuid& submission) override;
+  void record_outcome(const uuid& key, const uuid& submission, std::string state,
+                      std::optional<std::string> answer, monotonic_time now) override;
+
+  /// True if nothing is undecided, queued or in flight.
+  bool idle() const;
+
+  /// Statistics of all partitions together.
+  claimant_statistics statistics() const;
+  /// Offset after the last record read of partition 0; 0 before the first read.
+  std::uint64_t next_offset() const;
+
+ private:
+  struct waiting_request {
+    uuid key;
+    uuid submission;
+    monotonic_time deadline;
+  };
+  struct partition {
+    std::string stream;
+    std::thread locator;
+    std::unique_ptr<claimant> decisions;
+    std::unique_ptr<log_appender> appender;
+    std::unique_ptr<log_tailer> tailer;
+    /// Requests from before the first offset was known.
+    std::vector<waiting_request> waiting;
+  };
+
+  partition& partition_of(const uuid& key);
+  void locate(partition& target);
+  void begin(partition& target, std::uint64_t first_offset);
+  void pump(partition& target);
+  void schedule();
+  void deliver(const std::vector<claim_decision>& decisions);
+  void expire_waiting(partition& target, monotonic_time now);
+
+  asio::io_context& io_;
+  log_service& log_;
+  claimant_options options_;
+  std::chrono::milliseconds poll_wait_;
+  std::vector<std::unique_ptr<partition>> partitions_;
+  decision_callback on_decision_;
+  asio::steady_timer timer_;
+  std::shared_ptr<bool> alive_;
+  std::atomic<bool> stopping_{false};
+};
+
+}  // namespace parsleylead
--- /dev/null
+++ b/src/entry/entry_process.cpp
@@ -0,0 +1,573 @@
+#include "parsleylead/entry/entry_process.hpp"
+
+#include <algorithm>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <atomic>
+#include <future>
+#include <nlohmann/json.hpp>
+#include <thread>
+#include <utility>
+
+#include "agent_links.hpp"
+#include "catalogue_service.hpp"
+#include "claim_service.hpp"
+#include "entry_port.hpp"
+#include "entry_reports.hpp"
+#include "member_service.hpp"
+#include "parsleylead/base/invariant.hpp"
+#include "parsleylead/entry/caller_request.hpp"
+#include "parsleylead/entry/dispatcher.hpp"
+#include "parsleylead/http/http_server.hpp"
+#include "parsleylead/observe/make_logger.hpp"
+#include "parsleylead/observe/metrics_registry.hpp"
+#include "parsleylead/observe/span_writer.hpp"
+#include "parsleylead/transport/rpc_server.hpp"
+#include "parsleylead/transport/run_on_loop.hpp"
+
+namespace parsleylead {
+namespace {
+
+// Interval of the checks of sessions and members; small against probe_after.
+constexpr std::chrono::milliseconds link_interval{25};
+// Longest time between two looks at deadlines and the backlog.
+constexpr std::chrono::milliseconds max_tick_interval{100};
+constexpr std::chrono::milliseconds min_tick_interval{1};
+// Longest wait of GET /v1/jobs/{id}; a caller asks again.
+constexpr std::chrono::milliseconds max_fetch_wait{60'000};
+constexpr std::size_t operations_threads = 16;
+constexpr std::size_t operations_body_bytes = 64UL * 1024;
+constexpr std::chrono::milliseconds drain_interval{20};
+// Without agents for this long, the entry is ready all the same: it refuses truthfully.
+constexpr std::chrono::milliseconds agent_grace{3000};
+
+monotonic_time now_on_loop() { return std::chrono::steady_clock::now(); }
+
+dispatcher_options make_options(const entry_settings& settings) {
+  dispatcher_options options;
+  options.availability_zone = settings.availability_zone;
+  options.entry_slot = settings.entry_slot;
+  options.entry_slots = settings.entry_slots;
+  options.answer_retention = settings.callers.answer_retention;
+  options.order.order = settings.policy.order == "first_come" ? backlog_order::first_come
+                                                              : backlog_order::smallest_first;
+  options.order.aging_share = settings.policy.aging_share;
+  return options;
+}
+
+selected_policy make_policy(const entry_settings& settings) {
+  auto policy = selected_policy::make(settings.policy.name, make_incarnation());
+  check_invariant(policy.ok(), "the settings name a known policy");
+  return *std::move(policy);
+}
+
+// Waits on a traffic thread for the reply that the control thread gives.
+class pending_reply {
+ public:
+  dispatcher::reply_callback callback() {
+    return [promise = promise_](job_reply reply) { promise->set_value(std::move(reply)); };
+  }
+  job_reply wait() { return promise_->get_future().get(); }
+
+ private:
+  std::shared_ptr<std::promise<job_reply>> promise_ = std::make_shared<std::promise<job_reply>>();
+};
+
+http_response to_response(job_reply reply) {
+  return {reply.status, std::move(reply.body), "application/json", {}};
+}
+
+job_reply unknown_submission(const std::string& id) {
+  return make_failure_reply(id, run_truth::may_have_run,
+                            {reason::unknown_submission, step::receive, "",
+                             "no reachable entry knows this submission"});
+}
+
+}  // namespace
+
+class entry_process::state : public peer_gateway {
+ public:
+  state(const entry_settings& settings, log_service& log);
+  // Members of KJ have destructors that may throw; here they must not.
+  ~state() noexcept override;
+  state(const state&) = delete;
+  state& operator=(const state&) = delete;
+
+  absl::Status start();
+  void run();
+  void request_stop();
+
+  endpoint caller_endpoint() const { return callers_.local_endpoint(); }
+  endpoint operations_endpoint() const { return operations_.local_endpoint(); }
+  endpoint rpc_endpoint() const { return rpc_.local_endpoint(); }
+
+  void fetch_job(const claim_holder& holder, std::chrono::milliseconds wait,
+                 std::function<void(std::optional<job_reply>)> done) override;
+
+ private:
+  enum class phase { serving, notifying, finishing, stopped };
+
+  link_context make_link_context();
+  member_service::callbacks make_member_callbacks();
+  entry_member describe_self() const;
+  void add_caller_routes();
+  void add_operations_routes();
+
+  http_response submit(const http_request& request);
+  http_response fetch(const http_request& request);
+  http_response cancel(const http_request& request);
+  void find_elsewhere(const std::string& id, std::chrono::milliseconds wait,
+                      const dispatcher::reply_callback& reply);
+  void observe_reply(const caller_request& request, const trace_context& context,
+                     std::chrono::system_clock::time_point received, const job_reply& reply);
+
+  http_response ready();
+  http_response metrics();
+
+  void on_catalogue_changes(const std::vector<subject_change>& changes);
+  void apply_change(const subject_change& change, monotonic_time now);
+  void apply_drain(const std::string& process);
+
+  void schedule_tick();
+  void schedule_links();
+  void begin_drain();
+  void continue_drain(monotonic_time deadline);
+  void end_now();
+  void stop_loop();
+
+  entry_settings settings_;
+  log_service& log_;
+  std::shared_ptr<spdlog::logger> logger_;
+  metrics_registry metrics_;
+  span_writer spans_;
+  std::uint64_t incarnation_ = make_incarnation();
+  monotonic_time started_at_ = now_on_loop();
+  std::atomic<int> stop_requests_{0};
+  phase phase_ = phase::serving;
+
+  rpc_loop loop_;
+  sequence_allocator numbers_;
+  agent_links links_;
+  claim_service claims_;
+  catalogue_service catalogue_;
+  dispatcher decisions_;
+  member_service members_;
+  link_context link_context_;
+  rpc_server rpc_;
+  http_server callers_;
+  http_server operations_;
+  asio::steady_timer tick_timer_;
+  asio::steady_timer link_timer_;
+  asio::steady_timer drain_timer_;
+};
+
+entry_process::state::state(const entry_settings& settings, log_service& log)
+    : settings_(settings),
+      log_(log),
+      logger_(make_logger("entry", settings.logging)),
+      spans_(settings.traces.path, settings.name),
+      claims_(loop_.io(), log, settings_),
+      catalogue_(loop_.io(), log, settings_),
+      decisions_(make_options(settings_), make_policy(settings_), links_, claims_, *this),
+      members_(loop_, settings_, make_member_callbacks()),
+      link_context_(make_link_context()),
+      rpc_(loop_, make_entry_port({decisions_, links_, catalogue_, members_, loop_})),
+      callers_({settings.callers.threads, settings.callers.max_body_bytes,
+                settings.callers.keep_alive}),
+      operations_({operations_threads, operations_body_bytes, settings.callers.keep_alive}),
+      tick_timer_(loop_.io()),
+      link_timer_(loop_.io()),
+      drain_timer_(loop_.io()) {
+  links_.set_context(&link_context_);
+}
+
+entry_process::state::~state() noexcept = default;
+
+// Start and stop.
+
+absl::Status entry_process::state::start() {
+  if (auto status = rpc_.listen(settings_.rpc_address); !status.ok()) {
+    return status;
+  }
+  add_operations_routes();
+  if (auto status = operations_.start(settings_.operations_address); !status.ok()) {
+    return status;
+  }
+  add_caller_routes();
+  if (auto status = callers_.start(settings_.callers.address); !status.ok()) {
+    operations_.stop();
+    return status;
+  }
+  members_.start(describe_self());
+  claims_.start(to_string(rpc_endpoint()), [this](const claim_decision& decision) {
+    decisions_.on_claim(decision, now_on_loop());
+  });
+  catalogue_.start([this](const auto& changes) { on_catalogue_changes(changes); });
+  schedule_tick();
+  schedule_links();
+  logger_->info("Serving callers at {}, operators at {}, peers at {}.",
+                to_string(caller_endpoint()), to_string(operations_endpoint()),
+                to_string(rpc_endpoint()));
+  return absl::OkStatus();
+}
+
+void entry_process::state::run() {
+  loop_.run();
+  // No handler runs any more; the threads end first, then the connections.
+  log_.close();
+  claims_.stop();
+  catalogue_.stop();
+  members_.stop();
+  links_.clear();
+  logger_->info("Stopped.");
+}
+
+void entry_process::state::request_stop() {
+  const int request = ++stop_requests_;
+  asio::post(loop_.io(), [this, request] {
+    if (request == 1) {
+      begin_drain();
+    } else {
+      end_now();
+    }
+  });
+}
+
+void entry_process::state::begin_drain() {
+  if (phase_ != phase::serving) {
+    return;
+  }
+  logger_->info("Leaving: {} open jobs.", decisions_.open_jobs());
+  phase_ = phase::notifying;
+  members_.set_leaving();
+  callers_.set_closing(true);
+  drain_timer_.expires_after(settings_.drain_notice);
+  drain_timer_.async_wait([this](const asio::error_code& error) {
+    if (error) {
+      return;
+    }
+    phase_ = phase::finishing;
+    decisions_.refuse_new({reason::entry_leaving, step::admit, settings_.name,
+                           "this entry is leaving; submit to another one"});
+    continue_drain(now_on_loop() + settings_.drain_limit);
+  });
+}
+
+void entry_process::state::continue_drain(monotonic_time deadline) {
+  const auto now = now_on_loop();
+  const bool done = decisions_.open_jobs() == 0 && decisions_.tasks_in_flight() == 0 && claims_.idle();
+  if (done || now >= deadline) {
+    end_now();
+    return;
+  }
+  drain_timer_.expires_after(drain_interval);
+  drain_timer_.async_wait([this, deadline](const asio::error_code& error) {
+    if (!error) {
+      continue_drain(deadline);
+    }
+  });
+}
+
+// Ends what is still open with a truthful failure, lets the answers out and stops.
+void entry_process::state::end_now() {
+  if (phase_ == phase::stopped) {
+    return;
+  }
+  phase_ = phase::stopped;
+  const failure leaving{reason::entry_leaving, step::drain, settings_.name, "this entry stopped"};
+  decisions_.refuse_new(leaving);
+  decisions_.abandon_all(leaving, now_on_loop());
+  // The HTTP servers wait for their handlers, which need the control thread until then.
+  std::thread([this] {
+    callers_.stop();
+    operations_.stop();
+    loop_.stop();
+  }).detach();
+}
+
+// Callers.
+
+void entry_process::state::add_caller_routes() {
+  callers_.route("POST", "/v1/jobs", [this](const auto& request) { return submit(request); });
+  callers_.route("GET", "/v1/jobs/([^/]+)", [this](const auto& request) { return fetch(request); });
+  callers_.route("DELETE", "/v1/jobs/([^/]+)",
+                 [this](const auto& request) { return cancel(request); });
+}
+
+http_response entry_process::state::submit(const http_request& request) {
+  const auto received = std::chrono::system_clock::now();
+  auto parsed = parse_caller_request(request.body);
+  if (const auto* problem = std::get_if<failure>(&parsed)) {
+    run_on_loop(loop_, [this, problem] { decisions_.accounts().refused_before("", "", *problem); });
+    return to_response(make_failure_reply("", run_truth::not_run, *problem));
+  }
+  auto& job = std::get<caller_request>(parsed);
+  const auto context = trace_context::continue_from(request.traceparent);
+  job.traceparent = context.traceparent();
+  pending_reply pending;
+  asio::post(loop_.io(), [this, job, callback = pending.callback()]() mutable {
+    decisions_.submit(std::move(job), now_on_loop(), std::move(callback));
+  });
+  auto reply = pending.wait();
+  observe_reply(job, context, received, reply);
+  return to_response(std::move(reply));
+}
+
+void entry_process::state::observe_reply(const caller_request& request,
+                                         const trace_context& context,
+                                         std::chrono::system_clock::time_point received,
+                                         const job_reply& reply) {
+  const auto ended = std::chrono::system_clock::now();
+  const auto status = std::to_string(reply.status);
+  metrics_.observe("parsleylead_entry_response_seconds", {{"status", status}}, ended - received);
+  if (!spans_.enabled()) {
+    return;
+  }
+  span done;
+  done.context = context;
+  done.name = "job";
+  done.kind = span_kind::server;
+  done.start = received;
+  done.end = ended;
+  done.attributes = {{"kind", request.kind}, {"status", status}};
+  done.error = reply.status >= 400 ? status : "";
+  spans_.write(std::move(done));
+}
+
+http_response entry_process::state::fetch(const http_request& request) {
+  const auto& id = request.captures.front();
+  const auto submission = uuid::parse(id);
+  if (!submission) {
+    return to_response(unknown_submission(id));
+  }
+  const auto wanted = request.query.find("wait_ms");
+  const long wait_ms = wanted == request.query.end() ? 0 : std::atol(wanted->second.c_str());
+  const auto wait = std::clamp(std::chrono::milliseconds(wait_ms), std::chrono::milliseconds(0),
+                               max_fetch_wait);
+  pending_reply pending;
+  asio::post(loop_.io(), [this, id, submission = *submission, wait, callback = pending.callback()] {
+    if (!decisions_.fetch(submission, wait.count() > 0, callback)) {
+      find_elsewhere(id, wait, callback);
+    }
+  });
+  return to_response(pending.wait());
+}
+
+void entry_process::state::find_elsewhere(const std::string& id, std::chrono::milliseconds wait,
+                                          const dispatcher::reply_callback& reply) {
+  members_.fetch_job("", id, wait, [id, reply](std::optional<job_reply> found) {
+    reply(found ? *std::move(found) : unknown_submission(id));
+  });
+}
+
+http_response entry_process::state::cancel(const http_request& request) {
+  const auto& id = request.captures.front();
+  const auto submission = uuid::parse(id);
+  if (!submission) {
+    return to_response(unknown_submission(id));
+  }
+  pending_reply pending;
+  asio::post(loop_.io(), [this, id, submission = *submission, callback = pending.callback()] {
+    if (decisions_.cancel(submission, now_on_loop(), callback)) {
+      return;
+    }
+    members_.cancel_job(id, [id, callback](std::optional<job_reply> found) {
+      callback(found ? *std::move(found) : unknown_submission(id));
+    });
+  });
+  return to_response(pending.wait());
+}
+
+void entry_process::state::fetch_job(const claim_holder& holder, std::chrono::milliseconds wait,
+                                     std::function<void(std::optional<job_reply>)> done) {
+  members_.fetch_job(holder.entry_address, holder.submission.to_string(), wait, std::move(done));
+}
+
+// Operators.
+
+void entry_process::state::add_operations_routes() {
+  operations_.route("GET", "/health", [](const auto&) { return http_response{200, "{}"}; });
+  operations_.route("GET", "/ready", [this](const auto&) { return ready(); });
+  operations_.route("GET", "/metrics", [this](const auto&) { return metrics(); });
+  operations_.route("GET", "/v1/catalogue", [this](const auto&) {
+    return run_on_loop(loop_, [this] {
+      return http_response{200, catalogue_report(settings_.name, catalogue_.replica())};
+    });
+  });
+  operations_.route("GET", "/v1/members", [this](const auto&) {
+    return run_on_loop(loop_, [this] {
+      return http_response{200, members_report(members_.self(), members_.members(), links_, decisions_)};
+    });
+  });
+  operations_.route("GET", "/v1/account", [this](const auto&) {
+    return run_on_loop(loop_, [this] {
+      return http_response{200, account_report(settings_.name, decisions_.accounts().snapshot())};
+    });
+  });
+}
+
+http_response entry_process::state::ready() {
+  return run_on_loop(loop_, [this] {
+    const bool leaving = phase_ != phase::serving;
+    const bool has_catalogue = catalogue_.replica() != nullptr;
+    const bool has_agents =
+        links_.open_count() > 0 || now_on_loop() - started_at_ > agent_grace;
+    const bool is_ready = !leaving && has_catalogue && has_agents;
+    const nlohmann::json body = {{"ready", is_ready},
+                                 {"leaving", leaving},
+                                 {"catalogue", has_catalogue},
+                                 {"agents", links_.open_count()}};
+    return http_response{is_ready ? 200 : 503, body.dump()};
+  });
+}
+
+http_response entry_process::state::metrics() {
+  return run_on_loop(loop_, [this] {
+    entry_gauges gauges;
+    gauges.open_jobs = decisions_.open_jobs();
+    gauges.waiting_tasks = decisions_.waiting_tasks();
+    gauges.tasks_in_flight = decisions_.tasks_in_flight();
+    gauges.open_sessions = links_.open_count();
+    gauges.catalogue_offset = catalogue_.offset();
+    gauges.log_reachable = catalogue_.is_log_reachable();
+    gauges.claims = claims_.statistics();
+    update_metrics(metrics_, decisions_.accounts().snapshot(), gauges);
+    return http_response{200, metrics_.render(), "text/plain; version=0.0.4", {}};
+  });
+}
+
+// Catalogue and members.
+
+void entry_process::state::on_catalogue_changes(const std::vector<subject_change>& changes) {
+  const auto now = now_on_loop();
+  std::vector<std::pair<std::string, std::uint64_t>> revisions;
+  for (const auto& change : changes) {
+    apply_change(change, now);
+    if (change.subject.type == subject_type::kind) {
+      revisions.emplace_back(change.subject.name, change.revision);
+    }
+    logger_->info("catalogue: {} has revision {}{}.", to_string(change.subject), change.revision,
+                  change.value == nullptr ? " (removed)" : "");
+  }
+  decisions_.set_catalogue_known();
+  if (!revisions.empty()) {
+    links_.push_revisions(revisions);
+  }
+}
+
+void entry_process::state::apply_change(const subject_change& change, monotonic_time now) {
+  const auto& name = change.subject.name;
+  switch (change.subject.type) {
+    case subject_type::kind:
+      if (change.value == nullptr) {
+        decisions_.remove_kind(name, change.revision);
+      } else {
+        decisions_.set_kind(name, std::get<kind_definition>(*change.value), change.revision, now);
+      }
+      return;
+    case subject_type::owner:
+      if (change.value == nullptr) {
+        decisions_.remove_owner(name);
+      } else {
+        decisions_.set_owner(name, std::get<owner_quota>(*change.value), now);
+      }
+      return;
+    case subject_type::drain:
+      if (change.value != nullptr) {
+        apply_drain(name);
+      }
+      return;
+  }
+}
+
+void entry_process::state::apply_drain(const std::string& process) {
+  if (process == settings_.name) {
+    begin_drain();
+    return;
+  }
+  links_.drain(process);
+}
+
+entry_member entry_process::state::describe_self() const {
+  entry_member self;
+  self.name = settings_.name;
+  self.incarnation = incarnation_;
+  self.address = to_string(rpc_endpoint());
+  self.operations_address = to_string(operations_endpoint());
+  self.availability_zone = settings_.availability_zone;
+  return self;
+}
+
+member_service::callbacks entry_process::state::make_member_callbacks() {
+  member_service::callbacks calls;
+  calls.catalogue_offset = [this] { return catalogue_.offset(); };
+  calls.needs_peer = [this] { return catalogue_.needs_peer() || !catalogue_.is_log_reachable(); };
+  calls.on_snapshot = [this](const catalogue_snapshot& snapshot) {
+    catalogue_.on_peer_snapshot(snapshot);
+  };
+  calls.on_agent = [this](const agent_address& agent) { links_.add(agent, now_on_loop()); };
+  calls.on_exchange = [this] { decisions_.accounts().control_messages(); };
+  return calls;
+}
+
+link_context entry_process::state::make_link_context() {
+  return {loop_,
+          settings_.sessions,
+          numbers_,
+          decisions_,
+          [this](wire::EntryInfo::Builder info) { fill_entry_info(info, members_.self()); },
+          [this] { return catalogue_.kind_revisions(); },
+          [this] { members_.refresh(); },
+          [this](const std::string& agent) {
+            const auto* replica = catalogue_.replica();
+            if (replica != nullptr && replica->is_draining(agent)) {
+              links_.drain(agent);
+            }
+          }};
+}
+
+// Timers.
+
+void entry_process::state::schedule_tick() {
+  const auto now = now_on_loop();
+  decisions_.tick(now);
+  const auto latest = now + max_tick_interval;
+  const auto next = std::min(decisions_.next_event(now).value_or(latest), latest);
+  tick_timer_.expires_at(std::max(next, now + min_tick_interval));
+  tick_timer_.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      schedule_tick();
+    }
+  });
+}
+
+void entry_process::state::schedule_links() {
+  const auto now = now_on_loop();
+  links_.tick(now);
+  members_.tick(now);
+  link_timer_.expires_after(link_interval);
+  link_timer_.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      schedule_links();
+    }
+  });
+}
+
+entry_process::entry_process(const entry_settings& settings, log_service& log)
+    : state_(std::make_unique<state>(settings, log)) {}
+
+entry_process::~entry_process() = default;
+
+absl::Status entry_process::start() { return state_->start(); }
+
+void entry_process::run() { state_->run(); }
+
+void entry_process::request_stop() { state_->request_stop(); }
+
+endpoint entry_process::caller_endpoint() const { return state_->caller_endpoint(); }
+
+endpoint entry_process::operations_endpoint() const { return state_->operations_endpoint(); }
+
+endpoint entry_process::rpc_endpoint() const { return state_->rpc_endpoint(); }
+
+}  // namespace parsleylead
