--- a/include/parsleylead/base/invariant.hpp
+++ b/include/parsleylead/base/invariant.hpp
@@ -1,17 +1,16 @@
 #pragma once
 
-#include <string_view>
+#include <cstdio>
+#include <cstdlib>
 
 namespace parsleylead {
 
-/// Ends the process with a message on standard error: an invariant of the program is broken, and
-/// running on could break a promise to callers. Thread-safe.
-[[noreturn]] void invariant_violated(std::string_view what);
-
-/// Checks an invariant, also in release builds. Thread-safe.
-inline void check_invariant(bool holds, std::string_view what) {
+/// Aborts the process with `message` on standard error if `holds` is false, in release builds too.
+/// For invariants whose violation would break a promise to callers. Thread-safe.
+inline void check_invariant(bool holds, const char* message) {
   if (!holds) {
-    invariant_violated(what);
+    std::fprintf(stderr, "invariant violated: %s\n", message);
+    std::abort();
   }
 }
 
--- a/include/parsleylead/catalogue/catalogue_replica.hpp
+++ b/include/parsleylead/catalogue/catalogue_replica.hpp
@@ -62,8 +62,7 @@
   /// Records after `applied()` were lost; `install` a snapshot, see `load_catalogue`.
   bool has_gap() const { return gap_; }
 
-  /// The definition of a kind with its revision, or null. Valid until the next change.
-  const revised_entry* find(const catalogue_subject& subject) const;
+  /// The definition of a kind, or null. Valid until the next call of a non-const method.
   const kind_definition* find_kind(std::string_view name) const;
   const owner_quota* find_owner(std::string_view name) const;
   bool is_draining(std::string_view process) const;
@@ -88,36 +87,46 @@
   bool snapshot_due(wall_time now, std::chrono::seconds after) const;
 
 private:
-  friend struct catalogue_loader;
-
   struct subject_state {
-    std::optional<revised_entry> entry;
+    /// Nothing for a tombstone.
+    std::optional<catalogue_value> value;
     std::uint64_t revision = 0;
     uuid change;
+    /// Log time of the removal.
     wall_time removed{};
   };
   struct uncovered_change {
     std::uint64_t offset = 0;
     wall_time appended{};
   };
+  struct removal {
+    std::uint64_t revision = 0;
+    catalogue_subject subject;
+  };
 
   applied_change apply_record(const log_record& record);
   applied_change apply_change(const log_record& record, const catalogue_change& change);
+  std::string find_conflict(const catalogue_change& change) const;
   void accept(const log_record& record, const catalogue_change& change);
-  void note_snapshot(const log_record& record, std::uint64_t covered);
+  void note_skipped(const log_record& record);
+  void note_snapshot(const log_record& record, const catalogue_snapshot& snapshot);
+  void note_uncovered(const log_record& record);
   void drop_old_tombstones(wall_time now);
-  void remember(const applied_change& change);
+  void load(const catalogue_snapshot& snapshot);
 
   std::map<catalogue_subject, subject_state> subjects_;
+  /// Removals in log order. Those of subjects that were put again are skipped.
+  std::deque<removal> removals_;
   std::uint64_t applied_ = 0;
   bool gap_ = false;
   std::uint64_t corrupt_records_ = 0;
   std::deque<applied_change> history_;
   /// Accepted changes that no snapshot in the log covers.
   std::deque<uncovered_change> uncovered_;
-  /// Log time of the newest snapshot record, or of the first applied record if there is none.
+  /// Largest offset that a snapshot in the log covers.
+  std::uint64_t snapshot_covered_ = 0;
+  /// Log time of the newest snapshot, or of the log's first record. Nothing if neither was read.
   std::optional<wall_time> snapshot_base_;
-  bool snapshot_seen_ = false;
 };
 
 } // namespace parsleylead
--- a/include/parsleylead/claim/claim_table.hpp
+++ b/include/parsleylead/claim/claim_table.hpp
@@ -49,6 +49,8 @@
   uuid key;
   uuid submission;
   claim_result result = claim_result::repeated;
+  /// Who held the key when the claim was lost.
+  std::optional<claim_holder> holder;
 };
 
 /// What one record did.
@@ -103,9 +105,10 @@
   using entry_identity = std::pair<std::string, std::string>;
 
   bool skip_invalid(const uuid& key, wall_time appended);
-  claim_result apply_claim(const claim_item& item, wall_time appended);
+  applied_claim apply_claim(const claim_item& item, wall_time appended);
+  claim_result judge_claim(const claim_item& item, wall_time appended);
   void apply_release(const release_item& item, wall_time appended);
-  void apply_outcome(outcome_item item, wall_time appended);
+  void apply_outcome(outcome_item item);
   void drop_expired();
   void keep_answer(const uuid& key, std::string answer);
   std::uint32_t intern(const std::string& name, const std::string& address);
--- a/include/parsleylead/claim/claimant.hpp
+++ b/include/parsleylead/claim/claimant.hpp
@@ -150,7 +150,7 @@
   void queue_release(const uuid& key, const uuid& submission);
   void erase_request(const uuid& submission);
   std::optional<monotonic_time> append_due() const;
-  claim_record fill_record(monotonic_time now);
+  claim_record fill_record();
   void take_claims(claim_record& record);
   void take_releases(claim_record& record);
   void take_outcomes(claim_record& record);
@@ -168,7 +168,6 @@
   std::deque<queued_outcome> queued_outcomes_;
   std::optional<in_flight_batch> in_flight_;
   std::optional<monotonic_time> last_append_;
-  std::uint64_t acknowledged_offset_ = 0;
   claimant_statistics statistics_;
 };
 
--- /dev/null
+++ b/src/claim/claim_rules.cpp
@@ -0,0 +1,19 @@
+#include "parsleylead/claim/claim_rules.hpp"
+
+namespace parsleylead {
+
+key_validity claim_rules::judge(const uuid& key, wall_time appended) const {
+  const auto created = key.created();
+  if (!created) {
+    return key_validity::not_v7;
+  }
+  if (appended - *created > key_lifetime) {
+    return key_validity::expired;
+  }
+  if (*created - appended > clock_skew) {
+    return key_validity::too_far_ahead;
+  }
+  return key_validity::valid;
+}
+
+} // namespace parsleylead
--- /dev/null
+++ b/src/claim/claim_table.cpp
@@ -0,0 +1,204 @@
+#include "parsleylead/claim/claim_table.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+#include "parsleylead/base/invariant.hpp"
+
+namespace parsleylead {
+namespace {
+
+claim_result to_result(key_validity validity) {
+  switch (validity) {
+  case key_validity::not_v7:
+    return claim_result::not_v7;
+  case key_validity::expired:
+    return claim_result::expired;
+  case key_validity::too_far_ahead:
+    return claim_result::too_far_ahead;
+  case key_validity::valid:
+    break;
+  }
+  return claim_result::won;
+}
+
+template <typename Container, typename Value>
+bool contains(const Container& container, const Value& value) {
+  return std::find(container.begin(), container.end(), value) != container.end();
+}
+
+} // namespace
+
+claim_table::claim_table(claim_rules rules, std::uint64_t next_offset, std::size_t max_answer_bytes)
+    : rules_(rules), next_offset_(next_offset), max_answer_bytes_(max_answer_bytes) {}
+
+std::optional<applied_claim_record> claim_table::apply(const log_record& record) {
+  if (record.offset < next_offset_) {
+    return std::nullopt;
+  }
+  if (record.offset > next_offset_) {
+    ++statistics_.gaps;
+    lost_until_ = std::max(lost_until_.value_or(record.appended), record.appended);
+  }
+  next_offset_ = record.offset + 1;
+  log_time_ = std::max(log_time_, record.appended);
+  auto decoded = decode_claim_record(record.payload);
+  statistics_.bad_items += decoded.bad_items;
+  applied_claim_record applied;
+  applied.id = decoded.id;
+  for (claim_record_item& item : decoded.items) {
+    if (const auto* claim = std::get_if<claim_item>(&item)) {
+      applied.claims.push_back(apply_claim(*claim, record.appended));
+    } else if (const auto* release = std::get_if<release_item>(&item)) {
+      apply_release(*release, record.appended);
+    } else {
+      apply_outcome(std::move(std::get<outcome_item>(item)));
+    }
+  }
+  drop_expired();
+  return applied;
+}
+
+applied_claim claim_table::apply_claim(const claim_item& item, wall_time appended) {
+  applied_claim applied{item.key, item.submission, judge_claim(item, appended), std::nullopt};
+  if (applied.result == claim_result::lost) {
+    applied.holder = find(item.key);
+  }
+  return applied;
+}
+
+claim_result claim_table::judge_claim(const claim_item& item, wall_time appended) {
+  const auto validity = rules_.judge(item.key, appended);
+  if (validity != key_validity::valid) {
+    ++statistics_.invalid_keys;
+    return to_result(validity);
+  }
+  key_state& state = keys_[item.key];
+  if (state.holder == item.submission || contains(state.closed, item.submission)) {
+    return claim_result::repeated;
+  }
+  if (state.holder) {
+    state.closed.push_back(item.submission);
+    return claim_result::lost;
+  }
+  state.holder = item.submission;
+  state.entry = intern(item.entry_name, item.entry_address);
+  return claim_result::won;
+}
+
+// The submission can never hold the key afterwards, even if a delayed or repeated append of its
+// claim follows.
+void claim_table::apply_release(const release_item& item, wall_time appended) {
+  if (skip_invalid(item.key, appended)) {
+    return;
+  }
+  key_state& state = keys_[item.key];
+  if (!contains(state.closed, item.submission)) {
+    state.closed.push_back(item.submission);
+  }
+  // A submission with an outcome has dispatched, so its key stays held.
+  if (state.holder == item.submission && state.outcome.empty()) {
+    state.holder.reset();
+  }
+}
+
+void claim_table::apply_outcome(outcome_item item) {
+  const auto found = keys_.find(item.key);
+  const bool is_first = found != keys_.end() && found->second.holder == item.submission &&
+                        found->second.outcome.empty();
+  if (!is_first) {
+    ++statistics_.ignored_outcomes;
+    return;
+  }
+  found->second.outcome = std::move(item.state);
+  if (item.answer) {
+    keep_answer(item.key, std::move(*item.answer));
+  }
+}
+
+bool claim_table::skip_invalid(const uuid& key, wall_time appended) {
+  if (rules_.judge(key, appended) == key_validity::valid) {
+    return false;
+  }
+  ++statistics_.invalid_keys;
+  return true;
+}
+
+void claim_table::keep_answer(const uuid& key, std::string answer) {
+  answer_bytes_ += answer.size();
+  keys_[key].answer = std::move(answer);
+  answer_order_.push_back(key);
+  while (answer_bytes_ > max_answer_bytes_) {
+    const auto oldest = keys_.find(answer_order_.front());
+    answer_order_.pop_front();
+    if (oldest != keys_.end() && oldest->second.answer) {
+      answer_bytes_ -= oldest->second.answer->size();
+      oldest->second.answer.reset();
+      ++statistics_.evicted_answers;
+    }
+  }
+}
+
+// Keeps a key for `clock_skew` beyond its lifetime: if the log's clock steps back by less, no
+// replica forgets a key that can still be claimed.
+void claim_table::drop_expired() {
+  while (!keys_.empty()) {
+    const auto oldest = keys_.begin();
+    const auto created = oldest->first.created();
+    check_invariant(created.has_value(), "claim: the table holds version 7 keys only");
+    if (*created + rules_.key_lifetime + rules_.clock_skew >= log_time_) {
+      return;
+    }
+    if (oldest->second.answer) {
+      answer_bytes_ -= oldest->second.answer->size();
+    }
+    keys_.erase(oldest);
+    while (!answer_order_.empty() && keys_.count(answer_order_.front()) == 0) {
+      answer_order_.pop_front();
+    }
+  }
+}
+
+std::uint32_t claim_table::intern(const std::string& name, const std::string& address) {
+  const auto [found, is_new] = entry_index_.try_emplace(
+      entry_identity(name, address), static_cast<std::uint32_t>(entries_.size()));
+  if (is_new) {
+    entries_.push_back(found->first);
+  }
+  return found->second;
+}
+
+std::optional<claim_holder> claim_table::find(const uuid& key) const {
+  const auto found = keys_.find(key);
+  if (found == keys_.end() || !found->second.holder) {
+    return std::nullopt;
+  }
+  const key_state& state = found->second;
+  const entry_identity& entry = entries_[state.entry];
+  claim_holder holder{*state.holder, entry.first, entry.second, std::nullopt};
+  if (!state.outcome.empty()) {
+    holder.outcome = claim_outcome{state.outcome, state.answer};
+  }
+  return holder;
+}
+
+bool claim_table::is_certain(const uuid& key) const {
+  const auto created = key.created();
+  return !lost_until_ || (created && *created - rules_.clock_skew > *lost_until_);
+}
+
+std::uint64_t claim_table::digest() const {
+  std::string text;
+  for (const auto& [key, state] : keys_) {
+    text.append(key.to_string());
+    text.append(state.holder ? state.holder->to_string() : "-");
+    text.append(state.outcome).append(";");
+    for (const uuid& submission : state.closed) {
+      text.append(submission.to_string());
+    }
+  }
+  return XXH3_64bits(text.data(), text.size());
+}
+
+} // namespace parsleylead
--- /dev/null
+++ b/src/platform_log/log_appender.cpp
@@ -0,0 +1,63 @@
+#include "parsleylead/platform_log/log_appender.hpp"
+
+#include "parsleylead/base/error.hpp"
+#include "parsleylead/base/time.hpp"
+
+namespace parsleylead {
+
+log_appender::log_appender(log_service& log, log_appender_options options)
+    : log_(log), options_(std::move(options)), thread_([this] { run(); }) {}
+
+log_appender::~log_appender() {
+  stop();
+}
+
+bool log_appender::append(std::string payload, result_callback done) {
+  {
+    const std::lock_guard lock(mutex_);
+    if (stop_ || queue_.size() >= options_.max_queued) {
+      return false;
+    }
+    queue_.push_back({std::move(payload), std::move(done)});
+  }
+  changed_.notify_all();
+  return true;
+}
+
+void log_appender::stop() {
+  {
+    const std::lock_guard lock(mutex_);
+    stop_ = true;
+  }
+  changed_.notify_all();
+  if (thread_.joinable()) {
+    thread_.join();
+  }
+}
+
+void log_appender::run() {
+  auto not_before = monotonic_time::min();
+  std::unique_lock lock(mutex_);
+  while (!stop_) {
+    changed_.wait(lock, [this] { return stop_ || !queue_.empty(); });
+    changed_.wait_until(lock, not_before, [this] { return stop_; });
+    if (stop_) {
+      break;
+    }
+    pending_append next = std::move(queue_.front());
+    queue_.pop_front();
+    lock.unlock();
+    not_before = std::chrono::steady_clock::now() + options_.min_interval;
+    next.done(log_.append(options_.stream, next.payload));
+    lock.lock();
+  }
+  const auto queued = std::move(queue_);
+  queue_.clear();
+  lock.unlock();
+  for (const pending_append& dropped : queued) {
+    dropped.done(make_error(absl::StatusCode::kCancelled, step::log_append, "",
+                            "The record was not appended: the process is stopping."));
+  }
+}
+
+} // namespace parsleylead
--- /dev/null
+++ b/src/platform_log/log_tailer.cpp
@@ -0,0 +1,65 @@
+#include "parsleylead/platform_log/log_tailer.hpp"
+
+#include <algorithm>
+
+namespace parsleylead {
+
+log_tailer::log_tailer(log_service& log, log_tailer_options options, batch_callback on_batch,
+                       error_callback on_error)
+    : log_(log), options_(std::move(options)), on_batch_(std::move(on_batch)),
+      on_error_(std::move(on_error)), thread_([this] { run(); }) {}
+
+log_tailer::~log_tailer() {
+  stop();
+}
+
+void log_tailer::stop() {
+  {
+    const std::lock_guard lock(mutex_);
+    stop_ = true;
+  }
+  stop_changed_.notify_all();
+  if (thread_.joinable()) {
+    thread_.join();
+  }
+}
+
+bool log_tailer::stopped() const {
+  const std::lock_guard lock(mutex_);
+  return stop_;
+}
+
+void log_tailer::pause(std::chrono::milliseconds time) {
+  std::unique_lock lock(mutex_);
+  stop_changed_.wait_for(lock, time, [this] { return stop_; });
+}
+
+void log_tailer::run() {
+  std::uint64_t from = options_.from;
+  auto backoff = options_.min_backoff;
+  while (!stopped()) {
+    auto result = log_.read(options_.stream, from, options_.max_records, options_.poll_wait);
+    if (stopped()) {
+      return;
+    }
+    if (!result.ok()) {
+      if (on_error_) {
+        on_error_(result.status());
+      }
+      pause(backoff);
+      backoff = std::min(backoff * 2, options_.max_backoff);
+      continue;
+    }
+    backoff = options_.min_backoff;
+    const std::uint64_t begin = from;
+    // An answer that points back must not make the reader deliver records twice.
+    from = std::max(from, result->next);
+    const bool empty = result->records.empty();
+    on_batch_({begin, std::move(*result)});
+    if (empty) {
+      pause(options_.empty_read_pause);
+    }
+  }
+}
+
+} // namespace parsleylead
