--- /dev/null
+++ b/include/parsleylead/session/commit_table.hpp
@@ -0,0 +1,194 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <vector>
+
+#include "parsleylead/base/reason.hpp"
+#include "parsleylead/base/time.hpp"
+#include "parsleylead/session/session_key.hpp"
+#include "parsleylead/session/task_outcome.hpp"
+
+namespace parsleylead {
+
+/// Bounds of a `commit_table`.
+struct commit_table_limits {
+  /// How long an entry without a session is kept.
+  std::chrono::milliseconds state_retention{60'000};
+  /// Sequence numbers kept for each entry before the oldest idle ones are replaced by a floor.
+  std::size_t max_records = 4096;
+  /// Unacknowledged outcomes kept for each entry; the oldest are then given up as unknown.
+  std::size_t max_unacknowledged = 1024;
+};
+
+/// What the agent knows of a sequence number that an entry lists as outstanding.
+enum class resume_state : std::uint8_t {
+  /// Ended; the outcome is present.
+  finished,
+  /// Started and not yet ended.
+  running,
+  /// Never started, and never will be.
+  sealed,
+  /// Nothing is known: it may have run.
+  unknown,
+};
+
+/// Answer for one outstanding sequence number.
+struct resumed_task {
+  std::uint64_t sequence = 0;
+  resume_state state = resume_state::unknown;
+  task_outcome outcome;
+};
+
+/// Answer to the opening of a session.
+struct session_opening {
+  bool accepted = false;
+  /// `stale_session` if refused.
+  reason refusal = reason::none;
+  /// One for each outstanding sequence number, in the order given.
+  std::vector<resumed_task> tasks;
+  /// Accepted tasks of earlier sessions that were waiting for a slot and are now sealed.
+  std::vector<std::uint64_t> dropped;
+};
+
+/// What a cancellation found.
+enum class cancel_result : std::uint8_t {
+  /// The task had not started and never will.
+  sealed,
+  /// The task is running: abort its call.
+  running,
+  /// The task has already ended, or the session is not the current one: nothing to do.
+  nothing,
+};
+
+/// What became of the outcome of a task.
+enum class finish_result : std::uint8_t {
+  /// The entry has a session: deliver it now.
+  deliver,
+  /// The entry has no session: kept until it resumes or expires.
+  kept,
+};
+
+/// The agent's record of every sequence number of every entry, and the one commit point of the
+/// system (design, D1): a task may be sent to the upstream only after `start` returned true. It
+/// returns true at most once for each entry incarnation and sequence number. Only the session with
+/// the highest counter of an entry incarnation can accept or start tasks; earlier ones are fenced.
+///
+/// Violated invariants abort the process. Used on the control thread only.
+///
+/// Example:
+///   commit_table table(incarnation, {});
+///   table.open_session(session, 0, {}, {}, now);
+///   if (table.accept(session, 7) == reason::none && table.start(session, 7, now, deadline)) {
+///     table.finish(session.entry, 7, run());
+///   }
+class commit_table {
+public:
+  /// `agent_incarnation` identifies this start of the agent.
+  explicit commit_table(std::uint64_t agent_incarnation, commit_table_limits limits = {});
+
+  /// Opens a session and fences every earlier one of the entry. `previous_agent` is the agent
+  /// incarnation of the entry's previous session, 0 for none: if it is another one, or if the
+  /// state of the entry has expired, every outstanding number is unknown. Outstanding numbers that
+  /// were never received are sealed. Refused if the counter is not higher than all earlier ones.
+  session_opening open_session(const session_key& session, std::uint64_t previous_agent,
+                               std::span<const std::uint64_t> outstanding,
+                               std::span<const std::uint64_t> acknowledged, monotonic_time now);
+
+  /// The connection of a session ended. Returns its tasks that were waiting for a slot; they are
+  /// sealed. Without effect if a later session is open.
+  std::vector<std::uint64_t> lose_session(const session_key& session, monotonic_time now);
+
+  /// Whether the session may act.
+  bool is_current(const session_key& session) const;
+
+  /// Records a received dispatch. Returns `none`, `stale_session` if the session is fenced, or
+  /// `sealed` if the number was sealed, cancelled or used before.
+  reason accept(const session_key& session, std::uint64_t sequence);
+
+  /// The commit point. True if the task has to be sent to the upstream now. False if the session is
+  /// fenced, if the number is not waiting (sealed, cancelled, started), or if `now` has reached
+  /// `deadline`; a number refused for its deadline is sealed.
+  bool start(const session_key& session, std::uint64_t sequence, monotonic_time now,
+             monotonic_time deadline);
+
+  /// Records the end of a started task. Precondition: `start` returned true for the number and
+  /// `finish` was not called for it.
+  finish_result finish(const entry_key& entry, std::uint64_t sequence, task_outcome outcome);
+
+  /// Drops outcomes that the entry has received. Numbers that have not ended are ignored.
+  void acknowledge(const entry_key& entry, std::span<const std::uint64_t> sequences);
+
+  /// Drops all outcomes of an entry, once a message proves that it received them.
+  void acknowledge_all(const entry_key& entry);
+
+  /// Seals a task that has not started, received or not.
+  cancel_result cancel(const session_key& session, std::uint64_t sequence);
+
+  /// The outcome of a task that has ended and is not acknowledged; null for any other.
+  const task_outcome* outcome(const entry_key& entry, std::uint64_t sequence) const;
+
+  /// Notes that the outcome was sent to the entry. True if it had been sent before.
+  bool mark_sent(const entry_key& entry, std::uint64_t sequence);
+
+  /// Whether the task was started and has not ended.
+  bool is_running(const entry_key& entry, std::uint64_t sequence) const;
+
+  /// Forgets entries that have had no session for the retention time and have no running task.
+  /// Returns the number of unacknowledged outcomes that were dropped.
+  std::size_t expire(monotonic_time now) { return expire(now, limits_.state_retention); }
+
+  /// The same with another retention time.
+  std::size_t expire(monotonic_time now, std::chrono::milliseconds retention);
+
+  std::size_t running() const { return running_; }
+  std::size_t unacknowledged() const;
+  /// Unacknowledged outcomes of one entry.
+  std::size_t unacknowledged(const entry_key& entry) const;
+  /// Outcomes given up because an entry exceeded `max_unacknowledged`.
+  std::uint64_t given_up() const { return given_up_; }
+  /// Entries and sequence numbers held, for tests of the memory bound.
+  std::size_t entry_count() const { return entries_.size(); }
+  std::size_t record_count() const;
+
+private:
+  enum class record_state : std::uint8_t { waiting, running, finished, acknowledged, sealed };
+  struct record {
+    record_state state = record_state::waiting;
+    std::uint64_t counter = 0;
+    bool sent = false;
+    task_outcome outcome;
+  };
+  struct entry_state {
+    std::uint64_t counter = 0;
+    bool connected = false;
+    monotonic_time lost_at{};
+    std::map<std::uint64_t, record> records;
+    std::size_t waiting = 0;
+    std::size_t running = 0;
+    std::size_t finished = 0;
+    /// Numbers up to here that have no record can no longer be accepted.
+    std::uint64_t floor = 0;
+    /// Numbers up to here that have no record may have run.
+    std::uint64_t unknown_floor = 0;
+  };
+
+  entry_state* current(const session_key& session);
+  static std::vector<std::uint64_t> seal_waiting(entry_state& state);
+  static resumed_task resume(entry_state& state, std::uint64_t sequence);
+  static void acknowledge_in(entry_state& state, std::span<const std::uint64_t> sequences);
+  void trim(entry_state& state);
+  void give_up_oldest(entry_state& state);
+
+  std::uint64_t agent_incarnation_;
+  commit_table_limits limits_;
+  std::map<entry_key, entry_state> entries_;
+  std::size_t running_ = 0;
+  std::uint64_t given_up_ = 0;
+};
+
+} // namespace parsleylead
--- /dev/null
+++ b/include/parsleylead/session/task_outcome.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+#include "parsleylead/base/failure.hpp"
+
+namespace parsleylead {
+
+/// How a dispatched task ended at the agent.
+enum class task_end : std::uint8_t {
+  /// Ran; the answer is present.
+  finished,
+  /// Ran or may have run; the failure is present.
+  failed,
+  /// Did not run and never will; the failure is present.
+  not_run,
+};
+
+/// The end of one task, as kept for the entry until it acknowledges it.
+struct task_outcome {
+  task_end end = task_end::not_run;
+  std::string answer;
+  failure why;
+  /// Time at the upstream.
+  std::chrono::microseconds run_time{0};
+
+  bool operator==(const task_outcome&) const = default;
+};
+
+} // namespace parsleylead
--- /dev/null
+++ b/src/agent/agent_core.cpp
@@ -0,0 +1,811 @@
+#include "agent_core.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <asio/post.hpp>
+#include <utility>
+
+#include "parsleylead/transport/rpc_connection.hpp"
+
+namespace parsleylead {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr milliseconds tick_interval{50};
+constexpr milliseconds expiry_interval{1000};
+constexpr milliseconds announce_timeout{500};
+// A recall that is not answered counts as granted back: an entry that uses such a credit later is
+// refused with no_free_slot and places the task again.
+constexpr milliseconds recall_timeout{1000};
+// Entries probe idle sessions every 30 s, so three probes were missed.
+constexpr milliseconds session_silence_limit{90'000};
+// The caller's own time-out goes first; this one catches answers that arrive drop by drop.
+constexpr milliseconds deadline_grace{20};
+// During a drain, longer than an entry tries to resume a session (3 s).
+constexpr milliseconds resume_grace{5000};
+constexpr milliseconds leaving_interval{200};
+// Time for outcomes to reach the entries after running tasks were ended early.
+constexpr milliseconds flush_time{300};
+
+wire::TaskState wire_state(task_end end) {
+  switch (end) {
+  case task_end::finished:
+    return wire::TaskState::FINISHED;
+  case task_end::failed:
+    return wire::TaskState::FAILED;
+  case task_end::not_run:
+    return wire::TaskState::NOT_RUN;
+  }
+  return wire::TaskState::UNKNOWN;
+}
+
+// Texts from entries become HTTP headers.
+bool is_header_value(const std::string& text) {
+  return std::all_of(text.begin(), text.end(),
+                     [](unsigned char letter) { return letter >= 0x20 && letter != 0x7f; });
+}
+
+} // namespace
+
+class agent_core::error_log : public kj::TaskSet::ErrorHandler {
+public:
+  void taskFailed(kj::Exception&& exception) override {
+    spdlog::debug("agent: a call to an entry failed: {}", exception.getDescription().cStr());
+  }
+};
+
+agent_core::agent_core(rpc_loop& loop, const agent_settings& settings, std::uint64_t incarnation,
+                       endpoint operations_address, std::function<void()> on_drained)
+    : loop_(loop), settings_(settings), incarnation_(incarnation),
+      operations_address_(std::move(operations_address)), on_drained_(std::move(on_drained)),
+      commits_(incarnation, commit_table_limits{.state_retention = settings.state_retention}),
+      announcements_(settings.announce_interval, settings.max_announce_interval),
+      errors_(kj::heap<error_log>()), background_(kj::heap<kj::TaskSet>(*errors_)) {
+  for (const auto& seed : settings_.seeds) {
+    announcements_.add_seed(seed);
+  }
+  const upstream_caller_limits limits{settings_.upstream.connect_timeout,
+                                      settings_.upstream.max_answer_bytes};
+  caller_ = std::make_unique<upstream_caller>(
+      limits, [this, alive = alive_, &io = loop_.io()](std::uint64_t ticket, task_outcome outcome) {
+        asio::post(io, [this, alive, ticket, outcome = std::move(outcome)]() mutable {
+          if (*alive) {
+            end_call(ticket, std::move(outcome));
+          }
+        });
+      });
+  background_->add(tick_forever());
+}
+
+agent_core::~agent_core() {
+  *alive_ = false;
+}
+
+// Sessions
+
+session_answer agent_core::open_session(const session_request& request,
+                                        wire::SessionReceiver::Client receiver) {
+  const auto now = steady_clock::now();
+  session_answer answer;
+  const auto opening = commits_.open_session(request.key, request.previous_agent,
+                                             request.outstanding, request.acknowledged, now);
+  if (!opening.accepted) {
+    ++account_.sessions_refused;
+    answer.refusal = {opening.refusal, step::resume, settings_.name,
+                      "a session with a higher counter was opened before"};
+    spdlog::info("agent: session of {} refused: {}", request.key.entry.name,
+                 to_string(answer.refusal));
+    return answer;
+  }
+  ++account_.sessions_opened;
+  fence_waiters(request.key.entry);
+  seal_tasks(request.key.entry, opening.dropped);
+  if (auto* earlier = session_of(request.key.entry); earlier != nullptr) {
+    close_session(*earlier, "replaced by a later one");
+  }
+  if (request.entry_address.has_value()) {
+    announcements_.add(*request.entry_address);
+  }
+  answer.session = next_session_++;
+  sessions_.emplace(answer.session,
+                    open_session_state{answer.session, request.key, request.entry_address,
+                                       kj::mv(receiver), now, false, false});
+  const auto actions = slots_.open(answer.session, expected_sessions());
+  answer.credits = actions.own_credits;
+  for (const auto& task : opening.tasks) {
+    auto reply = reply_for(request.key.entry, task.sequence);
+    if (task.state == resume_state::sealed) {
+      reply.state = wire::TaskState::NOT_RUN;
+      reply.outcome.why = {reason::sealed, step::resume, settings_.name,
+                           "the dispatch had not started and never will"};
+    }
+    answer.resumed.push_back(std::move(reply));
+  }
+  spdlog::info("agent: session {} of {} opened, {} outstanding", request.key.counter,
+               request.key.entry.name, request.outstanding.size());
+  return answer;
+}
+
+void agent_core::release_session(slot_session session) {
+  auto* state = find_session(session);
+  if (state == nullptr) {
+    return;
+  }
+  ++account_.sessions_lost;
+  const auto key = state->key;
+  const auto address = state->address;
+  const auto dropped = commits_.lose_session(key, steady_clock::now());
+  seal_tasks(key.entry, dropped);
+  close_session(*state, "its connection ended");
+  if (address.has_value()) {
+    announcements_.reset(*address);
+  }
+}
+
+agent_core::open_session_state* agent_core::find_session(slot_session session) {
+  const auto position = sessions_.find(session);
+  return position == sessions_.end() ? nullptr : &position->second;
+}
+
+agent_core::open_session_state* agent_core::session_of(const entry_key& entry) {
+  for (auto& [id, session] : sessions_) {
+    if (session.key.entry == entry) {
+      return &session;
+    }
+  }
+  return nullptr;
+}
+
+void agent_core::close_session(open_session_state& session, const char* cause) {
+  spdlog::info("agent: session {} of {} closed: {}", session.key.counter, session.key.entry.name,
+               cause);
+  const auto id = session.id;
+  sessions_.erase(id);
+  apply(slots_.close(id));
+}
+
+// The calls of earlier sessions get no outcome; the entry collects it in the new session.
+void agent_core::fence_waiters(const entry_key& entry) {
+  for (auto& [ticket, task] : tasks_) {
+    if (task.session.entry != entry) {
+      continue;
+    }
+    for (auto& each : task.waiters) {
+      each->reject(KJ_EXCEPTION(DISCONNECTED, "stale_session: a later session was opened"));
+    }
+    task.waiters.clear();
+  }
+}
+
+void agent_core::seal_tasks(const entry_key& entry, const std::vector<std::uint64_t>& sequences) {
+  for (const auto sequence : sequences) {
+    const auto position = tickets_.find({entry, sequence});
+    if (position != tickets_.end()) {
+      const auto ticket = position->second;
+      slots_.remove_queued(ticket);
+      refuse_waiting(ticket, reason::stale_session, "the session ended before the task started");
+    }
+  }
+}
+
+// Dispatches
+
+kj::Promise<dispatch_reply> agent_core::dispatch(slot_session session, dispatch_request request) {
+  ++account_.dispatches;
+  auto* state = find_session(session);
+  if (state == nullptr || !commits_.is_current(state->key)) {
+    return refuse(session, request, reason::stale_session, "a later session was opened");
+  }
+  state->heard = steady_clock::now();
+  if (auto refusal = check_dispatch(session, request); refusal.has_value()) {
+    return std::move(*refusal);
+  }
+  const auto key = state->key;
+  const auto sequence = request.sequence;
+  if (const auto why = commits_.accept(key, sequence); why != reason::none) {
+    return refuse(session, request, why, "the sequence number cannot be used");
+  }
+  const auto ticket = next_ticket_++;
+  slot_actions actions;
+  const auto result =
+      slots_.dispatch(session, ticket, request.demand, request.queue_if_busy, actions);
+  if (result == slot_result::no_free_slot) {
+    commits_.cancel(key, sequence);
+    apply(actions);
+    return refuse(session, request, reason::no_free_slot, "all slots are in use or granted");
+  }
+  auto pending = kj::newPromiseAndFulfiller<dispatch_reply>();
+  task_state task{key, sequence, std::move(request.call), false, reason::none, {}};
+  task.call.ticket = ticket;
+  task.call.deadline = steady_clock::now() + request.budget;
+  task.waiters.push_back(kj::mv(pending.fulfiller));
+  tasks_.emplace(ticket, std::move(task));
+  tickets_.emplace(task_key{key.entry, sequence}, ticket);
+  if (result == slot_result::slot_taken) {
+    start_task(ticket);
+  }
+  apply(actions);
+  return kj::mv(pending.promise);
+}
+
+std::optional<dispatch_reply> agent_core::check_dispatch(slot_session session,
+                                                         const dispatch_request& request) {
+  const auto& call = request.call;
+  if (!is_header_value(call.submission) || !is_header_value(call.traceparent)) {
+    return refuse(session, request, reason::malformed_request, "control characters in a header");
+  }
+  if (draining_) {
+    return refuse(session, request, reason::agent_leaving, "the agent is stopping");
+  }
+  if (!upstream_.has_value()) {
+    return refuse(session, request, reason::upstream_absent, "no upstream is announced");
+  }
+  const auto& kinds = upstream_->kinds;
+  if (!std::binary_search(kinds.begin(), kinds.end(), call.kind)) {
+    return refuse(session, request, reason::kind_not_served,
+                  "the upstream does not serve " + call.kind);
+  }
+  if (request.revision < revisions_[call.kind]) {
+    auto reply = refuse(session, request, reason::stale_revision, "a newer revision is known");
+    reply.newer_revision = revisions_[call.kind];
+    return reply;
+  }
+  revisions_[call.kind] = request.revision;
+  if (request.budget <= milliseconds::zero()) {
+    return refuse(session, request, reason::budget_exhausted, "no time is left for the task");
+  }
+  return std::nullopt;
+}
+
+dispatch_reply agent_core::refuse(slot_session session, const dispatch_request& request, reason why,
+                                  std::string detail) {
+  ++account_.refused[why];
+  dispatch_reply reply;
+  reply.sequence = request.sequence;
+  reply.state = wire::TaskState::NOT_RUN;
+  reply.outcome.why = {why, step::dispatch, settings_.name, std::move(detail)};
+  if (why != reason::no_free_slot) {
+    reply.credits = slots_.refuse(session);
+  }
+  spdlog::info("agent: dispatch of {} task {} refused: {}", request.call.submission,
+               request.call.task, to_string(reply.outcome.why));
+  return reply;
+}
+
+kj::Promise<dispatch_reply> agent_core::collect(slot_session session, std::uint64_t sequence) {
+  auto* state = find_session(session);
+  if (state == nullptr || !commits_.is_current(state->key)) {
+    return KJ_EXCEPTION(DISCONNECTED, "stale_session: a later session was opened");
+  }
+  state->heard = steady_clock::now();
+  const auto position = tickets_.find({state->key.entry, sequence});
+  if (position != tickets_.end()) {
+    auto pending = kj::newPromiseAndFulfiller<dispatch_reply>();
+    tasks_.at(position->second).waiters.push_back(kj::mv(pending.fulfiller));
+    return kj::mv(pending.promise);
+  }
+  return reply_for(state->key.entry, sequence);
+}
+
+// What is known of a number that the entry asks for again.
+dispatch_reply agent_core::reply_for(const entry_key& entry, std::uint64_t sequence) {
+  dispatch_reply reply;
+  reply.sequence = sequence;
+  if (commits_.is_running(entry, sequence)) {
+    reply.state = wire::TaskState::RUNNING;
+    return reply;
+  }
+  const auto* outcome = commits_.outcome(entry, sequence);
+  if (outcome == nullptr) {
+    reply.outcome.why = {reason::agent_restarted, step::resume, settings_.name,
+                         "the agent knows nothing of the dispatch"};
+    return reply;
+  }
+  reply.outcome = *outcome;
+  reply.state = wire_state(outcome->end);
+  if (commits_.mark_sent(entry, sequence)) {
+    ++account_.duplicate_results;
+  }
+  return reply;
+}
+
+bool agent_core::start_task(std::uint64_t ticket) {
+  auto& task = tasks_.at(ticket);
+  const auto now = steady_clock::now();
+  if (upstream_.has_value() &&
+      commits_.start(task.session, task.sequence, now, task.call.deadline)) {
+    ++account_.starts;
+    task.started = true;
+    task.call.upstream = upstream_->address;
+    // The record keeps what is needed to end the call; the payload goes to the caller.
+    auto call = task.call;
+    task.call.payload.clear();
+    caller_->submit(std::move(call));
+    return true;
+  }
+  const auto* session = session_of(task.session.entry);
+  const auto actions = slots_.end_task(session == nullptr ? 0 : session->id);
+  refuse_waiting(ticket, reason::budget_exhausted, "no time was left at the start",
+                 actions.own_credits);
+  apply(actions);
+  return false;
+}
+
+void agent_core::end_call(std::uint64_t ticket, task_outcome outcome) {
+  auto node = tasks_.extract(ticket);
+  if (node.empty()) {
+    return;
+  }
+  auto& task = node.mapped();
+  const auto& entry = task.session.entry;
+  tickets_.erase({entry, task.sequence});
+  count_outcome(outcome);
+  if (outcome.end != task_end::finished) {
+    spdlog::info("agent: {} task {} {}: {}", task.call.submission, task.call.task,
+                 outcome.end == task_end::failed ? "failed" : "not run", to_string(outcome.why));
+  }
+  commits_.finish(entry, task.sequence, std::move(outcome));
+  const auto* session = session_of(entry);
+  const auto actions = slots_.end_task(session == nullptr ? 0 : session->id);
+  auto credits = actions.own_credits;
+  for (auto& each : task.waiters) {
+    if (each->isWaiting()) {
+      auto reply = reply_for(entry, task.sequence);
+      reply.credits = std::exchange(credits, 0);
+      each->fulfill(kj::mv(reply));
+    }
+  }
+  if (credits > 0 && session != nullptr) {
+    send_grant(session->id, credits);
+  }
+  apply(actions);
+}
+
+void agent_core::count_outcome(const task_outcome& outcome) {
+  switch (outcome.end) {
+  case task_end::finished:
+    ++account_.finished;
+    break;
+  case task_end::failed:
+    ++account_.failed[outcome.why.why];
+    break;
+  case task_end::not_run:
+    ++account_.not_run[outcome.why.why];
+    break;
+  }
+}
+
+// Ends a task that was accepted and has not started.
+void agent_core::refuse_waiting(std::uint64_t ticket, reason why, std::string detail,
+                                std::uint32_t credits) {
+  auto node = tasks_.extract(ticket);
+  auto& task = node.mapped();
+  tickets_.erase({task.session.entry, task.sequence});
+  commits_.cancel(task.session, task.sequence);
+  ++account_.refused[why];
+  dispatch_reply reply;
+  reply.sequence = task.sequence;
+  reply.state = wire::TaskState::NOT_RUN;
+  reply.outcome.why = {why, step::start, settings_.name, std::move(detail)};
+  spdlog::info("agent: {} task {} not run: {}", task.call.submission, task.call.task,
+               to_string(reply.outcome.why));
+  for (auto& each : task.waiters) {
+    auto copy = reply;
+    copy.credits = std::exchange(credits, 0);
+    each->fulfill(kj::mv(copy));
+  }
+}
+
+void agent_core::refuse_all_waiting(reason why, const std::string& detail) {
+  std::vector<std::uint64_t> waiting;
+  for (const auto& [ticket, task] : tasks_) {
+    if (!task.started) {
+      waiting.push_back(ticket);
+    }
+  }
+  for (const auto ticket : waiting) {
+    slots_.remove_queued(ticket);
+    refuse_waiting(ticket, why, detail);
+  }
+}
+
+void agent_core::cancel(slot_session session, const std::vector<std::uint64_t>& sequences) {
+  auto* state = find_session(session);
+  if (state == nullptr) {
+    return;
+  }
+  state->heard = steady_clock::now();
+  const auto key = state->key;
+  for (const auto sequence : sequences) {
+    const auto result = commits_.cancel(key, sequence);
+    const auto position = tickets_.find({key.entry, sequence});
+    if (position == tickets_.end()) {
+      continue;
+    }
+    const auto ticket = position->second;
+    if (result == cancel_result::sealed) {
+      slots_.remove_queued(ticket);
+      refuse_waiting(ticket, reason::cancelled, "cancelled before the start");
+    } else if (result == cancel_result::running) {
+      tasks_.at(ticket).aborted = reason::cancelled;
+      caller_->abort(ticket, reason::cancelled);
+    }
+  }
+}
+
+void agent_core::acknowledge(slot_session session, const std::vector<std::uint64_t>& sequences) {
+  const auto* state = find_session(session);
+  if (state != nullptr && !sequences.empty()) {
+    commits_.acknowledge(state->key.entry, sequences);
+  }
+}
+
+// Credits
+
+std::uint32_t agent_core::want(slot_session session, slot_demand demand) {
+  auto* state = find_session(session);
+  if (state == nullptr) {
+    return 0;
+  }
+  state->heard = steady_clock::now();
+  ++account_.wants;
+  const auto actions = slots_.want(session, demand);
+  if (actions.own_credits == 0) {
+    ++account_.wants_without_grant;
+  }
+  apply(actions);
+  return actions.own_credits;
+}
+
+void agent_core::give_back(slot_session session, std::uint32_t credits) {
+  auto* state = find_session(session);
+  if (state == nullptr) {
+    return;
+  }
+  state->heard = steady_clock::now();
+  account_.credits_returned += credits;
+  apply(slots_.give_back(session, credits));
+}
+
+void agent_core::apply(const slot_actions& actions) {
+  for (const auto& change : actions.grants) {
+    send_grant(change.session, change.credits);
+  }
+  for (const auto& change : actions.recalls) {
+    send_recall(change.session, change.credits);
+  }
+  for (const auto ticket : actions.starts) {
+    if (tasks_.contains(ticket)) {
+      start_task(ticket);
+    }
+  }
+}
+
+void agent_core::send_grant(slot_session session, std::uint32_t credits) {
+  auto* state = find_session(session);
+  if (state == nullptr) {
+    return;
+  }
+  ++account_.grants;
+  auto request = state->receiver.grantRequest();
+  request.setCredits(credits);
+  background_->add(request.send().ignoreResult());
+}
+
+void agent_core::send_recall(slot_session session, std::uint32_t credits) {
+  auto* state = find_session(session);
+  if (state == nullptr) {
+    return;
+  }
+  ++account_.recalls;
+  auto request = state->receiver.recallRequest();
+  request.setCredits(credits);
+  auto returned = request.send().then([](auto&& response) { return response.getReturned(); });
+  background_->add(loop_.with_timeout(kj::mv(returned), recall_timeout)
+                       .then(
+                           [this, session, credits](std::uint32_t count) {
+                             account_.credits_returned += count;
+                             apply(slots_.recall_answered(session, credits, count));
+                           },
+                           [this, session, credits](kj::Exception&& /*error*/) {
+                             ++account_.recalls_unanswered;
+                             apply(slots_.recall_answered(session, credits, credits));
+                           }));
+}
+
+void agent_core::set_revision(const std::string& kind, std::uint64_t revision) {
+  auto& known = revisions_[kind];
+  known = std::max(known, revision);
+}
+
+void agent_core::probe(slot_session session) {
+  ++account_.probes;
+  if (auto* state = find_session(session); state != nullptr) {
+    state->heard = steady_clock::now();
+  }
+}
+
+// The upstream
+
+void agent_core::announced(upstream_announcement announcement) {
+  announced_at_ = steady_clock::now();
+  if (draining_ || upstream_ == announcement) {
+    return;
+  }
+  const bool replaced = upstream_.has_value() && (upstream_->name != announcement.name ||
+                                                  upstream_->address != announcement.address);
+  if (replaced) {
+    upstream_absent("another upstream announced itself");
+  }
+  spdlog::info("agent: upstream {} at {} announced, {} slots", announcement.name,
+               to_string(announcement.address), announcement.usable_slots());
+  upstream_ = std::move(announcement);
+  send_update();
+  apply(slots_.resize(upstream_->usable_slots(), expected_sessions()));
+}
+
+bool agent_core::upstream_left(const std::string& name) {
+  if (!upstream_.has_value()) {
+    return true;
+  }
+  if (!name.empty() && name != upstream_->name) {
+    return false;
+  }
+  upstream_absent("it is leaving");
+  return true;
+}
+
+void agent_core::upstream_absent(const char* cause) {
+  spdlog::info("agent: upstream {} is absent: {}", upstream_->name, cause);
+  upstream_.reset();
+  apply(slots_.resize(0, expected_sessions()));
+  refuse_all_waiting(reason::upstream_absent, "the upstream left before the task started");
+  send_leaving();
+}
+
+void agent_core::send_leaving() {
+  for (auto& [id, session] : sessions_) {
+    send_leaving_to(session);
+  }
+}
+
+// The answer proves that the entry has received everything sent to it before: a connection keeps
+// the order of messages.
+void agent_core::send_leaving_to(open_session_state& session) {
+  const bool all_ended = tasks_.empty();
+  auto request = session.receiver.leavingRequest();
+  describe(request.initAgent());
+  session.leaving_sent = true;
+  background_->add(request.send().then(
+      [this, id = session.id, all_ended](auto&& /*response*/) {
+        auto* state = find_session(id);
+        if (state == nullptr) {
+          return;
+        }
+        state->leaving_sent = false;
+        state->left = draining_;
+        if (all_ended && draining_) {
+          commits_.acknowledge_all(state->key.entry);
+        }
+      },
+      [this, id = session.id](kj::Exception&& /*error*/) {
+        if (auto* state = find_session(id); state != nullptr) {
+          state->leaving_sent = false;
+        }
+      }));
+}
+
+void agent_core::send_update() {
+  for (auto& [id, session] : sessions_) {
+    auto request = session.receiver.updateRequest();
+    describe(request.initAgent());
+    background_->add(request.send().ignoreResult());
+  }
+}
+
+// Announcements
+
+void agent_core::announce_due(monotonic_time now) {
+  std::set<endpoint> connected;
+  for (const auto& [id, session] : sessions_) {
+    if (session.address.has_value()) {
+      connected.insert(*session.address);
+    }
+  }
+  for (const auto& address : announcements_.due(connected, now)) {
+    ++account_.announces;
+    background_->add(announce_to(address));
+  }
+}
+
+kj::Promise<void> agent_core::announce_to(endpoint address) {
+  return connect(loop_, address, announce_timeout)
+      .then([this](kj::Own<rpc_connection> connection) {
+        auto request = connection->bootstrap().castAs<wire::EntryPort>().announceRequest();
+        describe(request.initAgent());
+        request.setProtocolVersion(wire::PROTOCOL_VERSION);
+        auto call = request.send().then([this](auto&& response) {
+          for (const auto entry : response.getEntries()) {
+            const auto known = parse_endpoint(entry.getAddress().cStr());
+            if (known.ok() && !entry.getLeaving()) {
+              announcements_.add(*known);
+            }
+          }
+        });
+        return loop_.with_timeout(kj::mv(call), announce_timeout).attach(kj::mv(connection));
+      })
+      .then([this, address] { announcements_.done(address, true); },
+            [this, address](kj::Exception&& /*error*/) { announcements_.done(address, false); });
+}
+
+std::size_t agent_core::expected_sessions() const {
+  return std::max(announcements_.size(), sessions_.size());
+}
+
+// Time
+
+kj::Promise<void> agent_core::tick_forever() {
+  return loop_.sleep_for(tick_interval).then([this] {
+    tick();
+    return tick_forever();
+  });
+}
+
+void agent_core::tick() {
+  const auto now = steady_clock::now();
+  if (upstream_.has_value() && now - announced_at_ > settings_.upstream.lease) {
+    upstream_absent("its announcement expired");
+  }
+  check_deadlines(now);
+  check_sessions(now);
+  if (now >= next_expiry_) {
+    next_expiry_ = now + expiry_interval;
+    account_.expired_results += commits_.expire(now);
+  }
+  if (draining_) {
+    check_drain(now);
+    return;
+  }
+  announce_due(now);
+}
+
+void agent_core::check_deadlines(monotonic_time now) {
+  std::vector<std::uint64_t> overdue;
+  for (auto& [ticket, task] : tasks_) {
+    if (!task.started) {
+      if (now >= task.call.deadline) {
+        overdue.push_back(ticket);
+      }
+      continue;
+    }
+    if (task.aborted == reason::none && now >= task.call.deadline + deadline_grace) {
+      task.aborted = reason::deadline_exceeded;
+    }
+    if (task.aborted != reason::none) {
+      caller_->abort(ticket, task.aborted);
+    }
+  }
+  for (const auto ticket : overdue) {
+    slots_.remove_queued(ticket);
+    refuse_waiting(ticket, reason::budget_exhausted, "the time ran out before a slot was free");
+  }
+}
+
+void agent_core::check_sessions(monotonic_time now) {
+  std::vector<slot_session> silent;
+  for (const auto& [id, session] : sessions_) {
+    if (now - session.heard > session_silence_limit) {
+      silent.push_back(id);
+    }
+  }
+  for (const auto id : silent) {
+    release_session(id);
+  }
+}
+
+// Stop
+
+void agent_core::stop() {
+  if (draining_) {
+    abandon_running();
+    return;
+  }
+  spdlog::info("agent: stopping, {} tasks open", tasks_.size());
+  draining_ = true;
+  drain_started_ = steady_clock::now();
+  drain_end_ = drain_started_ + settings_.drain_limit;
+  apply(slots_.resize(0, expected_sessions()));
+  refuse_all_waiting(reason::agent_leaving, "the agent is stopping");
+  next_leaving_ = drain_started_ + leaving_interval;
+  send_leaving();
+}
+
+void agent_core::abandon_running() {
+  if (abandoned_ || drained_) {
+    return;
+  }
+  spdlog::warn("agent: ending {} running tasks", tasks_.size());
+  abandoned_ = true;
+  drain_end_ = steady_clock::now() + flush_time;
+  for (auto& [ticket, task] : tasks_) {
+    task.aborted = task.aborted == reason::none ? reason::agent_leaving : task.aborted;
+    caller_->abort(ticket, task.aborted);
+  }
+}
+
+void agent_core::check_drain(monotonic_time now) {
+  if (drained_) {
+    return;
+  }
+  if (now >= drain_end_) {
+    if (abandoned_) {
+      drained_ = true;
+      on_drained_();
+      return;
+    }
+    abandon_running();
+  }
+  if (!tasks_.empty()) {
+    return;
+  }
+  // An entry without a session has given up resuming it after this time.
+  account_.expired_results += commits_.expire(now, resume_grace);
+  bool waiting = commits_.unacknowledged() > 0;
+  const bool resend = now >= next_leaving_;
+  for (auto& [id, session] : sessions_) {
+    const bool informed = session.left || now - drain_started_ > resume_grace;
+    waiting = waiting || !informed;
+    const bool undelivered = !session.left || commits_.unacknowledged(session.key.entry) > 0;
+    if (undelivered && resend && !session.leaving_sent) {
+      send_leaving_to(session);
+    }
+  }
+  if (resend) {
+    next_leaving_ = now + leaving_interval;
+  }
+  if (!waiting) {
+    drained_ = true;
+    on_drained_();
+  }
+}
+
+// Descriptions
+
+agent_account agent_core::account() const {
+  auto copy = account_;
+  copy.open = tasks_.size();
+  copy.slots = slots_.slots();
+  copy.running = slots_.running();
+  copy.granted = slots_.granted();
+  copy.queued = slots_.queued();
+  copy.sessions = sessions_.size();
+  copy.unacknowledged = commits_.unacknowledged();
+  return copy;
+}
+
+void agent_core::describe(wire::AgentInfo::Builder target) const {
+  auto id = target.initId();
+  id.setName(settings_.name);
+  id.setIncarnation(incarnation_);
+  target.setAddress(to_string(rpc_address_));
+  target.setOperationsAddress(to_string(operations_address_));
+  target.setAvailabilityZone(settings_.availability_zone);
+  target.setLeaving(draining_);
+  if (!upstream_.has_value()) {
+    return;
+  }
+  auto upstream = target.initUpstream();
+  upstream.setName(upstream_->name);
+  auto kinds = upstream.initKinds(static_cast<unsigned>(upstream_->kinds.size()));
+  for (unsigned i = 0; i < kinds.size(); ++i) {
+    kinds.set(i, upstream_->kinds[i]);
+  }
+  upstream.setSlots(draining_ ? 0 : upstream_->usable_slots());
+  upstream.setCores(upstream_->cores);
+  upstream.setMemoryMb(upstream_->memory_mb);
+}
+
+} // namespace parsleylead
--- /dev/null
+++ b/src/agent/agent_core.hpp
@@ -0,0 +1,201 @@
+#pragma once
+
+#include <kj/async.h>
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "agent_account.hpp"
+#include "announce_schedule.hpp"
+#include "generated/parsleylead.capnp.h"
+#include "parsleylead/session/commit_table.hpp"
+#include "parsleylead/settings/agent_settings.hpp"
+#include "parsleylead/slot/slot_ledger.hpp"
+#include "parsleylead/transport/rpc_loop.hpp"
+#include "upstream_announcement.hpp"
+#include "upstream_caller.hpp"
+
+namespace parsleylead {
+
+/// The answer to a dispatch or collect call.
+struct dispatch_reply {
+  std::uint64_t sequence = 0;
+  wire::TaskState state = wire::TaskState::UNKNOWN;
+  task_outcome outcome;
+  std::uint32_t credits = 0;
+  std::uint64_t newer_revision = 0;
+};
+
+/// One dispatch as received.
+struct dispatch_request {
+  std::uint64_t sequence = 0;
+  std::uint64_t revision = 0;
+  std::chrono::milliseconds budget{0};
+  slot_demand demand;
+  bool queue_if_busy = false;
+  /// The ticket, upstream and deadline are filled in by the core.
+  upstream_call call;
+};
+
+/// A session to open, as received.
+struct session_request {
+  session_key key;
+  std::optional<endpoint> entry_address;
+  std::uint64_t previous_agent = 0;
+  std::vector<std::uint64_t> outstanding;
+  std::vector<std::uint64_t> acknowledged;
+};
+
+/// An opened or refused session.
+struct session_answer {
+  /// 0 if refused.
+  slot_session session = 0;
+  failure refusal;
+  std::vector<dispatch_reply> resumed;
+  std::uint32_t credits = 0;
+};
+
+/// All control state of the agent, and the actions that follow from its decisions. Control thread
+/// only.
+class agent_core {
+public:
+  /// `incarnation` identifies this start; `operations_address` is the one in use. `on_drained` is
+  /// called when a requested stop is complete.
+  agent_core(rpc_loop& loop, const agent_settings& settings, std::uint64_t incarnation,
+             endpoint operations_address, std::function<void()> on_drained);
+  ~agent_core();
+  agent_core(const agent_core&) = delete;
+  agent_core& operator=(const agent_core&) = delete;
+
+  /// The RPC address in use, which the agent announces. Set it before the loop runs.
+  void set_rpc_address(endpoint address) { rpc_address_ = std::move(address); }
+
+  // Calls of entries.
+  session_answer open_session(const session_request& request,
+                              wire::SessionReceiver::Client receiver);
+  void release_session(slot_session session);
+  kj::Promise<dispatch_reply> dispatch(slot_session session, dispatch_request request);
+  kj::Promise<dispatch_reply> collect(slot_session session, std::uint64_t sequence);
+  void cancel(slot_session session, const std::vector<std::uint64_t>& sequences);
+  std::uint32_t want(slot_session session, slot_demand demand);
+  void give_back(slot_session session, std::uint32_t credits);
+  void set_revision(const std::string& kind, std::uint64_t revision);
+  void acknowledge(slot_session session, const std::vector<std::uint64_t>& sequences);
+  void probe(slot_session session);
+
+  // The upstream.
+  void announced(upstream_announcement announcement);
+  /// False if another upstream than `name` is announced; an empty name matches any.
+  bool upstream_left(const std::string& name);
+
+  /// The first call begins a graceful shutdown; a second one ends running tasks at once.
+  void stop();
+
+  bool ready() const { return upstream_.has_value() && !draining_; }
+  bool abandoned_tasks() const { return abandoned_; }
+  agent_account account() const;
+  void describe(wire::AgentInfo::Builder target) const;
+  /// JSON bodies of /v1/catalogue and /v1/members.
+  std::string revisions_json() const;
+  std::string members_json() const;
+
+private:
+  using waiter = kj::Own<kj::PromiseFulfiller<dispatch_reply>>;
+  using task_key = std::pair<entry_key, std::uint64_t>;
+
+  struct open_session_state {
+    slot_session id = 0;
+    session_key key;
+    std::optional<endpoint> address;
+    wire::SessionReceiver::Client receiver;
+    monotonic_time heard{};
+    /// A `leaving` call is on its way.
+    bool leaving_sent = false;
+    /// The entry has answered `leaving`.
+    bool left = false;
+  };
+
+  struct task_state {
+    session_key session;
+    std::uint64_t sequence = 0;
+    upstream_call call;
+    bool started = false;
+    reason aborted = reason::none;
+    std::list<waiter> waiters;
+  };
+
+  class error_log;
+
+  open_session_state* find_session(slot_session session);
+  open_session_state* session_of(const entry_key& entry);
+  void close_session(open_session_state& session, const char* cause);
+  void fence_waiters(const entry_key& entry);
+  void seal_tasks(const entry_key& entry, const std::vector<std::uint64_t>& sequences);
+  dispatch_reply refuse(slot_session session, const dispatch_request& request, reason why,
+                        std::string detail);
+  std::optional<dispatch_reply> check_dispatch(slot_session session,
+                                               const dispatch_request& request);
+  dispatch_reply reply_for(const entry_key& entry, std::uint64_t sequence);
+  bool start_task(std::uint64_t ticket);
+  void end_call(std::uint64_t ticket, task_outcome outcome);
+  void count_outcome(const task_outcome& outcome);
+  void refuse_waiting(std::uint64_t ticket, reason why, std::string detail,
+                      std::uint32_t credits = 0);
+  void refuse_all_waiting(reason why, const std::string& detail);
+  void apply(const slot_actions& actions);
+  void send_grant(slot_session session, std::uint32_t credits);
+  void send_recall(slot_session session, std::uint32_t credits);
+  void send_leaving();
+  void send_leaving_to(open_session_state& session);
+  void send_update();
+  void upstream_absent(const char* cause);
+  void announce_due(monotonic_time now);
+  kj::Promise<void> announce_to(endpoint address);
+  kj::Promise<void> tick_forever();
+  void tick();
+  void check_deadlines(monotonic_time now);
+  void check_sessions(monotonic_time now);
+  void check_drain(monotonic_time now);
+  void abandon_running();
+  std::size_t expected_sessions() const;
+
+  rpc_loop& loop_;
+  const agent_settings& settings_;
+  std::uint64_t incarnation_;
+  endpoint rpc_address_;
+  endpoint operations_address_;
+  std::function<void()> on_drained_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+
+  commit_table commits_;
+  slot_ledger slots_;
+  announce_schedule announcements_;
+  agent_account account_;
+  std::map<slot_session, open_session_state> sessions_;
+  std::map<std::uint64_t, task_state> tasks_;
+  std::map<task_key, std::uint64_t> tickets_;
+  std::map<std::string, std::uint64_t> revisions_;
+  std::optional<upstream_announcement> upstream_;
+  monotonic_time announced_at_{};
+  monotonic_time next_expiry_{};
+  slot_session next_session_ = 1;
+  std::uint64_t next_ticket_ = 1;
+  bool draining_ = false;
+  bool drained_ = false;
+  bool abandoned_ = false;
+  monotonic_time drain_started_{};
+  monotonic_time drain_end_{};
+  monotonic_time next_leaving_{};
+  std::unique_ptr<upstream_caller> caller_;
+  kj::Own<kj::TaskSet::ErrorHandler> errors_;
+  kj::Own<kj::TaskSet> background_;
+};
+
+} // namespace parsleylead
--- /dev/null
+++ b/src/agent/agent_process.cpp
@@ -0,0 +1,209 @@
+#include "parsleylead/agent/agent_process.hpp"
+
+#include <asio/post.hpp>
+#include <atomic>
+#include <chrono>
+#include <future>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "agent_core.hpp"
+#include "agent_rpc.hpp"
+#include "http_listener.hpp"
+#include "parsleylead/base/uuid.hpp"
+#include "parsleylead/transport/rpc_server.hpp"
+#include "upstream_announcement.hpp"
+
+namespace parsleylead {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t announce_threads = 2;
+constexpr std::size_t operations_threads = 2;
+constexpr std::size_t max_announcement_bytes = 64UL * 1024;
+constexpr milliseconds control_timeout{2000};
+constexpr milliseconds control_poll{20};
+
+http_reply error_reply(int status, std::string_view message) {
+  std::string escaped;
+  for (const char letter : message) {
+    if (letter == '"' || letter == '\\') {
+      escaped += '\\';
+    }
+    escaped += letter;
+  }
+  return {status, "{\"error\":\"" + escaped + "\"}"};
+}
+
+http_reply unavailable() {
+  return error_reply(503, "the agent does not respond");
+}
+
+} // namespace
+
+class agent_process::impl {
+public:
+  explicit impl(agent_settings settings)
+      : settings_(std::move(settings)), incarnation_(make_incarnation()),
+        announcements_(announce_threads, max_announcement_bytes,
+                       [this](const http_request& request) { return on_announcement(request); }),
+        operations_(operations_threads, max_announcement_bytes,
+                    [this](const http_request& request) { return on_operation(request); }) {}
+
+  ~impl() { stop_listeners(); }
+
+  absl::Status start() {
+    if (auto status = operations_.listen(settings_.operations_address); !status.ok()) {
+      return status;
+    }
+    core_.emplace(loop_, settings_, incarnation_, operations_.local_endpoint(),
+                  [this] { loop_.stop(); });
+    rpc_.emplace(loop_, make_agent_port(*core_));
+    if (auto status = rpc_->listen(settings_.rpc_address); !status.ok()) {
+      return status;
+    }
+    core_->set_rpc_address(rpc_->local_endpoint());
+    return announcements_.listen(settings_.upstream.announce_address);
+  }
+
+  agent_exit run() {
+    loop_.run();
+    stop_listeners();
+    return core_->abandoned_tasks() ? agent_exit::abandoned_tasks : agent_exit::drained;
+  }
+
+  void request_stop() {
+    asio::post(loop_.io(), [this] {
+      if (core_.has_value()) {
+        core_->stop();
+      }
+    });
+  }
+
+  rpc_loop& loop() { return loop_; }
+  endpoint rpc_endpoint() const { return rpc_->local_endpoint(); }
+  endpoint operations_endpoint() const { return operations_.local_endpoint(); }
+  endpoint announce_endpoint() const { return announcements_.local_endpoint(); }
+
+private:
+  // Runs `action` on the control thread and waits for its reply.
+  template <class Action>
+  http_reply on_control_thread(Action action) {
+    auto reply = std::make_shared<std::promise<http_reply>>();
+    auto result = reply->get_future();
+    asio::post(loop_.io(), [this, reply, action = std::move(action)] {
+      reply->set_value(core_.has_value() ? action(*core_) : unavailable());
+    });
+    for (auto waited = milliseconds::zero(); waited < control_timeout && !stopped_;
+         waited += control_poll) {
+      if (result.wait_for(control_poll) == std::future_status::ready) {
+        return result.get();
+      }
+    }
+    return unavailable();
+  }
+
+  http_reply on_announcement(const http_request& request) {
+    if (request.path != "/v1/announce") {
+      return error_reply(404, "unknown path");
+    }
+    if (request.method == "DELETE") {
+      return on_control_thread([](agent_core& core) {
+        core.upstream_left({});
+        return http_reply{200, "{}"};
+      });
+    }
+    if (request.method != "POST") {
+      return error_reply(405, "use POST or DELETE");
+    }
+    auto parsed = parse_announcement(request.body, settings_.upstream);
+    if (!parsed.ok()) {
+      return error_reply(400, std::string(parsed.status().message()));
+    }
+    return on_control_thread([announcement = *std::move(parsed)](agent_core& core) {
+      core.announced(announcement);
+      return http_reply{200, "{}"};
+    });
+  }
+
+  http_reply on_operation(const http_request& request) {
+    if (request.method != "GET") {
+      return error_reply(405, "use GET");
+    }
+    return on_control_thread([path = request.path](agent_core& core) -> http_reply {
+      if (path == "/health") {
+        return {200, R"({"healthy":true})"};
+      }
+      if (path == "/ready") {
+        return core.ready() ? http_reply{200, R"({"ready":true})"}
+                            : http_reply{503, R"({"ready":false})"};
+      }
+      if (path == "/metrics") {
+        return {200, to_prometheus(core.account()), "text/plain; version=0.0.4"};
+      }
+      if (path == "/v1/account") {
+        return {200, to_json(core.account())};
+      }
+      if (path == "/v1/catalogue") {
+        return {200, core.revisions_json()};
+      }
+      if (path == "/v1/members") {
+        return {200, core.members_json()};
+      }
+      return error_reply(404, "unknown path");
+    });
+  }
+
+  void stop_listeners() {
+    stopped_ = true;
+    announcements_.stop();
+    operations_.stop();
+  }
+
+  agent_settings settings_;
+  std::uint64_t incarnation_;
+  std::atomic<bool> stopped_ = false;
+  rpc_loop loop_;
+  // Destroyed after the RPC server, whose connections hold sessions that refer to it.
+  std::optional<agent_core> core_;
+  std::optional<rpc_server> rpc_;
+  http_listener announcements_;
+  http_listener operations_;
+};
+
+agent_process::agent_process(agent_settings settings)
+    : impl_(std::make_unique<impl>(std::move(settings))) {}
+
+agent_process::~agent_process() = default;
+
+absl::Status agent_process::start() {
+  return impl_->start();
+}
+
+agent_exit agent_process::run() {
+  return impl_->run();
+}
+
+void agent_process::request_stop() {
+  impl_->request_stop();
+}
+
+endpoint agent_process::rpc_endpoint() const {
+  return impl_->rpc_endpoint();
+}
+
+endpoint agent_process::operations_endpoint() const {
+  return impl_->operations_endpoint();
+}
+
+endpoint agent_process::announce_endpoint() const {
+  return impl_->announce_endpoint();
+}
+
+asio::io_context& agent_process::io() {
+  return impl_->loop().io();
+}
+
+} // namespace parsleylead
--- /dev/null
+++ b/src/agent/upstream_caller.cpp
@@ -0,0 +1,253 @@
+#include "upstream_caller.hpp"
+
+#include <httplib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <optional>
+#include <thread>
+#include <utility>
+
+namespace parsleylead {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+// Servers commonly close a connection that was idle for 5 s. Reusing one at that moment would turn
+// a task that never ran into one that may have run.
+constexpr milliseconds max_idle_connection{2000};
+// The library rounds time-outs; an error this close to the deadline is the time-out.
+constexpr milliseconds deadline_tolerance{3};
+constexpr milliseconds abort_interval{5};
+
+task_outcome not_run(const upstream_call& call, reason why, step at, std::string detail) {
+  return {task_end::not_run, {}, {why, at, to_string(call.upstream), std::move(detail)}, {}};
+}
+
+task_outcome failed(const upstream_call& call, reason why, std::string detail) {
+  return {task_end::failed, {}, {why, step::run, to_string(call.upstream), std::move(detail)}, {}};
+}
+
+// A second descriptor of the client's socket. Shutting it down from another thread is safe, while
+// the client's own descriptor may be closed and its number reused at any time.
+class socket_handle {
+public:
+  ~socket_handle() { assign(-1); }
+
+  void assign(int socket) {
+    const std::lock_guard lock(mutex_);
+    if (copy_ >= 0) {
+      ::close(copy_);
+    }
+    copy_ = socket >= 0 ? ::dup(socket) : -1;
+  }
+
+  void shut_down() {
+    const std::lock_guard lock(mutex_);
+    if (copy_ >= 0) {
+      ::shutdown(copy_, SHUT_RDWR);
+    }
+  }
+
+private:
+  std::mutex mutex_;
+  int copy_ = -1;
+};
+
+bool is_complete(const httplib::Response& response, std::size_t received) {
+  if (response.has_header("Content-Length")) {
+    return response.get_header_value("Content-Length") == std::to_string(received);
+  }
+  // Without a length, only the chunked coding marks the end of the answer.
+  return response.get_header_value("Transfer-Encoding") == "chunked";
+}
+
+} // namespace
+
+class upstream_caller::worker {
+public:
+  explicit worker(const upstream_caller_limits& limits) : limits_(limits) {}
+
+  // The call in progress and why it was aborted; guarded by the caller's mutex.
+  std::optional<std::uint64_t> ticket;
+  reason aborted = reason::none;
+  std::thread thread;
+  std::atomic<bool> ended = false;
+
+  void shut_down() { socket_.shut_down(); }
+
+  task_outcome run(const upstream_call& call) {
+    const auto started = steady_clock::now();
+    const auto left = std::chrono::duration_cast<microseconds>(call.deadline - started);
+    if (left <= microseconds::zero()) {
+      return not_run(call, reason::budget_exhausted, step::start, "no time is left for the call");
+    }
+    prepare(call, started, left);
+    std::string answer;
+    bool too_large = false;
+    auto request = make_request(call, answer, too_large);
+    const auto result = client_->send(request);
+    last_used_ = steady_clock::now();
+    auto outcome = judge(call, result, std::move(answer), too_large);
+    outcome.run_time = std::chrono::duration_cast<microseconds>(last_used_ - started);
+    return outcome;
+  }
+
+private:
+  void prepare(const upstream_call& call, monotonic_time now, microseconds left) {
+    if (client_ == nullptr || upstream_ != call.upstream ||
+        now - last_used_ > max_idle_connection) {
+      upstream_ = call.upstream;
+      client_ = std::make_unique<httplib::Client>(upstream_.ip, upstream_.port);
+      client_->set_keep_alive(true);
+      client_->set_tcp_nodelay(true);
+      client_->set_socket_options([this](socket_t socket) { socket_.assign(socket); });
+    }
+    const auto connect_timeout = std::min<microseconds>(limits_.connect_timeout, left);
+    client_->set_connection_timeout(connect_timeout);
+    client_->set_read_timeout(left);
+    client_->set_write_timeout(left);
+  }
+
+  httplib::Request make_request(const upstream_call& call, std::string& answer,
+                                bool& too_large) const {
+    httplib::Request request;
+    request.method = "POST";
+    request.path = "/v1/tasks/" + call.kind;
+    request.headers = {{"x-submission", call.submission},
+                       {"x-task", std::to_string(call.task)},
+                       {"Content-Type", "application/json"}};
+    if (!call.traceparent.empty()) {
+      request.headers.emplace("traceparent", call.traceparent);
+    }
+    request.body = call.payload;
+    request.content_receiver = [this, &answer, &too_large](const char* data, std::size_t size,
+                                                           std::uint64_t /*offset*/,
+                                                           std::uint64_t /*total*/) {
+      too_large = answer.size() + size > limits_.max_answer_bytes;
+      if (!too_large) {
+        answer.append(data, size);
+      }
+      return !too_large;
+    };
+    return request;
+  }
+
+  task_outcome judge(const upstream_call& call, const httplib::Result& result, std::string answer,
+                     bool too_large) const {
+    if (!result) {
+      if (too_large) {
+        return failed(call, reason::answer_too_large,
+                      "the answer exceeds " + std::to_string(limits_.max_answer_bytes) + " bytes");
+      }
+      const auto text = httplib::to_string(result.error());
+      if (result.error() == httplib::Error::Connection ||
+          result.error() == httplib::Error::ConnectionTimeout) {
+        return not_run(call, reason::connect_failed, step::connect, "cannot connect: " + text);
+      }
+      if (last_used_ + deadline_tolerance >= call.deadline) {
+        return failed(call, reason::deadline_exceeded, "no complete answer within the time left");
+      }
+      return failed(call, reason::upstream_disconnected, "the call broke: " + text);
+    }
+    if (!is_complete(*result, answer.size())) {
+      return failed(call, reason::upstream_disconnected, "the answer is incomplete");
+    }
+    if (result->status != 200) {
+      return failed(call, reason::task_failed, "HTTP status " + std::to_string(result->status));
+    }
+    return {task_end::finished, std::move(answer), {}, {}};
+  }
+
+  const upstream_caller_limits& limits_;
+  endpoint upstream_;
+  socket_handle socket_;
+  std::unique_ptr<httplib::Client> client_;
+  monotonic_time last_used_{};
+};
+
+upstream_caller::upstream_caller(upstream_caller_limits limits, completion done)
+    : limits_(limits), done_(std::move(done)) {}
+
+upstream_caller::~upstream_caller() {
+  {
+    const std::lock_guard lock(mutex_);
+    stopping_ = true;
+  }
+  wake_.notify_all();
+  for (auto& each : workers_) {
+    // A call that is just connecting misses a single attempt.
+    while (!each->ended) {
+      each->shut_down();
+      std::this_thread::sleep_for(abort_interval);
+    }
+    each->thread.join();
+  }
+}
+
+void upstream_caller::submit(upstream_call call) {
+  const std::lock_guard lock(mutex_);
+  queue_.push_back(std::move(call));
+  if (queue_.size() > idle_) {
+    workers_.push_back(std::make_unique<worker>(limits_));
+    auto& added = *workers_.back();
+    added.thread = std::thread([this, &added] { work(added); });
+    return;
+  }
+  wake_.notify_one();
+}
+
+void upstream_caller::abort(std::uint64_t ticket, reason why) {
+  std::unique_lock lock(mutex_);
+  for (auto& each : workers_) {
+    if (each->ticket == ticket) {
+      each->aborted = each->aborted == reason::none ? why : each->aborted;
+      each->shut_down();
+      return;
+    }
+  }
+  const auto waiting = std::find_if(queue_.begin(), queue_.end(),
+                                    [ticket](const auto& call) { return call.ticket == ticket; });
+  if (waiting == queue_.end()) {
+    return;
+  }
+  const auto call = std::move(*waiting);
+  queue_.erase(waiting);
+  lock.unlock();
+  done_(call.ticket, not_run(call, why, step::start, "ended before it was sent"));
+}
+
+void upstream_caller::work(worker& self) {
+  std::unique_lock lock(mutex_);
+  while (true) {
+    ++idle_;
+    wake_.wait(lock, [this] { return stopping_ || !queue_.empty(); });
+    --idle_;
+    if (stopping_) {
+      self.ended = true;
+      return;
+    }
+    const auto call = std::move(queue_.front());
+    queue_.pop_front();
+    self.ticket = call.ticket;
+    self.aborted = reason::none;
+    lock.unlock();
+    auto outcome = self.run(call);
+    lock.lock();
+    self.ticket.reset();
+    const auto why = self.aborted;
+    lock.unlock();
+    if (why != reason::none && outcome.end != task_end::finished) {
+      outcome.why.why = why;
+      outcome.why.detail = "the call was ended early; " + outcome.why.detail;
+    }
+    done_(call.ticket, std::move(outcome));
+    lock.lock();
+  }
+}
+
+} // namespace parsleylead
--- /dev/null
+++ b/src/slot/slot_ledger_test.cpp
@@ -0,0 +1,259 @@
+#include "parsleylead/slot/slot_ledger.hpp"
+
+#include <doctest/doctest.h>
+
+#include <set>
+
+#include "../base/check_property.hpp"
+
+namespace parsleylead {
+namespace {
+
+const slot_demand none{};
+
+using changes = std::vector<credit_change>;
+
+slot_result dispatch(slot_ledger& ledger, slot_session session, slot_demand demand = none) {
+  slot_actions actions;
+  return ledger.dispatch(session, 0, demand, false, actions);
+}
+
+TEST_CASE("sessions share the slots evenly, and none are granted without an upstream") {
+  // Guards against the first entry to connect taking every slot.
+  slot_ledger ledger;
+  CHECK(ledger.open(1, 2).own_credits == 0);
+  CHECK(ledger.resize(8, 2).grants == changes{{1, 4}});
+  CHECK(ledger.open(2, 2).own_credits == 4);
+  CHECK(ledger.free_slots() == 0);
+  CHECK(ledger.close(1).grants.empty());
+  CHECK(ledger.free_slots() == 4);
+}
+
+TEST_CASE("a dispatch spends a credit, else a free slot, else it is refused") {
+  slot_ledger ledger;
+  ledger.resize(2, 1);
+  CHECK(ledger.open(1, 2).own_credits == 1);
+  CHECK(dispatch(ledger, 1) == slot_result::slot_taken);
+  CHECK(ledger.credits(1) == 0);
+  CHECK(dispatch(ledger, 1) == slot_result::slot_taken);
+  CHECK(dispatch(ledger, 1) == slot_result::no_free_slot);
+  CHECK(ledger.running() == 2);
+}
+
+TEST_CASE("a freed slot goes to the most urgent demand, else back with the result") {
+  // Guards against idle slots while another entry waits, and against needless grant messages.
+  slot_ledger ledger;
+  ledger.resize(2, 1);
+  ledger.open(1, 1);
+  ledger.open(2, 2);
+  ledger.open(3, 3);
+  REQUIRE(dispatch(ledger, 1) == slot_result::slot_taken);
+  REQUIRE(dispatch(ledger, 1) == slot_result::slot_taken);
+  CHECK(ledger.want(2, {50, 1}).own_credits == 0);
+  CHECK(ledger.want(3, {20, 1}).own_credits == 0);
+  auto ended = ledger.end_task(1);
+  CHECK(ended.own_credits == 0);
+  CHECK(ended.grants == changes{{3, 1}});
+  ended = ledger.end_task(1);
+  CHECK(ended.grants == changes{{2, 1}});
+  REQUIRE(dispatch(ledger, 3) == slot_result::slot_taken);
+  ended = ledger.end_task(3);
+  CHECK(ended.own_credits == 1);
+  CHECK(ended.grants.empty());
+}
+
+TEST_CASE("a session without demand keeps no more than its share and the remainder") {
+  // Guards against one session hoarding every slot after a burst.
+  slot_ledger ledger;
+  ledger.resize(5, 1);
+  CHECK(ledger.open(1, 1).own_credits == 5);
+  ledger.open(2, 2);
+  for (int i = 0; i < 5; ++i) {
+    REQUIRE(dispatch(ledger, 1) == slot_result::slot_taken);
+  }
+  for (int i = 0; i < 5; ++i) {
+    ledger.end_task(1);
+  }
+  CHECK(ledger.credits(1) == 3);
+  CHECK(ledger.free_slots() == 2);
+  CHECK(ledger.want(2, {1, 2}).own_credits == 2);
+}
+
+TEST_CASE("unused credits are recalled only from sessions without demand") {
+  // Guards against sessions that take each other's credits in turn.
+  slot_ledger ledger;
+  ledger.resize(4, 1);
+  ledger.open(1, 1);
+  ledger.open(2, 2);
+  const auto wanted = ledger.want(2, {9, 3});
+  CHECK(wanted.own_credits == 0);
+  CHECK(wanted.recalls == changes{{1, 3}});
+  CHECK(ledger.want(2, {9, 3}).recalls.empty());
+  CHECK(ledger.recall_answered(1, 3, 2).grants == changes{{2, 2}});
+  CHECK(ledger.credits(1) == 2);
+  ledger.want(1, {9, 1});
+  CHECK(ledger.want(2, {9, 3}).recalls.empty());
+  CHECK(ledger.give_back(1, 2).grants == changes{{2, 2}});
+}
+
+TEST_CASE("queued dispatches start in the order of arrival") {
+  // Guards the baseline policies, which wait at the agent and hold no credits.
+  slot_ledger ledger;
+  ledger.resize(1, 1);
+  ledger.open(1, 1);
+  ledger.open(2, 2);
+  slot_actions actions;
+  CHECK(ledger.dispatch(2, 10, none, true, actions) == slot_result::slot_taken);
+  CHECK(ledger.dispatch(1, 11, none, true, actions) == slot_result::queued);
+  CHECK(ledger.dispatch(2, 12, none, true, actions) == slot_result::queued);
+  CHECK(ledger.dispatch(2, 13, none, true, actions) == slot_result::queued);
+  CHECK(ledger.remove_queued(12));
+  CHECK(ledger.end_task(2).starts == std::vector<slot_ticket>{11});
+  CHECK(ledger.end_task(1).starts == std::vector<slot_ticket>{13});
+  CHECK(ledger.end_task(2).own_credits == 0);
+  CHECK(ledger.free_slots() == 1);
+}
+
+TEST_CASE("an absent upstream voids all credits, a smaller one recalls the excess") {
+  slot_ledger ledger;
+  ledger.resize(8, 1);
+  ledger.open(1, 1);
+  REQUIRE(dispatch(ledger, 1) == slot_result::slot_taken);
+  CHECK(ledger.resize(4, 1).recalls == changes{{1, 4}});
+  ledger.recall_answered(1, 4, 4);
+  CHECK(ledger.granted() == 3);
+  ledger.resize(0, 1);
+  CHECK(ledger.credits(1) == 0);
+  CHECK(dispatch(ledger, 1) == slot_result::no_free_slot);
+  CHECK(ledger.end_task(1).own_credits == 0);
+  CHECK(ledger.resize(2, 1).grants == changes{{1, 2}});
+}
+
+// Applies random operations; the entries' own view of their credits must agree with the ledger.
+void check_history(const std::vector<std::uint32_t>& script) {
+  slot_ledger ledger(4);
+  std::map<slot_session, std::uint32_t> view;
+  std::multiset<slot_session> running;
+  std::map<slot_ticket, slot_session> queued;
+  slot_session next_session = 1;
+  slot_ticket next_ticket = 1;
+  bool queue_used = false;
+  const auto follow = [&](slot_session own, const slot_actions& actions) {
+    if (view.contains(own)) {
+      view[own] += actions.own_credits;
+    }
+    for (const auto& change : actions.grants) {
+      RC_ASSERT(view.contains(change.session));
+      view[change.session] += change.credits;
+    }
+    for (const auto ticket : actions.starts) {
+      RC_ASSERT(queued.contains(ticket));
+      running.insert(queued.at(ticket));
+      queued.erase(ticket);
+    }
+  };
+  const auto void_credits = [&] {
+    for (auto& [session, credits] : view) {
+      credits = 0;
+    }
+  };
+  for (const auto word : script) {
+    const auto pick = [&view](std::uint32_t number) {
+      return std::next(view.begin(), number % view.size())->first;
+    };
+    const auto operation = (word / 8) % 10;
+    if (view.empty() && operation != 1) {
+      follow(next_session, (view[next_session] = 0, ledger.open(next_session, 1)));
+      ++next_session;
+      continue;
+    }
+    const auto session = view.empty() ? 0 : pick(word);
+    const slot_demand demand{(word / 128) % 4, (word / 512) % 4};
+    switch (operation) {
+    case 0:
+      view[next_session] = 0;
+      follow(next_session, ledger.open(next_session, (word / 128) % 4));
+      ++next_session;
+      break;
+    case 1: {
+      const auto slots = (word / 128) % 7;
+      if (slots == 0) {
+        void_credits();
+        queued.clear();
+      }
+      follow(0, ledger.resize(slots, 2));
+      break;
+    }
+    case 2:
+      view.erase(session);
+      std::erase_if(queued, [session](const auto& item) { return item.second == session; });
+      follow(0, ledger.close(session));
+      queue_used = queue_used && !view.empty();
+      break;
+    case 3:
+    case 4:
+    case 5: {
+      const bool queue = (word / 4096) % 16 == 0;
+      if (queue && !queue_used && ledger.slots() > 0) {
+        queue_used = true;
+        void_credits();
+      }
+      const auto before = view[session];
+      slot_actions actions;
+      const auto ticket = next_ticket++;
+      const auto result = ledger.dispatch(session, ticket, demand, queue, actions);
+      if (result == slot_result::slot_taken) {
+        view[session] -= before > 0 ? 1 : 0;
+        running.insert(session);
+      } else if (result == slot_result::queued) {
+        queued[ticket] = session;
+      }
+      RC_ASSERT(result != slot_result::no_free_slot || before == 0);
+      follow(0, actions);
+      break;
+    }
+    case 6:
+    case 7:
+      if (!running.empty()) {
+        const auto owner = *std::next(running.begin(), word % running.size());
+        running.erase(running.find(owner));
+        follow(owner, ledger.end_task(view.contains(owner) ? owner : 0));
+      }
+      break;
+    case 8: {
+      const auto actions = ledger.want(session, demand);
+      follow(session, actions);
+      for (const auto& recall : actions.recalls) {
+        RC_ASSERT(recall.session != session);
+        const auto returned = std::min(recall.credits, view.at(recall.session));
+        view[recall.session] -= returned;
+        follow(0, ledger.recall_answered(recall.session, recall.credits, returned));
+      }
+      break;
+    }
+    default: {
+      const auto returned = std::min(view[session], 1U);
+      view[session] -= returned;
+      follow(0, ledger.give_back(session, returned));
+      break;
+    }
+    }
+    RC_ASSERT(ledger.running() == running.size());
+    RC_ASSERT(ledger.queued() == queued.size());
+    std::uint32_t granted = 0;
+    for (const auto& [id, credits] : view) {
+      RC_ASSERT(ledger.credits(id) == credits);
+      granted += credits;
+    }
+    RC_ASSERT(ledger.granted() == granted);
+    RC_ASSERT(queued.empty() || ledger.free_slots() == 0);
+  }
+}
+
+TEST_CASE("random histories keep credits and running tasks within the slots") {
+  // Guards the ledger's invariant, which aborts the process, and both sides' counts of credits.
+  check_property(check_history, 3000, 400);
+}
+
+} // namespace
+} // namespace parsleylead
