--- /dev/null
+++ b/src/agent/agent_process_test.cpp
@@ -0,0 +1,411 @@
+#include "parsleylead/agent/agent_process.hpp"
+
+#include <doctest/doctest.h>
+#include <httplib.h>
+#include <spdlog/spdlog.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <future>
+#include <mutex>
+#include <thread>
+
+#include "generated/parsleylead.capnp.h"
+#include "parsleylead/base/reason.hpp"
+#include "parsleylead/transport/rpc_connection.hpp"
+
+namespace parsleylead {
+namespace {
+
+using namespace std::chrono_literals;
+
+// An upstream that counts starts. A task with the body "hold" ends when `release` is called.
+class test_upstream {
+public:
+  test_upstream() {
+    server_.new_task_queue = [] { return new httplib::ThreadPool(8); };
+    server_.Post("/v1/tasks/work", [this](const httplib::Request& request, auto& response) {
+      ++starts;
+      if (request.body == "hold") {
+        std::unique_lock lock(mutex_);
+        changed_.wait_for(lock, 20s, [this] { return released_; });
+      }
+      if (request.body == "fail") {
+        response.status = 500;
+      }
+      response.set_content("answer to " + request.body, "text/plain");
+    });
+    port_ = static_cast<std::uint16_t>(server_.bind_to_any_port("127.0.0.1"));
+    thread_ = std::thread([this] { server_.listen_after_bind(); });
+    while (!server_.is_running()) {
+      std::this_thread::sleep_for(1ms);
+    }
+  }
+  ~test_upstream() {
+    release();
+    server_.stop();
+    thread_.join();
+  }
+  test_upstream(const test_upstream&) = delete;
+  test_upstream& operator=(const test_upstream&) = delete;
+
+  void release() {
+    const std::lock_guard lock(mutex_);
+    released_ = true;
+    changed_.notify_all();
+  }
+  endpoint address() const { return {"127.0.0.1", port_}; }
+
+  std::atomic<int> starts = 0;
+
+private:
+  httplib::Server server_;
+  std::uint16_t port_ = 0;
+  std::thread thread_;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  bool released_ = false;
+};
+
+class agent_thread {
+public:
+  agent_thread() {
+    spdlog::set_level(spdlog::level::warn);
+    std::promise<void> started;
+    auto ready = started.get_future();
+    thread_ = std::thread([this, &started] {
+      agent_settings settings;
+      settings.name = "agent-1";
+      settings.rpc_address = {"127.0.0.1", 0};
+      settings.operations_address = {"127.0.0.1", 0};
+      settings.upstream.announce_address = {"127.0.0.1", 0};
+      settings.upstream.lease = 60s;
+      agent_process agent(settings);
+      if (!agent.start().ok()) {
+        std::abort();
+      }
+      agent_ = &agent;
+      rpc = agent.rpc_endpoint();
+      operations = agent.operations_endpoint();
+      announce = agent.announce_endpoint();
+      started.set_value();
+      exit = agent.run();
+      const std::lock_guard lock(mutex_);
+      agent_ = nullptr;
+    });
+    ready.wait();
+  }
+  ~agent_thread() {
+    stop();
+    stop();
+    join();
+  }
+  agent_thread(const agent_thread&) = delete;
+  agent_thread& operator=(const agent_thread&) = delete;
+
+  void stop() {
+    const std::lock_guard lock(mutex_);
+    if (agent_ != nullptr) {
+      agent_->request_stop();
+    }
+  }
+  void join() {
+    if (thread_.joinable()) {
+      thread_.join();
+    }
+  }
+
+  endpoint rpc;
+  endpoint operations;
+  endpoint announce;
+  std::atomic<agent_exit> exit = agent_exit::abandoned_tasks;
+
+private:
+  std::thread thread_;
+  std::mutex mutex_;
+  agent_process* agent_ = nullptr;
+};
+
+int announce(const agent_thread& agent, const endpoint& upstream) {
+  httplib::Client client(agent.announce.ip, agent.announce.port);
+  const auto body =
+      R"({"name":"u","kinds":["work"],"slots":2,"address":")" + to_string(upstream) + R"("})";
+  const auto result = client.Post("/v1/announce", body, "application/json");
+  return result ? result->status : 0;
+}
+
+std::string get(const agent_thread& agent, const char* path) {
+  httplib::Client client(agent.operations.ip, agent.operations.port);
+  const auto result = client.Get(path);
+  return result ? result->body : "";
+}
+
+struct received {
+  int grants = 0;
+  int leaving = 0;
+  bool agent_leaving = false;
+};
+
+class test_receiver : public wire::SessionReceiver::Server {
+public:
+  explicit test_receiver(std::shared_ptr<received> seen) : seen_(std::move(seen)) {}
+
+protected:
+  kj::Promise<void> grant(GrantContext context) override {
+    seen_->grants += static_cast<int>(context.getParams().getCredits());
+    return kj::READY_NOW;
+  }
+  kj::Promise<void> recall(RecallContext context) override {
+    context.getResults().setReturned(context.getParams().getCredits());
+    return kj::READY_NOW;
+  }
+  kj::Promise<void> leaving(LeavingContext context) override {
+    ++seen_->leaving;
+    seen_->agent_leaving = context.getParams().getAgent().getLeaving();
+    return kj::READY_NOW;
+  }
+  kj::Promise<void> update(UpdateContext /*context*/) override { return kj::READY_NOW; }
+
+private:
+  std::shared_ptr<received> seen_;
+};
+
+struct task_end_seen {
+  wire::TaskState state = wire::TaskState::UNKNOWN;
+  std::string answer;
+  reason why = reason::none;
+  std::uint32_t credits = 0;
+};
+
+task_end_seen read(wire::TaskResult::Reader result) {
+  const auto answer = result.getAnswer();
+  return {result.getState(), std::string(answer.begin(), answer.end()),
+          reason_from_wire(result.getFailure().getReason()), result.getCredits()};
+}
+
+// One session of an entry on a connection of its own.
+class test_session {
+public:
+  test_session(rpc_loop& loop, const agent_thread& agent, std::uint64_t counter,
+               std::uint64_t previous_agent = 0, std::vector<std::uint64_t> outstanding = {})
+      : loop_(loop), connection_(loop.wait(connect(loop, agent.rpc, 5s))) {
+    auto request = connection_->bootstrap().castAs<wire::AgentPort>().openSessionRequest();
+    auto hello = request.initHello();
+    hello.setProtocolVersion(wire::PROTOCOL_VERSION);
+    hello.initEntry().initId().setName("entry-1");
+    hello.getEntry().getId().setIncarnation(9);
+    hello.setCounter(counter);
+    hello.setAgentIncarnation(previous_agent);
+    auto list = hello.initOutstanding(static_cast<unsigned>(outstanding.size()));
+    for (unsigned i = 0; i < list.size(); ++i) {
+      list.set(i, outstanding[i]);
+    }
+    request.setReceiver(kj::heap<test_receiver>(seen));
+    auto response = loop.wait(request.send());
+    accepted = response.getReply().getAccepted();
+    incarnation = response.getReply().getAgent().getId().getIncarnation();
+    credits = response.getReply().getCredits();
+    for (const auto task : response.getReply().getResumed()) {
+      resumed.push_back(read(task));
+    }
+    session_ = response.getSession();
+  }
+
+  kj::Promise<task_end_seen> send(std::uint64_t sequence, const std::string& body,
+                                  std::uint32_t budget_ms = 20'000) {
+    auto request = session_.dispatchRequest();
+    auto task = request.initTask();
+    task.setSequence(sequence);
+    task.setSubmission("job");
+    task.setKind("work");
+    task.setBudgetMs(budget_ms);
+    task.setPayload(kj::arrayPtr(reinterpret_cast<const kj::byte*>(body.data()), body.size()));
+    return request.send().then([](auto&& response) { return read(response.getResult()); });
+  }
+  task_end_seen run(std::uint64_t sequence, const std::string& body,
+                    std::uint32_t budget_ms = 20'000) {
+    return loop_.wait(send(sequence, body, budget_ms));
+  }
+  task_end_seen collect(std::uint64_t sequence) {
+    auto request = session_.collectRequest();
+    request.setSequence(sequence);
+    auto response = loop_.wait(request.send());
+    return read(response.getResult());
+  }
+  void cancel(std::uint64_t sequence) {
+    auto request = session_.cancelRequest();
+    request.initSequences(1).set(0, sequence);
+    loop_.wait(request.send().ignoreResult());
+  }
+
+  std::shared_ptr<received> seen = std::make_shared<received>();
+  bool accepted = false;
+  std::uint64_t incarnation = 0;
+  std::uint32_t credits = 0;
+  std::vector<task_end_seen> resumed;
+
+private:
+  rpc_loop& loop_;
+  kj::Own<rpc_connection> connection_;
+  wire::Session::Client session_ = nullptr;
+};
+
+// Runs the loop until `condition` holds; gives up after 5 s.
+template <class Condition>
+bool eventually(rpc_loop& loop, Condition condition) {
+  for (int i = 0; i < 1000 && !condition(); ++i) {
+    loop.wait(loop.sleep_for(5ms));
+  }
+  return condition();
+}
+
+struct fixture {
+  test_upstream upstream;
+  agent_thread agent;
+  rpc_loop loop;
+  fixture() { REQUIRE(announce(agent, upstream.address()) == 200); }
+};
+
+TEST_CASE("a dispatch runs at the upstream and its result carries the answer and a credit") {
+  fixture fix;
+  test_session session(fix.loop, fix.agent, 1);
+  CHECK(session.credits == 2);
+  const auto end = session.run(1, "a");
+  CHECK(end.state == wire::TaskState::FINISHED);
+  CHECK(end.answer == "answer to a");
+  CHECK(end.credits == 1);
+  CHECK(session.run(1, "a").why == reason::sealed);
+  const auto failed = session.run(2, "fail");
+  CHECK(failed.state == wire::TaskState::FAILED);
+  CHECK(failed.why == reason::task_failed);
+  CHECK(fix.upstream.starts == 2);
+  CHECK(get(fix.agent, "/v1/account").find(R"("starts":2,"finished":1)") != std::string::npos);
+  CHECK(get(fix.agent, "/metrics").find("parsleylead_agent_starts_total 2") != std::string::npos);
+}
+
+TEST_CASE("a failed connect is not run") {
+  // Guards P4 and the retry elsewhere: nothing was sent.
+  fixture fix;
+  REQUIRE(announce(fix.agent, {"127.0.0.1", 1}) == 200);
+  test_session session(fix.loop, fix.agent, 1);
+  const auto end = session.run(1, "a");
+  CHECK(end.state == wire::TaskState::NOT_RUN);
+  CHECK(end.why == reason::connect_failed);
+}
+
+TEST_CASE("a resumed session receives the results of a dropped connection") {
+  // Guards against a lost result, a second start, and frames of the earlier session.
+  fixture fix;
+  auto first = std::make_unique<test_session>(fix.loop, fix.agent, 1);
+  auto lost = first->send(1, "hold");
+  CHECK(first->run(2, "b").answer == "answer to b");
+  REQUIRE(eventually(fix.loop, [&] { return fix.upstream.starts == 2; }));
+  test_session second(fix.loop, fix.agent, 2, first->incarnation, {1, 2, 3});
+  REQUIRE(second.accepted);
+  CHECK(second.resumed[0].state == wire::TaskState::RUNNING);
+  CHECK(second.resumed[1].answer == "answer to b");
+  CHECK(second.resumed[2].why == reason::sealed);
+  CHECK(first->run(3, "late").why == reason::stale_session);
+  CHECK_THROWS(fix.loop.wait(kj::mv(lost)));
+  first.reset();
+  fix.upstream.release();
+  CHECK(second.collect(1).answer == "answer to hold");
+  CHECK(fix.upstream.starts == 2);
+  CHECK_FALSE(test_session(fix.loop, fix.agent, 2).accepted);
+}
+
+TEST_CASE("a task outlives its broken connection") {
+  fixture fix;
+  std::uint64_t incarnation = 0;
+  {
+    test_session first(fix.loop, fix.agent, 1);
+    incarnation = first.incarnation;
+    auto lost = first.send(1, "hold");
+    REQUIRE(eventually(fix.loop, [&] { return fix.upstream.starts == 1; }));
+  }
+  REQUIRE(eventually(fix.loop, [&] {
+    return get(fix.agent, "/v1/account").find(R"("sessions":0)") != std::string::npos;
+  }));
+  fix.upstream.release();
+  test_session second(fix.loop, fix.agent, 2, incarnation, {1});
+  CHECK(second.collect(1).answer == "answer to hold");
+}
+
+TEST_CASE("another incarnation of the agent answers unknown") {
+  fixture fix;
+  test_session session(fix.loop, fix.agent, 7, 12345, {4});
+  CHECK(session.resumed[0].state == wire::TaskState::UNKNOWN);
+}
+
+TEST_CASE("cancellation and the deadline end a running call") {
+  // Guards against slots that a hanging upstream keeps for ever.
+  fixture fix;
+  test_session session(fix.loop, fix.agent, 1);
+  auto cancelled = session.send(1, "hold");
+  REQUIRE(eventually(fix.loop, [&] { return fix.upstream.starts == 1; }));
+  session.cancel(1);
+  CHECK(fix.loop.wait(kj::mv(cancelled)).why == reason::cancelled);
+  const auto late = session.run(2, "hold", 100);
+  CHECK(late.state == wire::TaskState::FAILED);
+  CHECK(late.why == reason::deadline_exceeded);
+}
+
+TEST_CASE("a graceful stop finishes running work and refuses new work") {
+  // Guards P7.
+  fixture fix;
+  test_session session(fix.loop, fix.agent, 1);
+  auto running = session.send(1, "hold");
+  REQUIRE(eventually(fix.loop, [&] { return fix.upstream.starts == 1; }));
+  fix.agent.stop();
+  REQUIRE(eventually(fix.loop, [&] { return session.seen->agent_leaving; }));
+  CHECK(session.run(2, "b").why == reason::agent_leaving);
+  fix.upstream.release();
+  CHECK(fix.loop.wait(kj::mv(running)).answer == "answer to hold");
+  // The loop has to run for the agent to see that its last message arrived.
+  auto ended = std::async(std::launch::async, [&] { fix.agent.join(); });
+  CHECK(eventually(fix.loop, [&] { return ended.wait_for(0ms) == std::future_status::ready; }));
+  CHECK(fix.agent.exit == agent_exit::drained);
+}
+
+TEST_CASE("a second stop request ends running tasks and reports them") {
+  fixture fix;
+  test_session session(fix.loop, fix.agent, 1);
+  auto running = session.send(1, "hold");
+  REQUIRE(eventually(fix.loop, [&] { return fix.upstream.starts == 1; }));
+  fix.agent.stop();
+  fix.agent.stop();
+  const auto end = fix.loop.wait(kj::mv(running));
+  CHECK(end.state == wire::TaskState::FAILED);
+  CHECK(end.why == reason::agent_leaving);
+  fix.agent.join();
+  CHECK(fix.agent.exit == agent_exit::abandoned_tasks);
+}
+
+TEST_CASE("nothing starts after the upstream has left") {
+  // Guards P6.
+  fixture fix;
+  test_session session(fix.loop, fix.agent, 1);
+  httplib::Client client(fix.agent.announce.ip, fix.agent.announce.port);
+  const auto result = client.Delete("/v1/announce");
+  REQUIRE(result);
+  CHECK(result->status == 200);
+  const auto end = session.run(1, "a");
+  CHECK(end.state == wire::TaskState::NOT_RUN);
+  CHECK(end.why == reason::upstream_absent);
+  CHECK(session.seen->leaving == 1);
+  CHECK(fix.upstream.starts == 0);
+  REQUIRE(announce(fix.agent, fix.upstream.address()) == 200);
+  CHECK(eventually(fix.loop, [&] { return session.seen->grants == 2; }));
+}
+
+TEST_CASE("an incomplete announcement is refused") {
+  // Guards against a truncated body that announces other kinds or slots.
+  fixture fix;
+  httplib::Client client(fix.agent.announce.ip, fix.agent.announce.port);
+  const auto result = client.Post("/v1/announce", R"({"name":"u")", "application/json");
+  REQUIRE(result);
+  CHECK(result->status == 400);
+}
+
+} // namespace
+} // namespace parsleylead
--- /dev/null
+++ b/standins/standin-upstream/upstream_service.cpp
@@ -0,0 +1,113 @@
+#include "upstream_service.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+using json = nlohmann::json;
+using std::chrono::milliseconds;
+
+task_reply upstream_service::run(const task_request& request) {
+  milliseconds delay{0};
+  {
+    const std::lock_guard lock(mutex_);
+    if (faults_.refuse) {
+      return {503, R"({"error":"refused"})", false};
+    }
+    count_start(request);
+    delay = faults_.delay;
+  }
+  const auto document = json::parse(request.body, nullptr, false);
+  auto time = std::chrono::duration<double, std::milli>(default_time_);
+  std::string echo = request.body;
+  if (document.is_object()) {
+    if (const auto position = document.find("sleep_ms");
+        position != document.end() && position->is_number()) {
+      time = std::chrono::duration<double, std::milli>(position->get<double>());
+    }
+    if (const auto position = document.find("echo");
+        position != document.end() && position->is_string()) {
+      echo = position->get<std::string>();
+    }
+  }
+  sleep(time / speed_ + delay);
+  const json answer{{"echo", echo},
+                    {"submission", request.submission},
+                    {"task", request.task},
+                    {"upstream", name_}};
+  const std::lock_guard lock(mutex_);
+  --running_;
+  changed_.notify_all();
+  task_reply reply{200, answer.dump(-1, ' ', false, json::error_handler_t::replace), false};
+  if (faults_.fail_all) {
+    reply = {500, R"({"error":"failed"})", false};
+  }
+  if (faults_.drop_reply > 0) {
+    --faults_.drop_reply;
+    reply.drop = true;
+  }
+  return reply;
+}
+
+void upstream_service::count_start(const task_request& request) {
+  ++total_;
+  ++by_task_[{request.submission, request.task}];
+  if (!request.key.empty()) {
+    ++by_key_[request.key];
+  }
+  ++running_;
+  max_running_ = std::max(max_running_, running_);
+}
+
+void upstream_service::sleep(std::chrono::duration<double, std::milli> time) {
+  std::this_thread::sleep_for(time);
+  std::unique_lock lock(mutex_);
+  changed_.wait(lock, [this] { return !faults_.hang; });
+}
+
+bool upstream_service::control(const std::string& body) {
+  const auto document = json::parse(body, nullptr, false);
+  if (!document.is_object()) {
+    return false;
+  }
+  const std::lock_guard lock(mutex_);
+  auto next = faults_;
+  try {
+    next.fail_all = document.value("fail_all", next.fail_all);
+    next.hang = document.value("hang", next.hang);
+    next.refuse = document.value("refuse", next.refuse);
+    next.drop_reply = document.value("drop_reply", next.drop_reply);
+    next.delay = milliseconds(document.value("delay_ms", next.delay.count()));
+  } catch (const json::exception&) {
+    return false;
+  }
+  faults_ = next;
+  changed_.notify_all();
+  return true;
+}
+
+std::string upstream_service::starts() const {
+  const std::lock_guard lock(mutex_);
+  auto repeated = json::array();
+  for (const auto& [task, count] : by_task_) {
+    if (count > 1) {
+      repeated.push_back({{"submission", task.first}, {"task", task.second}, {"starts", count}});
+    }
+  }
+  auto repeated_keys = json::array();
+  for (const auto& [key, count] : by_key_) {
+    if (count > 1) {
+      repeated_keys.push_back({{"key", key}, {"starts", count}});
+    }
+  }
+  const json document{
+      {"upstream", name_},           {"total", total_},          {"running", running_},
+      {"max_running", max_running_}, {"tasks", by_task_.size()}, {"repeated", repeated.size()},
+      {"repeated_tasks", repeated},  {"keys", by_key_.size()},   {"repeated_keys", repeated_keys}};
+  return document.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+void upstream_service::wait_idle() {
+  std::unique_lock lock(mutex_);
+  changed_.wait(lock, [this] { return running_ == 0; });
+}
