--- a/include/parsleylead/entry/agent_link.hpp
+++ b/include/parsleylead/entry/agent_link.hpp
@@ -57,7 +57,7 @@
   /// Returns false if the agent is lost and the link has to be removed.
   bool tick(monotonic_time now);
 
-  bool dispatch(const dispatch_request& request);
+  bool dispatch(const task_dispatch& request);
   void cancel(const uuid& submission);
   void want(const demand& waiting);
   void give_back(std::uint32_t credits);
@@ -79,7 +79,7 @@
   void on_result(std::uint64_t sequence, wire::TaskResult::Reader result);
   void on_call_failed(std::uint64_t sequence, const kj::Exception& error);
   void collect(std::uint64_t sequence);
-  void apply(const outstanding_dispatch& dispatch, task_outcome outcome);
+  void apply(const outstanding_dispatch& dispatch, dispatch_outcome outcome);
   void watch_call(kj::Promise<void> call);
   void update_agent(wire::AgentInfo::Reader agent);
   bool is_current(std::uint64_t counter) const;
--- a/include/parsleylead/entry/dispatcher.hpp
+++ b/include/parsleylead/entry/dispatcher.hpp
@@ -95,7 +95,7 @@
                   monotonic_time now);
   /// Gives up unused credits and returns their number.
   std::uint32_t on_recall(const std::string& agent, std::uint64_t session, std::uint32_t credits);
-  void on_outcome(const uuid& submission, task_attempt task, task_outcome outcome,
+  void on_outcome(const uuid& submission, task_attempt task, dispatch_outcome outcome,
                   monotonic_time now);
 
   /// Ends what is past its deadline, places what can be placed. Call it at least at `next_event`.
@@ -156,8 +156,8 @@
   void send_wants(monotonic_time now);
 
   void record_outcome(job& target, submission_state& state, task_attempt task,
-                      const dispatch_state& sent, task_outcome& outcome, monotonic_time now);
-  void learn(const dispatch_state& sent, const task_outcome& outcome, monotonic_time now);
+                      const dispatch_state& sent, dispatch_outcome& outcome, monotonic_time now);
+  void learn(const dispatch_state& sent, const dispatch_outcome& outcome, monotonic_time now);
   void apply_health(const std::string& agent, worker_health::change change);
   void update_usable(const std::string& agent);
   void sync_credits(const std::string& agent);
--- a/include/parsleylead/entry/gateways.hpp
+++ b/include/parsleylead/entry/gateways.hpp
@@ -17,7 +17,7 @@
 namespace parsleylead {
 
 /// One task on its way to an agent.
-struct dispatch_request {
+struct task_dispatch {
   std::string agent;
   uuid submission;
   task_attempt task;
@@ -37,7 +37,7 @@
 enum class outcome_state { finished, failed, not_run, unknown };
 
 /// What became of a dispatch.
-struct task_outcome {
+struct dispatch_outcome {
   outcome_state state = outcome_state::unknown;
   std::string answer;
   failure why;
@@ -52,7 +52,7 @@
 public:
   virtual ~agent_gateway() = default;
   /// Sends a task. False if the session takes no work at this moment: nothing was sent.
-  virtual bool dispatch(const dispatch_request& request) = 0;
+  virtual bool dispatch(const task_dispatch& request) = 0;
   /// Cancels all outstanding tasks of a submission at one agent.
   virtual void cancel(const std::string& agent, const uuid& submission) = 0;
   virtual void want(const std::string& agent, const demand& waiting) = 0;
--- a/src/agent/agent_core.cpp
+++ b/src/agent/agent_core.cpp
@@ -53,7 +53,7 @@
 class agent_core::error_log : public kj::TaskSet::ErrorHandler {
 public:
   void taskFailed(kj::Exception&& exception) override {
-    spdlog::debug("agent: a call to an entry failed: {}", exception.getDescription().cStr());
+    spdlog::debug("a call to an entry failed: {}", exception.getDescription().cStr());
   }
 };
 
@@ -96,7 +96,7 @@
     ++account_.sessions_refused;
     answer.refusal = {opening.refusal, step::resume, settings_.name,
                       "a session with a higher counter was opened before"};
-    spdlog::info("agent: session of {} refused: {}", request.key.entry.name,
+    spdlog::info("session of {} refused: {}", request.key.entry.name,
                  to_string(answer.refusal));
     return answer;
   }
@@ -124,7 +124,7 @@
     }
     answer.resumed.push_back(std::move(reply));
   }
-  spdlog::info("agent: session {} of {} opened, {} outstanding", request.key.counter,
+  spdlog::info("session {} of {} opened, {} outstanding", request.key.counter,
                request.key.entry.name, request.outstanding.size());
   return answer;
 }
@@ -160,7 +160,7 @@
 }
 
 void agent_core::close_session(open_session_state& session, const char* cause) {
-  spdlog::info("agent: session {} of {} closed: {}", session.key.counter, session.key.entry.name,
+  spdlog::info("session {} of {} closed: {}", session.key.counter, session.key.entry.name,
                cause);
   const auto id = session.id;
   sessions_.erase(id);
@@ -270,7 +270,7 @@
   if (why != reason::no_free_slot) {
     reply.credits = slots_.refuse(session);
   }
-  spdlog::info("agent: dispatch of {} task {} refused: {}", request.call.submission,
+  spdlog::info("dispatch of {} task {} refused: {}", request.call.submission,
                request.call.task, to_string(reply.outcome.why));
   return reply;
 }
@@ -344,7 +344,7 @@
   tickets_.erase({entry, task.sequence});
   count_outcome(outcome);
   if (outcome.end != task_end::finished) {
-    spdlog::info("agent: {} task {} {}: {}", task.call.submission, task.call.task,
+    spdlog::info("{} task {} {}: {}", task.call.submission, task.call.task,
                  outcome.end == task_end::failed ? "failed" : "not run", to_string(outcome.why));
   }
   commits_.finish(entry, task.sequence, std::move(outcome));
@@ -390,7 +390,7 @@
   reply.sequence = task.sequence;
   reply.state = wire::TaskState::NOT_RUN;
   reply.outcome.why = {why, step::start, settings_.name, std::move(detail)};
-  spdlog::info("agent: {} task {} not run: {}", task.call.submission, task.call.task,
+  spdlog::info("{} task {} not run: {}", task.call.submission, task.call.task,
                to_string(reply.outcome.why));
   for (auto& each : task.waiters) {
     auto copy = reply;
@@ -540,7 +540,7 @@
   if (replaced) {
     upstream_absent("another upstream announced itself");
   }
-  spdlog::info("agent: upstream {} at {} announced, {} slots", announcement.name,
+  spdlog::info("upstream {} at {} announced, {} slots", announcement.name,
                to_string(announcement.address), announcement.usable_slots());
   upstream_ = std::move(announcement);
   send_update();
@@ -559,7 +559,7 @@
 }
 
 void agent_core::upstream_absent(const char* cause) {
-  spdlog::info("agent: upstream {} is absent: {}", upstream_->name, cause);
+  spdlog::info("upstream {} is absent: {}", upstream_->name, cause);
   upstream_.reset();
   apply(slots_.resize(0, expected_sessions()));
   refuse_all_waiting(reason::upstream_absent, "the upstream left before the task started");
@@ -713,7 +713,7 @@
     abandon_running();
     return;
   }
-  spdlog::info("agent: stopping, {} tasks open", tasks_.size());
+  spdlog::info("stopping, {} tasks open", tasks_.size());
   draining_ = true;
   drain_started_ = steady_clock::now();
   drain_end_ = drain_started_ + settings_.drain_limit;
@@ -727,7 +727,7 @@
   if (abandoned_ || drained_) {
     return;
   }
-  spdlog::warn("agent: ending {} running tasks", tasks_.size());
+  spdlog::warn("ending {} running tasks", tasks_.size());
   abandoned_ = true;
   drain_end_ = steady_clock::now() + flush_time;
   for (auto& [ticket, task] : tasks_) {
--- a/src/entry/agent_link.cpp
+++ b/src/entry/agent_link.cpp
@@ -1,4 +1,5 @@
 #include "parsleylead/entry/agent_link.hpp"
+#include "parsleylead/transport/ignore_task_errors.hpp"
 
 #include <utility>
 
@@ -60,8 +61,8 @@
   }
 }
 
-task_outcome to_outcome(wire::TaskResult::Reader result, const std::string& agent) {
-  task_outcome outcome;
+dispatch_outcome to_outcome(wire::TaskResult::Reader result, const std::string& agent) {
+  dispatch_outcome outcome;
   outcome.state = to_outcome_state(result.getState());
   if (outcome.state == outcome_state::finished) {
     const auto answer = result.getAnswer();
@@ -92,22 +93,12 @@
   }
 }
 
-class ignore_errors : public kj::TaskSet::ErrorHandler {
- public:
-  void taskFailed(kj::Exception&& /*exception*/) override {}
-};
-
-ignore_errors& shared_error_handler() {
-  static ignore_errors handler;
-  return handler;
-}
-
 }  // namespace
 
 // A connection with its session; dropping it cancels the calls in progress.
 struct agent_link::session_connection {
   session_connection(kj::Own<rpc_connection> opened, wire::Session::Client client)
-      : connection(kj::mv(opened)), session(kj::mv(client)), tasks(shared_error_handler()) {}
+      : connection(kj::mv(opened)), session(kj::mv(client)), tasks(ignore_task_errors()) {}
 
   kj::Own<rpc_connection> connection;
   wire::Session::Client session;
@@ -223,7 +214,7 @@
   const auto lost = ledger_.lose();
   context_.decisions.on_agent_lost(address_.name);
   for (const auto& dispatch : lost) {
-    task_outcome outcome;
+    dispatch_outcome outcome;
     outcome.why = {reason::agent_lost, step::resume, address_.name, "the agent cannot be reached"};
     apply(dispatch, std::move(outcome));
   }
@@ -311,7 +302,7 @@
       continue;
     }
     const auto found = results.find(sequence);
-    task_outcome result;
+    dispatch_outcome result;
     if (found != results.end() && outcome.state != resumed_state::unknown) {
       result = to_outcome(found->second, address_.name);
     } else {
@@ -322,7 +313,7 @@
   }
 }
 
-void agent_link::apply(const outstanding_dispatch& dispatch, task_outcome outcome) {
+void agent_link::apply(const outstanding_dispatch& dispatch, dispatch_outcome outcome) {
   if (outcome.why.why == reason::stale_revision) {
     context_.on_stale_revision();
   }
@@ -330,7 +321,7 @@
                                 now_on_loop());
 }
 
-bool agent_link::dispatch(const dispatch_request& request) {
+bool agent_link::dispatch(const task_dispatch& request) {
   if (session_ == nullptr || leaving_) {
     return false;
   }
@@ -413,7 +404,7 @@
   if (!dispatch) {
     return;
   }
-  task_outcome outcome;
+  dispatch_outcome outcome;
   outcome.why = {reason::protocol_error, step::dispatch, address_.name,
                  std::string(error.getDescription().cStr())};
   apply(*dispatch, std::move(outcome));
--- a/src/entry/agent_links.cpp
+++ b/src/entry/agent_links.cpp
@@ -21,7 +21,7 @@
   }
 }
 
-bool agent_links::dispatch(const dispatch_request& request) {
+bool agent_links::dispatch(const task_dispatch& request) {
   auto* link = find(request.agent);
   return link != nullptr && link->dispatch(request);
 }
--- a/src/entry/agent_links.hpp
+++ b/src/entry/agent_links.hpp
@@ -27,7 +27,7 @@
   /// Drops all connections.
   void clear() { links_.clear(); }
 
-  bool dispatch(const dispatch_request& request) override;
+  bool dispatch(const task_dispatch& request) override;
   void cancel(const std::string& agent, const uuid& submission) override;
   void want(const std::string& agent, const demand& waiting) override;
   void give_back(const std::string& agent, std::uint32_t credits) override;
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -537,7 +537,7 @@
   in_flight_.emplace(dispatch_key{submission, task->index, task->attempt}, sent);
   pool_.task_sent(agent, sent.expected_end);
 
-  dispatch_request request;
+  task_dispatch request;
   request.agent = agent;
   request.submission = submission;
   request.task = *task;
@@ -549,7 +549,7 @@
   request.waiting = backlog_.waiting_demand(pool_.find(agent)->kinds);
   request.queue_if_busy = !policy_.spends_credits();
   if (!agents_.dispatch(request)) {
-    task_outcome refused;
+    dispatch_outcome refused;
     refused.state = outcome_state::not_run;
     refused.why = {reason::disconnected, step::dispatch, agent, "the session takes no work"};
     on_outcome(submission, *task, std::move(refused), now);
@@ -575,7 +575,7 @@
 
 // Outcomes.
 
-void dispatcher::on_outcome(const uuid& submission, task_attempt task, task_outcome outcome,
+void dispatcher::on_outcome(const uuid& submission, task_attempt task, dispatch_outcome outcome,
                             monotonic_time now) {
   const auto found = in_flight_.find({submission, task.index, task.attempt});
   if (found == in_flight_.end()) {
@@ -602,7 +602,7 @@
 }
 
 void dispatcher::record_outcome(job& target, submission_state& state, task_attempt task,
-                                const dispatch_state& sent, task_outcome& outcome,
+                                const dispatch_state& sent, dispatch_outcome& outcome,
                                 monotonic_time now) {
   auto effect = record_effect::ignored;
   switch (outcome.state) {
@@ -632,7 +632,7 @@
   }
 }
 
-void dispatcher::learn(const dispatch_state& sent, const task_outcome& outcome,
+void dispatcher::learn(const dispatch_state& sent, const dispatch_outcome& outcome,
                        monotonic_time now) {
   const bool finished = outcome.state == outcome_state::finished;
   if (finished) {
--- a/src/entry/member_service.cpp
+++ b/src/entry/member_service.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "parsleylead/catalogue/catalogue_codec.hpp"
+#include "parsleylead/transport/ignore_task_errors.hpp"
 
 namespace parsleylead {
 namespace {
@@ -19,16 +20,6 @@
 
 std::string to_string(capnp::Text::Reader text) { return {text.cStr(), text.size()}; }
 
-class ignore_errors : public kj::TaskSet::ErrorHandler {
- public:
-  void taskFailed(kj::Exception&& /*exception*/) override {}
-};
-
-ignore_errors& shared_error_handler() {
-  static ignore_errors handler;
-  return handler;
-}
-
 std::optional<job_reply> to_reply(wire::JobReply::Reader reply) {
   if (!reply.getFound()) {
     return std::nullopt;
@@ -90,7 +81,7 @@
     : loop_(loop),
       settings_(settings),
       calls_(std::move(calls)),
-      tasks_(std::make_unique<kj::TaskSet>(shared_error_handler())) {}
+      tasks_(std::make_unique<kj::TaskSet>(ignore_task_errors())) {}
 
 member_service::~member_service() = default;
 
--- a/src/transport/rpc_server.cpp
+++ b/src/transport/rpc_server.cpp
@@ -3,6 +3,7 @@
 #include <asio/ip/address.hpp>
 
 #include "parsleylead/base/error.hpp"
+#include "parsleylead/transport/ignore_task_errors.hpp"
 
 namespace parsleylead {
 namespace {
@@ -11,22 +12,11 @@
 
 constexpr std::chrono::milliseconds accept_retry_delay{50};
 
-// A broken connection is an ordinary event; its calls have already been rejected.
-class ignore_errors : public kj::TaskSet::ErrorHandler {
-public:
-  void taskFailed(kj::Exception&& /*exception*/) override {}
-};
-
-ignore_errors& shared_error_handler() {
-  static ignore_errors handler;
-  return handler;
-}
-
 } // namespace
 
 rpc_server::rpc_server(rpc_loop& loop, capnp::Capability::Client bootstrap)
     : loop_(loop), bootstrap_(kj::mv(bootstrap)), acceptor_(loop.io()),
-      watchers_(kj::heap<kj::TaskSet>(shared_error_handler())),
+      watchers_(kj::heap<kj::TaskSet>(ignore_task_errors())),
       alive_(std::make_shared<bool>(true)) {}
 
 rpc_server::~rpc_server() {
