Keep an entry alive when a peer's connection has ended

Cause: asking an ended connection for its bootstrap capability opened a second RPC state on the closed stream, which threw out of a destructor. Ruled out: the order in which an entry stops its parts. Change: rpc_connection asks once, at its start; calls then fail.

--- a/include/parsleylead/transport/rpc_connection.hpp
+++ b/include/parsleylead/transport/rpc_connection.hpp
@@ -25,11 +25,11 @@
   /// The dialling side.
   explicit rpc_connection(kj::Own<kj::AsyncIoStream> stream);
 
-  /// The accepting side, which offers `bootstrap`.
+  /// The accepting side, which offers `bootstrap` and asks for none.
   rpc_connection(kj::Own<kj::AsyncIoStream> stream, capnp::Capability::Client bootstrap);
 
-  /// The capability that the other side offers.
-  capnp::Capability::Client bootstrap();
+  /// The capability that the other side offers. Calls on it fail once the connection has ended.
+  capnp::Capability::Client bootstrap() { return bootstrap_; }
 
   /// Resolves when the connection has ended. It never ends by itself while the path swallows
   /// packets: use time-outs.
@@ -39,6 +39,9 @@
   kj::Own<kj::AsyncIoStream> stream_;
   capnp::TwoPartyVatNetwork network_;
   capnp::RpcSystem<capnp::rpc::twoparty::VatId> system_;
+  // Asked for once: asking a connection that has ended would open a second RPC state on the closed
+  // stream, which throws out of a destructor.
+  capnp::Capability::Client bootstrap_;
 };
 
 /// Opens a TCP connection to `peer`. The promise rejects with a KJ exception that names the peer if
--- a/src/transport/rpc_connection.cpp
+++ b/src/transport/rpc_connection.cpp
@@ -183,6 +183,13 @@
   std::shared_ptr<state> state_;
 };
 
+capnp::Capability::Client ask_bootstrap(capnp::RpcSystem<capnp::rpc::twoparty::VatId>& system) {
+  capnp::MallocMessageBuilder message(8);
+  auto vat = message.getRoot<capnp::rpc::twoparty::VatId>();
+  vat.setSide(capnp::rpc::twoparty::Side::SERVER);
+  return system.bootstrap(vat);
+}
+
 } // namespace
 
 kj::Own<kj::AsyncIoStream> make_stream(tcp::socket socket) {
@@ -192,20 +199,15 @@
 rpc_connection::rpc_connection(kj::Own<kj::AsyncIoStream> stream)
     : stream_(kj::mv(stream)),
       network_(*stream_, capnp::rpc::twoparty::Side::CLIENT, reader_options()),
-      system_(capnp::makeRpcClient(network_)) {}
+      system_(capnp::makeRpcClient(network_)),
+      bootstrap_(ask_bootstrap(system_)) {}
 
 rpc_connection::rpc_connection(kj::Own<kj::AsyncIoStream> stream,
                                capnp::Capability::Client bootstrap)
     : stream_(kj::mv(stream)),
       network_(*stream_, capnp::rpc::twoparty::Side::SERVER, reader_options()),
-      system_(capnp::makeRpcServer(network_, kj::mv(bootstrap))) {}
-
-capnp::Capability::Client rpc_connection::bootstrap() {
-  capnp::MallocMessageBuilder message(8);
-  auto vat = message.getRoot<capnp::rpc::twoparty::VatId>();
-  vat.setSide(capnp::rpc::twoparty::Side::SERVER);
-  return system_.bootstrap(vat);
-}
+      system_(capnp::makeRpcServer(network_, kj::mv(bootstrap))),
+      bootstrap_(nullptr) {}
 
 kj::Promise<void> rpc_connection::on_disconnect() {
   return network_.onDisconnect();
--- a/src/transport/transport_test.cpp
+++ b/src/transport/transport_test.cpp
@@ -81,6 +81,22 @@
   CHECK(fix.loop.wait(request.send()).getResult().getAnswer().size() == 1);
 }
 
+TEST_CASE("a call on an ended connection fails and does not end the process") {
+  // Guards against an entry that aborted when it contacted a peer that had just stopped.
+  rpc_loop loop;
+  kj::Own<rpc_connection> connection;
+  {
+    rpc_server server(loop, kj::heap<echo_session>());
+    REQUIRE(server.listen({"127.0.0.1", 0}).ok());
+    connection = loop.wait(connect(loop, server.local_endpoint(), 5s));
+    auto session = connection->bootstrap().castAs<wire::Session>();
+    loop.wait(session.dispatchRequest().send().ignoreResult());
+  }
+  loop.wait(connection->on_disconnect());
+  auto session = connection->bootstrap().castAs<wire::Session>();
+  CHECK_THROWS(loop.wait(session.dispatchRequest().send().ignoreResult()));
+}
+
 TEST_CASE("connecting to a closed port names the peer") {
   rpc_loop loop;
   try {
