Make the linter clean for the decision logic

Cause: clang-tidy 14 reports a null pointer in defaulted <=> of uuid, and three smaller findings. Change: the comparison of uuid is written out; parameters taken by reference.

--- a/include/parsleylead/base/uuid.hpp
+++ b/include/parsleylead/base/uuid.hpp
@@ -28,9 +28,9 @@
   /// The 36-character lower-case form.
   std::string to_string() const;
 
-  auto operator<=>(const uuid&) const = default;
-  /// Written out because clang-tidy 14 reports the rewritten form of `<` as a null pointer.
-  bool operator<(const uuid& other) const { return bytes_ < other.bytes_; }
+  /// Written out because clang-tidy 14 reports a null pointer in a defaulted `<=>`.
+  auto operator<=>(const uuid& other) const { return bytes_ <=> other.bytes_; }
+  bool operator==(const uuid& other) const = default;
 
 private:
   std::array<std::uint8_t, 16> bytes_{};
--- a/src/admission/admission_test.cpp
+++ b/src/admission/admission_test.cpp
@@ -45,7 +45,7 @@
   CHECK(bucket.take(20, at_ms(200)));
   CHECK_FALSE(bucket.take(1, at_ms(200)));
   CHECK(bucket.wait_for(51, at_ms(200)) == milliseconds::max());
-  CHECK(check_property(22, [](std::vector<std::pair<std::uint8_t, std::uint8_t>> history) {
+  CHECK(check_property(22, [](const std::vector<std::pair<std::uint8_t, std::uint8_t>>& history) {
     token_bucket tested(40, 30, at_ms(0));
     std::int64_t now = 0;
     double taken = 0;
--- a/src/job/job_test.cpp
+++ b/src/job/job_test.cpp
@@ -108,7 +108,7 @@
 
 TEST_CASE("random histories keep the guarantees of a job") {
   // Guards P1 to P4 against any order of results, cancellations and deadlines.
-  CHECK(check_property(11, [](std::vector<std::pair<std::uint8_t, std::uint8_t>> history) {
+  CHECK(check_property(11, [](const std::vector<std::pair<std::uint8_t, std::uint8_t>>& history) {
     const std::size_t tasks = 1 + (history.size() % 4);
     job tested(make_request(1, tasks));
     std::vector<task_attempt> outstanding;
--- a/src/placement/worker_health_test.cpp
+++ b/src/placement/worker_health_test.cpp
@@ -56,7 +56,7 @@
   std::int64_t now = 1000;
   for (const int backoff : {2, 4, 8, 16, 32, 60, 60}) {
     CHECK(health.record_trial("0", "quote", true, at_ms(now)) == change::none);
-    now += backoff * 1000;
+    now += std::int64_t{1000} * backoff;
     CHECK_FALSE(health.trial_due("0", at_ms(now - 1)));
     REQUIRE(health.trial_due("0", at_ms(now)));
     health.begin_trial("0");
