Refuse late dispatches after a pause; detect broken chunked answers

Cause: a dispatch could wait in the socket while the process was paused, and cpp-httplib takes a chunk that breaks off within its final line break for the end of the answer. Change: budgets are reduced by noticed pauses, starts check the lease, and a chunked answer needs an idle connection after it.

--- a/cmd/parsleylead-agent/main.cpp
+++ b/cmd/parsleylead-agent/main.cpp
@@ -11,6 +11,7 @@
 #include <stdexcept>
 
 #include "parsleylead/agent/agent_process.hpp"
+#include "parsleylead/base/error.hpp"
 
 DEFINE_string(settings, "", "path of the settings file (JSON with comments)");
 DEFINE_bool(check_settings, false, "check the settings file and exit");
@@ -106,7 +107,7 @@
 int run(const agent_settings& settings) {
   agent_process agent(settings);
   if (const auto status = agent.start(); !status.ok()) {
-    spdlog::error("agent: {}", std::string(status.message()));
+    spdlog::error("agent: {}", describe(status));
     return exit_cannot_listen;
   }
   spdlog::info("agent: {} serves entries at {}, announcements at {}, operations at {}",
--- a/src/agent/agent_core.cpp
+++ b/src/agent/agent_core.cpp
@@ -15,6 +15,8 @@
 using std::chrono::steady_clock;
 
 constexpr milliseconds tick_interval{50};
+// A control thread that misses its ticks for this long was paused.
+constexpr milliseconds pause_limit{250};
 constexpr milliseconds expiry_interval{1000};
 constexpr milliseconds announce_timeout{500};
 // A recall that is not answered counts as granted back: an entry that uses such a credit later is
@@ -77,6 +79,7 @@
           }
         });
       });
+  last_tick_ = steady_clock::now();
   background_->add(tick_forever());
 }
 
@@ -200,6 +203,7 @@
     return refuse(session, request, reason::stale_session, "a later session was opened");
   }
   state->heard = steady_clock::now();
+  request.budget -= pause_length(state->heard);
   if (auto refusal = check_dispatch(session, request); refusal.has_value()) {
     return std::move(*refusal);
   }
@@ -240,7 +244,7 @@
   if (draining_) {
     return refuse(session, request, reason::agent_leaving, "the agent is stopping");
   }
-  if (!upstream_.has_value()) {
+  if (!upstream_present(steady_clock::now())) {
     return refuse(session, request, reason::upstream_absent, "no upstream is announced");
   }
   const auto& kinds = upstream_->kinds;
@@ -315,7 +319,7 @@
 bool agent_core::start_task(std::uint64_t ticket) {
   auto& task = tasks_.at(ticket);
   const auto now = steady_clock::now();
-  if (upstream_.has_value() &&
+  if (upstream_present(now) &&
       commits_.start(task.session, task.sequence, now, task.call.deadline)) {
     ++account_.starts;
     task.started = true;
@@ -328,8 +332,8 @@
   }
   const auto* session = session_of(task.session.entry);
   const auto actions = slots_.end_task(session == nullptr ? 0 : session->id);
-  refuse_waiting(ticket, reason::budget_exhausted, "no time was left at the start",
-                 actions.own_credits);
+  const auto why = now >= task.call.deadline ? reason::budget_exhausted : reason::upstream_absent;
+  refuse_waiting(ticket, why, "the task could not start any more", actions.own_credits);
   apply(actions);
   return false;
 }
@@ -547,15 +551,15 @@
   apply(slots_.resize(upstream_->usable_slots(), expected_sessions()));
 }
 
-bool agent_core::upstream_left(const std::string& name) {
-  if (!upstream_.has_value()) {
-    return true;
+void agent_core::upstream_left() {
+  if (upstream_.has_value()) {
+    upstream_absent("it is leaving");
   }
-  if (!name.empty() && name != upstream_->name) {
-    return false;
-  }
-  upstream_absent("it is leaving");
-  return true;
+}
+
+// The tick may be late, so every start checks the lease itself.
+bool agent_core::upstream_present(monotonic_time now) const {
+  return upstream_.has_value() && now - announced_at_ <= settings_.upstream.lease;
 }
 
 void agent_core::upstream_absent(const char* cause) {
@@ -656,7 +660,8 @@
 
 void agent_core::tick() {
   const auto now = steady_clock::now();
-  if (upstream_.has_value() && now - announced_at_ > settings_.upstream.lease) {
+  notice_pause(now);
+  if (upstream_.has_value() && !upstream_present(now)) {
     upstream_absent("its announcement expired");
   }
   check_deadlines(now);
@@ -672,6 +677,19 @@
   announce_due(now);
 }
 
+// Dispatches that arrived during a pause of the process waited in the socket for up to this time.
+milliseconds agent_core::pause_length(monotonic_time now) const {
+  const auto gap = now - last_tick_;
+  const auto pause = std::max(noticed_pause_, gap > pause_limit ? gap : steady_clock::duration{0});
+  return std::chrono::ceil<milliseconds>(pause);
+}
+
+void agent_core::notice_pause(monotonic_time now) {
+  const auto gap = now - last_tick_;
+  noticed_pause_ = gap > pause_limit ? gap : steady_clock::duration{0};
+  last_tick_ = now;
+}
+
 void agent_core::check_deadlines(monotonic_time now) {
   std::vector<std::uint64_t> overdue;
   for (auto& [ticket, task] : tasks_) {
--- a/src/agent/agent_core.hpp
+++ b/src/agent/agent_core.hpp
@@ -92,8 +92,7 @@
 
   // The upstream.
   void announced(upstream_announcement announcement);
-  /// False if another upstream than `name` is announced; an empty name matches any.
-  bool upstream_left(const std::string& name);
+  void upstream_left();
 
   /// The first call begins a graceful shutdown; a second one ends running tasks at once.
   void stop();
@@ -160,6 +159,9 @@
   kj::Promise<void> announce_to(endpoint address);
   kj::Promise<void> tick_forever();
   void tick();
+  void notice_pause(monotonic_time now);
+  std::chrono::milliseconds pause_length(monotonic_time now) const;
+  bool upstream_present(monotonic_time now) const;
   void check_deadlines(monotonic_time now);
   void check_sessions(monotonic_time now);
   void check_drain(monotonic_time now);
@@ -185,6 +187,9 @@
   std::optional<upstream_announcement> upstream_;
   monotonic_time announced_at_{};
   monotonic_time next_expiry_{};
+  monotonic_time last_tick_{};
+  /// Length of a pause of the control thread that the last tick noticed.
+  std::chrono::steady_clock::duration noticed_pause_{0};
   slot_session next_session_ = 1;
   std::uint64_t next_ticket_ = 1;
   bool draining_ = false;
--- a/src/agent/agent_process.cpp
+++ b/src/agent/agent_process.cpp
@@ -111,7 +111,7 @@
     }
     if (request.method == "DELETE") {
       return on_control_thread([](agent_core& core) {
-        core.upstream_left({});
+        core.upstream_left();
         return http_reply{200, "{}"};
       });
     }
--- a/src/agent/agent_process_test.cpp
+++ b/src/agent/agent_process_test.cpp
@@ -4,6 +4,11 @@
 #include <httplib.h>
 #include <spdlog/spdlog.h>
 
+#include <array>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
+#include <asio/write.hpp>
 #include <atomic>
 #include <condition_variable>
 #include <future>
@@ -109,6 +114,15 @@
       agent_->request_stop();
     }
   }
+  // Blocks the control thread; returns when it is blocked.
+  void pause(std::chrono::milliseconds time) {
+    std::promise<void> paused;
+    asio::post(agent_->io(), [time, &paused] {
+      paused.set_value();
+      std::this_thread::sleep_for(time);
+    });
+    paused.get_future().wait();
+  }
   void join() {
     if (thread_.joinable()) {
       thread_.join();
@@ -398,6 +412,70 @@
   CHECK(eventually(fix.loop, [&] { return session.seen->grants == 2; }));
 }
 
+// Answers one request with the given bytes and closes the connection.
+class raw_upstream {
+public:
+  explicit raw_upstream(std::string answer)
+      : acceptor_(io_, {asio::ip::make_address("127.0.0.1"), 0}),
+        thread_([this, answer = std::move(answer)] {
+          auto socket = acceptor_.accept();
+          std::array<char, 4096> buffer{};
+          socket.read_some(asio::buffer(buffer));
+          asio::write(socket, asio::buffer(answer));
+        }) {}
+  ~raw_upstream() { thread_.join(); }
+  raw_upstream(const raw_upstream&) = delete;
+  raw_upstream& operator=(const raw_upstream&) = delete;
+  endpoint address() const { return {"127.0.0.1", acceptor_.local_endpoint().port()}; }
+
+private:
+  asio::io_context io_;
+  asio::ip::tcp::acceptor acceptor_;
+  std::thread thread_;
+};
+
+TEST_CASE("an answer that breaks off is a failure, never a shorter answer") {
+  // Guards P3: the caller receives the complete answer or none.
+  fixture fix;
+  test_session session(fix.loop, fix.agent, 1);
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::vector<std::string> answers{
+      "",
+      head + "Content-Length: 9\r\n\r\nabc",
+      head + "\r\nabc",
+      chunked + "3\r\nabc",
+      chunked + "3\r\nabc\r",
+      chunked + "3\r\nabc\r\n",
+      chunked + "3\r\nabc\r\n0",
+      chunked + "3\r\nabc\r\n0\r\n",
+  };
+  std::uint64_t sequence = 0;
+  for (const auto& answer : answers) {
+    CAPTURE(answer);
+    raw_upstream upstream(answer);
+    REQUIRE(announce(fix.agent, upstream.address()) == 200);
+    const auto end = session.run(++sequence, "a");
+    CHECK(end.state == wire::TaskState::FAILED);
+    CHECK(end.why == reason::upstream_disconnected);
+  }
+  raw_upstream upstream(head + "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+                               "3\r\nabc\r\n0\r\n\r\n");
+  REQUIRE(announce(fix.agent, upstream.address()) == 200);
+  CHECK(session.run(++sequence, "a").answer == "abc");
+}
+
+TEST_CASE("a dispatch that waited in the socket while the agent was paused does not start late") {
+  // Guards against a late start after a pause of the process: the budget counts from the sending.
+  fixture fix;
+  test_session session(fix.loop, fix.agent, 1);
+  fix.agent.pause(800ms);
+  const auto end = session.run(1, "a", 300);
+  CHECK(end.state == wire::TaskState::NOT_RUN);
+  CHECK(end.why == reason::budget_exhausted);
+  CHECK(fix.upstream.starts == 0);
+}
+
 TEST_CASE("an incomplete announcement is refused") {
   // Guards against a truncated body that announces other kinds or slots.
   fixture fix;
--- a/src/agent/upstream_caller.cpp
+++ b/src/agent/upstream_caller.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cerrno>
 #include <optional>
 #include <thread>
 #include <utility>
@@ -53,19 +54,19 @@
     }
   }
 
+  /// Whether the connection is open and nothing waits to be read.
+  bool is_idle() {
+    const std::lock_guard lock(mutex_);
+    char next = 0;
+    const auto count = copy_ >= 0 ? ::recv(copy_, &next, 1, MSG_PEEK | MSG_DONTWAIT) : 0;
+    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  }
+
 private:
   std::mutex mutex_;
   int copy_ = -1;
 };
 
-bool is_complete(const httplib::Response& response, std::size_t received) {
-  if (response.has_header("Content-Length")) {
-    return response.get_header_value("Content-Length") == std::to_string(received);
-  }
-  // Without a length, only the chunked coding marks the end of the answer.
-  return response.get_header_value("Transfer-Encoding") == "chunked";
-}
-
 } // namespace
 
 class upstream_caller::worker {
@@ -138,7 +139,7 @@
   }
 
   task_outcome judge(const upstream_call& call, const httplib::Result& result, std::string answer,
-                     bool too_large) const {
+                     bool too_large) {
     if (!result) {
       if (too_large) {
         return failed(call, reason::answer_too_large,
@@ -163,6 +164,19 @@
     return {task_end::finished, std::move(answer), {}, {}};
   }
 
+  bool is_complete(const httplib::Response& response, std::size_t received) {
+    if (response.has_header("Content-Length")) {
+      return response.get_header_value("Content-Length") == std::to_string(received);
+    }
+    // Without a length, only the chunked coding marks the end of the answer.
+    if (response.get_header_value("Transfer-Encoding") != "chunked") {
+      return false;
+    }
+    // The library takes a chunk that breaks off within its final line break for the last one. The
+    // connection is then closed or has unread data, which a complete answer announces.
+    return response.get_header_value("Connection") == "close" || socket_.is_idle();
+  }
+
   const upstream_caller_limits& limits_;
   endpoint upstream_;
   socket_handle socket_;
