--- /dev/null
+++ b/include/parsleylead/placement/demand_tracker.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "parsleylead/base/time.hpp"
+#include "parsleylead/placement/demand.hpp"
+#include "parsleylead/placement/worker_view.hpp"
+
+namespace parsleylead {
+
+/// Decides which workers are sent a `want` message. A worker needs one only if backlog waits, no
+/// credit is available, and no dispatch or `want` has told it since the demand rose from none.
+/// Not thread-safe.
+class demand_tracker {
+public:
+  /// At most one `want` to a worker in this time.
+  static constexpr std::chrono::milliseconds min_want_interval{100};
+
+  /// A session to the worker was opened: its agent knows no demand of this entry.
+  void add_worker(const std::string& worker);
+  void remove_worker(const std::string& worker);
+
+  /// Call it whenever the demand may have changed from or to none.
+  void set_demand(const demand& current);
+  /// Workers to which a `want` has to be sent now; they then count as told.
+  /// `credit_available`: some worker has a credit that the waiting work can use.
+  /// `serves_waiting`: whether a worker is usable and serves a kind that waits.
+  std::vector<std::string> wants_due(bool credit_available, monotonic_time now,
+                                     const std::function<bool(const std::string&)>& serves_waiting);
+  /// When a `want` that only the interval delayed in the last `wants_due` becomes due.
+  std::optional<monotonic_time> next_due() const { return next_due_; }
+  /// A dispatch that carried this demand was sent to the worker.
+  void dispatched(const std::string& worker, const demand& carried);
+
+private:
+  struct worker_state {
+    /// Rise of the demand that the worker was told; 0 for none.
+    std::uint64_t told = 0;
+    std::optional<monotonic_time> last_want;
+  };
+
+  std::map<std::string, worker_state> workers_;
+  /// Workers without the demand of rise `untold_rise_`, so that a call with nothing to do is cheap.
+  std::set<std::string> untold_;
+  std::uint64_t untold_rise_ = 0;
+  /// How often the demand rose from none.
+  std::uint64_t rise_ = 0;
+  bool waiting_ = false;
+  std::optional<monotonic_time> next_due_;
+};
+
+/// Unused credits to give back without being asked: all of an ejected worker or of an entry that
+/// is leaving. A missing backlog is no reason: idle credits stay until recalled.
+std::uint32_t credits_to_give_back(const worker_view& worker, bool entry_leaving);
+
+} // namespace parsleylead
