--- a/cmd/parsleylead-agent/main.cpp
+++ b/cmd/parsleylead-agent/main.cpp
@@ -1,7 +1,6 @@
 // parsleylead-agent: runs beside one upstream and starts its tasks. See docs/OPERATIONS.md.
 
 #include <gflags/gflags.h>
-#include <spdlog/spdlog.h>
 
 #include <asio/signal_set.hpp>
 #include <csignal>
@@ -10,7 +9,6 @@
 
 #include "parsleylead/agent/agent_process.hpp"
 #include "parsleylead/base/error.hpp"
-#include "parsleylead/observe/make_logger.hpp"
 #include "parsleylead/settings/parse_agent_settings.hpp"
 
 DEFINE_string(settings, "", "Settings file, JSON with comments.");
@@ -56,7 +54,6 @@
   }
   // A peer that closes its connection must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
-  spdlog::set_default_logger(parsleylead::make_logger("agent", parsed.settings->logging));
   parsleylead::agent_process agent(*parsed.settings);
   if (const auto status = agent.start(); !status.ok()) {
     std::fprintf(stderr, "agent: %s\n", parsleylead::describe(status).c_str());
