Add parsleyload, the callers' tool and load generator

Cause: callers need a tool, and every claim about response times needs a reproducible load that checks each answer. Change: submit, get, cancel, open-loop run and direct load at an upstream; jobs are drawn with a fixed seed; count, order, echo and submission of every answer are checked; response time, slowdown and messages per task are reported as text, JSON or CSV.

--- /dev/null
+++ b/include/parsleylead/load/connection_pool.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <chrono>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+#include "parsleylead/base/time.hpp"
+#include "parsleylead/tool/http_client.hpp"
+
+namespace parsleylead {
+
+/// Connections to one server. A connection that is not in use holds a thread of the server, so few
+/// are kept, and none for long. Thread-safe.
+class connection_pool {
+public:
+  connection_pool(endpoint server, http_timeouts timeouts)
+      : server_(std::move(server)), timeouts_(timeouts) {}
+
+  /// As `http_client::send`, on a free connection.
+  absl::StatusOr<http_response> send(const http_request& request);
+
+private:
+  static constexpr std::size_t max_idle = 16;
+  /// Less than the server's keep-alive time, so that no request meets a connection that is closing.
+  static constexpr std::chrono::milliseconds max_idle_time{1000};
+
+  struct idle_connection {
+    http_client client;
+    monotonic_time since;
+  };
+
+  http_client take();
+  void put_back(http_client client);
+
+  endpoint server_;
+  http_timeouts timeouts_;
+  std::mutex mutex_;
+  std::vector<idle_connection> idle_;
+};
+
+} // namespace parsleylead
--- /dev/null
+++ b/include/parsleylead/load/job_generator.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <optional>
+#include <random>
+
+#include "parsleylead/load/job_spec.hpp"
+#include "parsleylead/load/load_profile.hpp"
+
+namespace parsleylead {
+
+/// Produces the jobs of a profile in order of arrival, a Poisson process. Not thread-safe.
+class job_generator {
+public:
+  /// Precondition: `check(profile)` is OK.
+  explicit job_generator(load_profile profile);
+
+  /// The next job, or nothing at the end of the run.
+  std::optional<job_spec> next();
+
+private:
+  double advance(double from);
+  double rate_at(double time) const;
+  double next_rate_change(double time) const;
+  std::uint32_t draw_size();
+  std::chrono::milliseconds draw_run_time();
+  const std::string& draw_kind();
+
+  load_profile profile_;
+  std::mt19937_64 random_;
+  double clock_ = 0;
+  std::uint64_t produced_ = 0;
+};
+
+} // namespace parsleylead
--- /dev/null
+++ b/include/parsleylead/load/job_spec.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace parsleylead {
+
+/// One task of the load: the upstream stand-in sleeps and then returns the text.
+struct task_spec {
+  std::chrono::milliseconds run_time{0};
+  /// Unique in the run, so that an answer to another task or job is found.
+  std::string echo;
+
+  bool operator==(const task_spec&) const = default;
+};
+
+/// One job of the load.
+struct job_spec {
+  /// Intended arrival after the start of the run.
+  std::chrono::nanoseconds arrival{0};
+  std::string kind;
+  bool idempotent = true;
+  std::chrono::milliseconds budget{0};
+  std::vector<task_spec> tasks;
+  /// Cancelled after `cancel_after`.
+  bool cancel = false;
+  std::chrono::milliseconds cancel_after{0};
+
+  bool operator==(const job_spec&) const = default;
+};
+
+/// The task as JSON: {"echo":"...","sleep_ms":n}.
+std::string task_payload(const task_spec& task);
+
+/// Body for POST /v1/jobs. An empty key is left out.
+std::string job_body(const job_spec& job, const std::string& key, bool wait);
+
+} // namespace parsleylead
--- /dev/null
+++ b/include/parsleylead/load/load_report.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "parsleylead/load/job_outcome.hpp"
+#include "parsleylead/load/job_spec.hpp"
+#include "parsleylead/load/message_counts.hpp"
+#include "parsleylead/observe/latency_histogram.hpp"
+
+namespace parsleylead {
+
+/// The capacity for which the ideal response time is computed.
+struct ideal_capacity {
+  /// Slots of all workers together.
+  std::uint32_t slots = 1;
+  /// Mean of the workers' speeds; a worker of speed 2 needs half of a task's run time.
+  double mean_speed = 1;
+};
+
+/// Least possible response time of a job that has all slots to itself: the longest task, or the
+/// total work divided by the slots, at mean worker speed.
+std::chrono::nanoseconds ideal_response_time(const job_spec& job, const ideal_capacity& capacity);
+
+/// Totals of a run. Not thread-safe.
+class load_report {
+public:
+  explicit load_report(ideal_capacity capacity) : capacity_(capacity) {}
+
+  /// Counts a job that ended. Response time and slowdown cover complete jobs that were not meant to
+  /// be cancelled.
+  void add(const job_spec& job, const job_outcome& outcome);
+  /// Counts a job that was due but not sent, because too many were open.
+  void add_not_sent() { ++not_sent_; }
+  /// Adds what one process counted during the run.
+  void add_messages(const message_counts& counts);
+  /// Records a process whose messages are missing from the report.
+  void add_unread_process(std::string name) { unread_.push_back(std::move(name)); }
+  void set_elapsed(std::chrono::duration<double> elapsed) { elapsed_ = elapsed; }
+
+  std::uint64_t count(job_end end) const;
+  std::uint64_t not_sent() const { return not_sent_; }
+  const latency_histogram& response_times() const { return response_times_; }
+  const value_histogram& slowdowns() const { return slowdowns_; }
+
+  /// One JSON object.
+  std::string to_json() const;
+  /// A table for people.
+  std::string to_text() const;
+  /// Header and row of a CSV file.
+  std::string csv_header() const;
+  std::string csv_row() const;
+
+private:
+  static constexpr std::size_t end_count = 7;
+  using column = std::pair<std::string, double>;
+  std::vector<column> columns() const;
+  double wasted_messages() const;
+  double per_task(double value) const;
+
+  ideal_capacity capacity_;
+  std::array<std::uint64_t, end_count> ends_{};
+  std::map<std::string, std::uint64_t> refused_;
+  std::map<std::string, std::uint64_t> failed_;
+  std::map<std::string, std::uint64_t> wrong_;
+  std::uint64_t not_sent_ = 0;
+  std::uint64_t resubmissions_ = 0;
+  std::uint64_t complete_tasks_ = 0;
+  std::chrono::duration<double> elapsed_{0};
+  latency_histogram response_times_;
+  value_histogram slowdowns_{1e-3, 1e6};
+  bool has_messages_ = false;
+  message_counts messages_;
+  std::vector<std::string> unread_;
+};
+
+} // namespace parsleylead
--- /dev/null
+++ b/include/parsleylead/load/message_counts.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "parsleylead/base/endpoint.hpp"
+
+namespace parsleylead {
+
+/// Messages that processes have sent.
+struct message_counts {
+  double messages = 0;
+  /// By the label `cause`.
+  std::map<std::string, double> wasted;
+
+  message_counts& operator+=(const message_counts& other);
+};
+
+/// Sums `parsleylead_messages_total` and `parsleylead_wasted_messages_total` of a /metrics page.
+message_counts parse_message_counts(std::string_view metrics_text);
+
+/// What was counted between two readings of one process. A counter that fell was reset by a restart
+/// and counts in full.
+message_counts difference(const message_counts& before, const message_counts& after);
+
+/// Reads /metrics of one process. Blocks.
+absl::StatusOr<message_counts> read_message_counts(const endpoint& operations);
+
+} // namespace parsleylead
--- /dev/null
+++ b/include/parsleylead/load/open_loop.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <thread>
+#include <vector>
+
+#include "parsleylead/base/time.hpp"
+#include "parsleylead/load/load_report.hpp"
+
+namespace parsleylead {
+
+/// Sends one job and waits for its end. Called from many threads at once.
+using job_sender = std::function<job_outcome(const job_spec&)>;
+
+/// Returns the jobs in order of arrival, and nothing at the end of the run.
+using job_source = std::function<std::optional<job_spec>()>;
+
+/// Open-loop load: each job is sent at its arrival, whether or not earlier ones were answered. A
+/// job that is due while `max_open` jobs are open counts as not sent. Response times count from the
+/// intended arrival, so that a late sender does not hide waiting. Use each object for one run.
+class open_loop {
+public:
+  /// Each open job holds one thread.
+  open_loop(job_sender send, std::size_t max_open) : send_(std::move(send)), max_open_(max_open) {}
+  ~open_loop();
+  open_loop(const open_loop&) = delete;
+  open_loop& operator=(const open_loop&) = delete;
+
+  /// Runs until the source ends and every job sent has ended. Blocks.
+  void run(const job_source& next, load_report& report);
+
+private:
+  void submit(job_spec job, load_report& report);
+  void work(load_report& report);
+  bool take(job_spec& job);
+  void finish();
+
+  job_sender send_;
+  std::size_t max_open_;
+  monotonic_time start_{};
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::deque<job_spec> queue_;
+  std::size_t open_ = 0;
+  bool ended_ = false;
+  std::vector<std::thread> threads_;
+};
+
+} // namespace parsleylead
--- /dev/null
+++ b/src/load/load_report.cpp
@@ -0,0 +1,226 @@
+#include "parsleylead/load/load_report.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <numeric>
+#include <spdlog/fmt/fmt.h>
+
+namespace parsleylead {
+namespace {
+
+using nlohmann::json;
+
+constexpr auto all_ends =
+    std::to_array({job_end::complete, job_end::failed, job_end::refused, job_end::cancelled,
+                   job_end::wrong, job_end::lost, job_end::unreachable});
+
+double to_ms(std::chrono::nanoseconds value) {
+  return std::chrono::duration<double, std::milli>(value).count();
+}
+
+json response_json(const latency_histogram& times) {
+  return {{"count", times.count()},
+          {"mean_ms", to_ms(times.mean())},
+          {"p50_ms", to_ms(times.quantile(0.5))},
+          {"p90_ms", to_ms(times.quantile(0.9))},
+          {"p99_ms", to_ms(times.quantile(0.99))},
+          {"max_ms", to_ms(times.max())}};
+}
+
+json slowdown_json(const value_histogram& values) {
+  return {{"mean", values.mean()},
+          {"p50", values.quantile(0.5)},
+          {"p90", values.quantile(0.9)},
+          {"p99", values.quantile(0.99)},
+          {"max", values.max()}};
+}
+
+std::string reasons_text(const std::map<std::string, std::uint64_t>& reasons) {
+  std::string text;
+  for (const auto& [reason, count] : reasons) {
+    text += fmt::format("    {:<28}{}\n", reason, count);
+  }
+  return text;
+}
+
+} // namespace
+
+std::string_view to_string(job_end value) {
+  switch (value) {
+  case job_end::complete:
+    return "complete";
+  case job_end::failed:
+    return "failed";
+  case job_end::refused:
+    return "refused";
+  case job_end::cancelled:
+    return "cancelled";
+  case job_end::wrong:
+    return "wrong";
+  case job_end::lost:
+    return "lost";
+  case job_end::unreachable:
+    return "unreachable";
+  }
+  return "lost";
+}
+
+std::chrono::nanoseconds ideal_response_time(const job_spec& job, const ideal_capacity& capacity) {
+  std::chrono::duration<double> longest{0};
+  std::chrono::duration<double> total{0};
+  for (const auto& task : job.tasks) {
+    longest = std::max(longest, std::chrono::duration<double>(task.run_time));
+    total += task.run_time;
+  }
+  const auto ideal = std::max(longest, total / std::max(1U, capacity.slots));
+  return std::chrono::round<std::chrono::nanoseconds>(ideal / capacity.mean_speed);
+}
+
+void load_report::add(const job_spec& job, const job_outcome& outcome) {
+  ++ends_.at(static_cast<std::size_t>(outcome.end));
+  resubmissions_ += outcome.resubmissions;
+  if (outcome.end == job_end::refused) {
+    ++refused_[outcome.reason];
+  }
+  if (outcome.end == job_end::failed) {
+    ++failed_[outcome.reason];
+  }
+  if (outcome.end == job_end::wrong) {
+    ++wrong_[outcome.reason];
+  }
+  if (outcome.end != job_end::complete) {
+    return;
+  }
+  complete_tasks_ += job.tasks.size();
+  if (job.cancel) {
+    return;
+  }
+  response_times_.record(outcome.response_time);
+  const auto ideal = ideal_response_time(job, capacity_);
+  if (ideal.count() > 0) {
+    slowdowns_.record(to_ms(outcome.response_time) / to_ms(ideal));
+  }
+}
+
+void load_report::add_messages(const message_counts& counts) {
+  has_messages_ = true;
+  messages_ += counts;
+}
+
+std::uint64_t load_report::count(job_end end) const {
+  return ends_.at(static_cast<std::size_t>(end));
+}
+
+double load_report::wasted_messages() const {
+  return std::accumulate(messages_.wasted.begin(), messages_.wasted.end(), 0.0,
+                         [](double sum, const auto& item) { return sum + item.second; });
+}
+
+/// 0 if no task was answered.
+double load_report::per_task(double value) const {
+  return complete_tasks_ == 0 ? 0 : value / static_cast<double>(complete_tasks_);
+}
+
+std::string load_report::to_json() const {
+  json ends;
+  for (const auto end : all_ends) {
+    ends[std::string(to_string(end))] = count(end);
+  }
+  const auto sent = std::accumulate(ends_.begin(), ends_.end(), std::uint64_t{0});
+  json report = {{"sent", sent},
+                 {"not_sent", not_sent_},
+                 {"ends", ends},
+                 {"refused_by_reason", refused_},
+                 {"failed_by_reason", failed_},
+                 {"wrong_by_reason", wrong_},
+                 {"resubmissions", resubmissions_},
+                 {"complete_tasks", complete_tasks_},
+                 {"elapsed_s", elapsed_.count()},
+                 {"response_time", response_json(response_times_)},
+                 {"slowdown", slowdown_json(slowdowns_)}};
+  if (has_messages_) {
+    json by_cause = json::object();
+    for (const auto& [cause, value] : messages_.wasted) {
+      by_cause[cause] = per_task(value);
+    }
+    report["messages"] = {{"total", messages_.messages},
+                          {"per_task", per_task(messages_.messages)},
+                          {"wasted_total", wasted_messages()},
+                          {"wasted_per_task", per_task(wasted_messages())},
+                          {"wasted_per_task_by_cause", by_cause}};
+  }
+  if (!unread_.empty()) {
+    report["processes_not_read"] = unread_;
+  }
+  return report.dump(2);
+}
+
+std::string load_report::to_text() const {
+  std::string text;
+  for (const auto& [name, value] : columns()) {
+    text += fmt::format("{:<32}{:.10g}\n", name, value);
+    if (name == "refused") {
+      text += reasons_text(refused_);
+    } else if (name == "failed") {
+      text += reasons_text(failed_);
+    } else if (name == "wrong") {
+      text += reasons_text(wrong_);
+    }
+  }
+  for (const auto& [cause, value] : messages_.wasted) {
+    text += fmt::format("    wasted per task, {:<15}{:.4f}\n", cause, per_task(value));
+  }
+  for (const auto& name : unread_) {
+    text += "messages of " + name + " are missing: its /metrics could not be read\n";
+  }
+  return text;
+}
+
+std::string load_report::csv_header() const {
+  std::string line;
+  for (const auto& item : columns()) {
+    line.append(line.empty() ? "" : ",").append(item.first);
+  }
+  return line;
+}
+
+std::string load_report::csv_row() const {
+  std::string line;
+  for (const auto& item : columns()) {
+    line += fmt::format("{}{:.10g}", line.empty() ? "" : ",", item.second);
+  }
+  return line;
+}
+
+std::vector<load_report::column> load_report::columns() const {
+  std::vector<column> all;
+  std::uint64_t sent = 0;
+  for (const auto end : all_ends) {
+    sent += count(end);
+  }
+  all.emplace_back("sent", static_cast<double>(sent));
+  all.emplace_back("not_sent", static_cast<double>(not_sent_));
+  for (const auto end : all_ends) {
+    all.emplace_back(std::string(to_string(end)), static_cast<double>(count(end)));
+  }
+  all.emplace_back("resubmissions", static_cast<double>(resubmissions_));
+  all.emplace_back("complete_tasks", static_cast<double>(complete_tasks_));
+  all.emplace_back("elapsed_s", elapsed_.count());
+  all.emplace_back("response_mean_ms", to_ms(response_times_.mean()));
+  all.emplace_back("response_p50_ms", to_ms(response_times_.quantile(0.5)));
+  all.emplace_back("response_p90_ms", to_ms(response_times_.quantile(0.9)));
+  all.emplace_back("response_p99_ms", to_ms(response_times_.quantile(0.99)));
+  all.emplace_back("response_max_ms", to_ms(response_times_.max()));
+  all.emplace_back("slowdown_mean", slowdowns_.mean());
+  all.emplace_back("slowdown_p50", slowdowns_.quantile(0.5));
+  all.emplace_back("slowdown_p90", slowdowns_.quantile(0.9));
+  all.emplace_back("slowdown_p99", slowdowns_.quantile(0.99));
+  all.emplace_back("slowdown_max", slowdowns_.max());
+  // Not a number: nothing was read, which is not the same as no messages.
+  const double unknown = std::numeric_limits<double>::quiet_NaN();
+  all.emplace_back("messages_per_task", has_messages_ ? per_task(messages_.messages) : unknown);
+  all.emplace_back("wasted_per_task", has_messages_ ? per_task(wasted_messages()) : unknown);
+  return all;
+}
+
+} // namespace parsleylead
--- /dev/null
+++ b/src/load/open_loop.cpp
@@ -0,0 +1,68 @@
+#include "parsleylead/load/open_loop.hpp"
+
+namespace parsleylead {
+
+open_loop::~open_loop() {
+  finish();
+}
+
+void open_loop::run(const job_source& next, load_report& report) {
+  start_ = std::chrono::steady_clock::now();
+  while (auto job = next()) {
+    std::this_thread::sleep_until(start_ + job->arrival);
+    submit(*std::move(job), report);
+  }
+  finish();
+  report.set_elapsed(std::chrono::steady_clock::now() - start_);
+}
+
+void open_loop::submit(job_spec job, load_report& report) {
+  const std::lock_guard lock(mutex_);
+  if (open_ == max_open_) {
+    report.add_not_sent();
+    return;
+  }
+  ++open_;
+  queue_.push_back(std::move(job));
+  if (threads_.size() < open_) {
+    threads_.emplace_back([this, &report] { work(report); });
+  }
+  changed_.notify_one();
+}
+
+void open_loop::work(load_report& report) {
+  job_spec job;
+  while (take(job)) {
+    auto outcome = send_(job);
+    outcome.response_time = std::chrono::steady_clock::now() - (start_ + job.arrival);
+    const std::lock_guard lock(mutex_);
+    report.add(job, outcome);
+    --open_;
+  }
+}
+
+/// Waits for a job; false when the run has ended and none is left.
+bool open_loop::take(job_spec& job) {
+  std::unique_lock lock(mutex_);
+  changed_.wait(lock, [this] { return ended_ || !queue_.empty(); });
+  if (queue_.empty()) {
+    return false;
+  }
+  job = std::move(queue_.front());
+  queue_.pop_front();
+  return true;
+}
+
+void open_loop::finish() {
+  {
+    const std::lock_guard lock(mutex_);
+    ended_ = true;
+  }
+  changed_.notify_all();
+  for (auto& thread : threads_) {
+    thread.join();
+  }
+  threads_.clear();
+}
+
+} // namespace parsleylead
