--- /dev/null
+++ b/src/operate/operate_test.cpp
@@ -0,0 +1,147 @@
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include "parsleylead/base/error.hpp"
+#include "parsleylead/operate/catalogue_file.hpp"
+#include "parsleylead/operate/plan_changes.hpp"
+#include "parsleylead/operate/show.hpp"
+#include "parsleylead/platform_log/memory_log_service.hpp"
+
+namespace parsleylead {
+namespace {
+
+using namespace std::chrono_literals;
+
+const publish_options at_once{0ms, 1ms};
+
+std::vector<catalogue_entry> file_with(int in_flight) {
+  const auto file = parse_catalogue_file(
+      R"([ // the desk's quota
+        {"subject":"owner","name":"desk","value":{"in_flight":)" +
+      std::to_string(in_flight) + R"(,"rate_per_s":5}}])");
+  REQUIRE(file.value.has_value());
+  return *file.value;
+}
+
+std::vector<catalogue_change> plan(const std::vector<catalogue_entry>& file,
+                                   const catalogue_replica& current) {
+  return plan_changes(file, current, absent_subjects::keep, "alice");
+}
+
+TEST_CASE("operate: every fault of a catalogue file is found, with its place") {
+  const auto file = parse_catalogue_file(
+      R"([{"subject":"owner","name":"a","value":{"in_flight":0,"rate_per_s":1}},
+          {"subject":"drain","name":"b","value":{}},{"subject":"drain","name":"b","value":{}}])");
+  REQUIRE(file.errors.size() == 2);
+  CHECK(file.errors[0].path == "[0].value.in_flight");
+  CHECK(file.errors[1].path == "[2]");
+  CHECK(file.errors[1].allowed == "each subject once");
+  CHECK_FALSE(parse_catalogue_file("{}").errors.empty());
+  CHECK_FALSE(load_catalogue_file("/nonexistent").errors.empty());
+}
+
+TEST_CASE("operate: only differing subjects are published") {
+  memory_log_service log;
+  auto replica = read_catalogue(log).value();
+  const auto first = plan(file_with(3), replica);
+  REQUIRE(first.size() == 1);
+  const auto result = publish_change(log, replica, first[0], at_once);
+  REQUIRE(result.ok());
+  CHECK(result->result == change_result::accepted);
+  CHECK(result->offset == 1);
+  CHECK(plan(file_with(3), replica).empty());
+  const auto second = plan(file_with(4), read_catalogue(log).value());
+  REQUIRE(second.size() == 1);
+  CHECK(second[0].base == 1);
+  // An empty file removes nothing unless that is asked for.
+  CHECK(plan({}, replica).empty());
+  const auto pruned = plan_changes({}, replica, absent_subjects::remove, "alice");
+  REQUIRE(pruned.size() == 1);
+  CHECK_FALSE(pruned[0].value.has_value());
+}
+
+TEST_CASE("operate: the loser of a race learns who won") {
+  memory_log_service log;
+  auto alice = read_catalogue(log).value();
+  auto bob = read_catalogue(log).value();
+  const auto of_bob = plan_changes(file_with(9), bob, absent_subjects::keep, "bob");
+  REQUIRE(publish_change(log, bob, of_bob[0], at_once).ok());
+  const auto result = publish_change(log, alice, plan(file_with(3), alice)[0], at_once);
+  REQUIRE(result.ok());
+  CHECK(result->result == change_result::conflict);
+  REQUIRE(result->winner.has_value());
+  CHECK(result->winner->operator_name == "bob");
+  CHECK(show_results({*result}, output_format::text).find("by bob, at offset 1") !=
+        std::string::npos);
+}
+
+TEST_CASE("operate: a lost reply neither hides nor repeats a change") {
+  memory_log_service log;
+  auto replica = read_catalogue(log).value();
+  log.lose_replies(1);
+  const auto result = publish_change(log, replica, plan(file_with(3), replica)[0], at_once);
+  REQUIRE(result.ok());
+  CHECK(result->result == change_result::accepted);
+  CHECK(log.statistics().appends == 1);
+}
+
+TEST_CASE("operate: a log that is down leaves the change's fate unknown") {
+  memory_log_service log;
+  auto replica = read_catalogue(log).value();
+  log.set_down(true);
+  const auto result = publish_change(log, replica, plan(file_with(3), replica)[0], at_once);
+  CHECK(result.status().code() == absl::StatusCode::kDeadlineExceeded);
+}
+
+TEST_CASE("operate: a log that forgot changes is not taken for an empty catalogue") {
+  // Guards against a publish that overwrites subjects which the tool could not read.
+  memory_log_service log;
+  auto replica = read_catalogue(log).value();
+  REQUIRE(publish_change(log, replica, plan(file_with(3), replica)[0], at_once).ok());
+  REQUIRE(publish_change(log, replica, plan(file_with(4), replica)[0], at_once).ok());
+  log.forget_below("catalogue", 2);
+  CHECK(read_catalogue(log).status().code() == absl::StatusCode::kFailedPrecondition);
+}
+
+TEST_CASE("operate: drains are changes of their own") {
+  memory_log_service log;
+  auto replica = read_catalogue(log).value();
+  CHECK_FALSE(plan_drain("entry-1", false, replica, "alice").has_value());
+  const auto drain = plan_drain("entry-1", true, replica, "alice");
+  REQUIRE(drain.has_value());
+  REQUIRE(publish_change(log, replica, *drain, at_once).ok());
+  CHECK(replica.is_draining("entry-1"));
+  CHECK_FALSE(plan_drain("entry-1", true, replica, "alice").has_value());
+  CHECK(plan_changes({}, replica, absent_subjects::remove, "alice").empty());
+  const auto shown = nlohmann::json::parse(show_catalogue(replica, output_format::json));
+  CHECK(shown["subjects"][0]["name"] == "entry-1");
+  CHECK(nlohmann::json::parse(show_history(replica, output_format::json)).size() == 1);
+}
+
+TEST_CASE("operate: waiting names the processes that lag") {
+  const std::vector<endpoint> processes = {{"127.0.0.1", 1}, {"127.0.0.1", 2}, {"127.0.0.1", 3}};
+  int rounds = 0;
+  const page_reader read = [&](const endpoint& process, const std::string&) {
+    rounds += process.port == 1 ? 1 : 0;
+    if (process.port == 3) {
+      return absl::StatusOr<std::string>(
+          make_error(absl::StatusCode::kUnavailable, step::connect, "", "refused"));
+    }
+    // The second process gets there in the third round.
+    const bool there = process.port == 1 || rounds >= 3;
+    return absl::StatusOr<std::string>(R"({"process":"e)" + std::to_string(process.port) +
+                                       R"(","digest":"d)" + std::to_string(process.port) +
+                                       R"(","offset":)" + (there ? "7}" : "6}"));
+  };
+  const auto late = wait_for_offset(processes, read, {7, 0ms, 1ms});
+  CHECK_FALSE(late.reached);
+  CHECK(late.lagging == std::vector<std::string>{"e2", "127.0.0.1:3"});
+  CHECK(late.diverged.empty());
+  const auto both = wait_for_offset({processes[0], processes[1]}, read, {7, 10s, 1ms});
+  CHECK(both.reached);
+  // The same offset with different digests is a fault that must not pass as agreement.
+  CHECK(both.diverged == std::vector<std::string>{"e1", "e2"});
+}
+
+} // namespace
+} // namespace parsleylead
--- a/src/settings/object_reader.cpp
+++ b/src/settings/object_reader.cpp
@@ -43,12 +43,16 @@
   return text;
 }
 
+bool is_alphanumeric(char c) {
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9');
+}
+
+/// The catalogue's rule for names, so that every process can be named in a drain.
 bool is_identifier(std::string_view text) {
   const auto allowed = [](char c) {
-    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' ||
-           c == '_' || c == '.';
+    return is_alphanumeric(c) || c == '-' || c == '_' || c == '.';
   };
-  return !text.empty() && text.size() <= max_identifier_size &&
+  return !text.empty() && text.size() <= max_identifier_size && is_alphanumeric(text.front()) &&
          std::all_of(text.begin(), text.end(), allowed);
 }
 
@@ -115,7 +119,7 @@
 }
 
 void object_reader::identifier(std::string_view name, std::string& target) {
-  constexpr auto allowed = "1 to 64 letters, digits, '-', '_' or '.'";
+  constexpr auto allowed = "1 to 64 letters, digits, '-', '_' or '.', beginning with a letter or digit";
   const auto* found = find(name, presence::required, allowed);
   if (found == nullptr) {
     return;
--- a/src/settings/object_reader.hpp
+++ b/src/settings/object_reader.hpp
@@ -54,7 +54,7 @@
 
   void ratio(std::string_view name, double& target);
   void text(std::string_view name, std::string& target);
-  /// Letters, digits, '-', '_' and '.', at most 64; required.
+  /// Letters, digits, '-', '_' and '.', at most 64, beginning with a letter or digit; required.
   void identifier(std::string_view name, std::string& target);
   void choice(std::string_view name, std::string& target,
               const std::vector<std::string_view>& allowed);
