--- a/src/settings/object_reader.cpp
+++ b/src/settings/object_reader.cpp
@@ -119,7 +119,8 @@
 }
 
 void object_reader::identifier(std::string_view name, std::string& target) {
-  constexpr auto allowed = "1 to 64 letters, digits, '-', '_' or '.', beginning with a letter or digit";
+  constexpr auto allowed =
+      "1 to 64 letters, digits, '-', '_' or '.', beginning with a letter or digit";
   const auto* found = find(name, presence::required, allowed);
   if (found == nullptr) {
     return;
