Read claims back further and decode files of catalogue entries

A fresh replica also covers a step back of the log's clock. The tailer pauses only after an empty read that the log answered early.

--- a/include/parsleylead/catalogue/catalogue_codec.hpp
+++ b/include/parsleylead/catalogue/catalogue_codec.hpp
@@ -42,6 +42,10 @@
 std::string encode_entry(const catalogue_entry& entry);
 decoded<catalogue_entry> decode_entry(std::string_view text);
 
+/// A file with one entry or a list of entries, in which comments are allowed. A subject that occurs
+/// twice is a fault.
+decoded<std::vector<catalogue_entry>> decode_entries(std::string_view text);
+
 /// {"type":"change","id":"..","operator":"..","base":0,"action":"put","subject":"kind","name":"..",
 ///  "value":{..}}; a removal has no value.
 std::string encode_change(const catalogue_change& change);
--- a/include/parsleylead/claim/claim_rules.hpp
+++ b/include/parsleylead/claim/claim_rules.hpp
@@ -19,9 +19,9 @@
   /// so all replicas agree.
   key_validity judge(const uuid& key, wall_time appended) const;
 
-  /// A fresh replica reads the stream from this log time on. Covers keys ahead of the log's clock
-  /// by `clock_skew`, and a local clock ahead of the log's by the same.
-  wall_time replay_start(wall_time now) const { return now - key_lifetime - 2 * clock_skew; }
+  /// A fresh replica reads the stream from this log time on. Each of these may amount to
+  /// `clock_skew`: keys ahead of the log's clock, a local clock ahead of it, a step back of it.
+  wall_time replay_start(wall_time now) const { return now - key_lifetime - 3 * clock_skew; }
 };
 
 } // namespace parsleylead
--- a/include/parsleylead/platform_log/log_tailer.hpp
+++ b/include/parsleylead/platform_log/log_tailer.hpp
@@ -21,8 +21,9 @@
   /// Pause after a failed read; doubles up to `max_backoff`.
   std::chrono::milliseconds min_backoff{50};
   std::chrono::milliseconds max_backoff{1000};
-  /// Pause after a read that returned nothing, so that a log that does not wait is not flooded.
-  std::chrono::milliseconds empty_read_pause{5};
+  /// Pause after a read that returned nothing in less than half of `poll_wait`, so that a log that
+  /// does not wait is not flooded.
+  std::chrono::milliseconds empty_read_pause{50};
 };
 
 /// The result of one successful read.
--- a/src/catalogue/catalogue_codec.cpp
+++ b/src/catalogue/catalogue_codec.cpp
@@ -308,6 +308,26 @@
   return make_decoded(std::move(entry), std::move(errors));
 }
 
+decoded<std::vector<catalogue_entry>> decode_entries(std::string_view text) {
+  catalogue_errors errors;
+  std::vector<catalogue_entry> entries;
+  const auto document = parse_document(text, true, errors);
+  const bool is_list = document && document->is_array();
+  const std::size_t count = is_list ? document->size() : (document ? 1 : 0);
+  std::set<catalogue_subject> subjects;
+  for (std::size_t i = 0; i < count; ++i) {
+    const std::string path = is_list ? item_path("", i) : "";
+    document_reader reader(is_list ? (*document)[i] : *document, path, errors);
+    catalogue_entry entry = read_entry(reader, errors);
+    reader.refuse_unknown();
+    if (!entry.subject.name.empty() && !subjects.insert(entry.subject).second) {
+      reader.reject("name", "each subject once");
+    }
+    entries.push_back(std::move(entry));
+  }
+  return make_decoded(std::move(entries), std::move(errors));
+}
+
 std::string encode_change(const catalogue_change& change) {
   json object = {{"type", "change"},
                  {"id", change.id.to_string()},
--- a/src/catalogue/catalogue_test.cpp
+++ b/src/catalogue/catalogue_test.cpp
@@ -75,6 +75,18 @@
   CHECK(to_string(result.errors.front()).find("allowed") != std::string::npos);
 }
 
+TEST_CASE("a file of entries names each fault with its place") {
+  // Guards against a file of which a faulty or repeated entry is silently left out.
+  const std::string entry = R"({"subject":"owner","name":"desk","value":{"in_flight":1,)";
+  const std::string good = entry + R"("rate_per_s":1}})";
+  CHECK(decode_entries("// one\n" + good).value->size() == 1);
+  const auto faulty = decode_entries("[" + good + "," + entry + R"("rate_per_s":0}},3])");
+  CHECK_FALSE(faulty.value.has_value());
+  CHECK(has_error(faulty.errors, "[1].name"));
+  CHECK(has_error(faulty.errors, "[1].value.rate_per_s"));
+  CHECK(has_error(faulty.errors, "[2]"));
+}
+
 TEST_CASE("decoders survive any payload") {
   // Guards against a foreign record that stops every replica.
   const std::string deep(200'000, '[');
--- a/src/platform_log/log_tailer.cpp
+++ b/src/platform_log/log_tailer.cpp
@@ -38,6 +38,7 @@
   std::uint64_t from = options_.from;
   auto backoff = options_.min_backoff;
   while (!stopped()) {
+    const auto started = std::chrono::steady_clock::now();
     auto result = log_.read(options_.stream, from, options_.max_records, options_.poll_wait);
     if (stopped()) {
       return;
@@ -54,9 +55,10 @@
     const std::uint64_t begin = from;
     // An answer that points back must not make the reader deliver records twice.
     from = std::max(from, result->next);
-    const bool empty = result->records.empty();
+    const auto waited = std::chrono::steady_clock::now() - started;
+    const bool did_not_wait = result->records.empty() && waited < options_.poll_wait / 2;
     on_batch_({begin, std::move(*result)});
-    if (empty) {
+    if (did_not_wait) {
       pause(options_.empty_read_pause);
     }
   }
