Count only competing work ahead of a job in the deadline estimate

Cause: work_before summed the waiting work of all kinds, also of kinds that other workers can take, so a job could be refused although an optimistic estimate meets its deadline. Change: work_before takes the kinds to count; worker_pool::confined_kinds names those that only the same workers serve. The pool test covers changes of credits from and to zero.

--- a/include/parsleylead/placement/backlog.hpp
+++ b/include/parsleylead/placement/backlog.hpp
@@ -90,8 +90,10 @@
   demand waiting_demand() const;
   /// The same for the kinds that one worker serves.
   demand waiting_demand(const std::set<std::string>& kinds) const;
-  /// Low estimate of the run time of all waiting work that is more urgent than `key`.
-  std::chrono::microseconds work_before(std::uint64_t key) const;
+  /// Low estimate of the run time of the waiting work of these kinds that is more urgent than
+  /// `key`. For admission: the kinds of `worker_pool::confined_kinds`.
+  std::chrono::microseconds work_before(const std::set<std::string>& kinds,
+                                        std::uint64_t key) const;
   /// Key of a job of this size that arrives now.
   std::uint64_t key_of_new(const std::string& kind, std::size_t tasks) const;
 
@@ -125,6 +127,8 @@
     std::string owner;
     std::map<position, job_state*> order;
     std::uint64_t run_time_us = default_run_time_us;
+    /// Work by key; a sum over the lower buckets is cheaper than a walk over the jobs.
+    std::array<std::uint64_t, work_buckets> work_us{};
     std::size_t waiting = 0;
     bool blocked = false;
   };
@@ -149,7 +153,6 @@
   std::map<position, kind_entry*> best_;
   std::map<std::string, std::set<std::string>> blocked_;
   std::set<std::pair<monotonic_time, uuid>> aging_;
-  std::array<std::uint64_t, work_buckets> work_us_{};
   std::size_t waiting_ = 0;
   std::size_t unblocked_waiting_ = 0;
   std::uint64_t arrivals_ = 0;
--- a/include/parsleylead/placement/worker_pool.hpp
+++ b/include/parsleylead/placement/worker_pool.hpp
@@ -55,6 +55,10 @@
   std::size_t capable(const std::string& kind, const worker_needs& needs) const;
   /// All slots of these workers.
   std::size_t capable_slots(const std::string& kind, const worker_needs& needs) const;
+  /// Kinds that only workers of `kind` serve, `kind` itself included: their waiting work competes
+  /// with `kind` on every worker, so an optimistic estimate may count it. Valid until the next
+  /// change of the pool.
+  const std::set<std::string>& confined_kinds(const std::string& kind) const;
   /// Lowest speed factor of the usable workers of the kind; 1 if there is none.
   double best_speed(const std::string& kind) const;
 
@@ -78,6 +82,8 @@
   std::string availability_zone_;
   std::map<std::string, std::unique_ptr<worker_view>> workers_;
   std::map<std::string, kind_index> kinds_;
+  /// Results of `confined_kinds` since the last worker came, changed or left.
+  mutable std::map<std::string, std::set<std::string>> confined_;
 };
 
 } // namespace parsleylead
--- a/src/placement/backlog.cpp
+++ b/src/placement/backlog.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <numeric>
 
 #include "parsleylead/base/invariant.hpp"
 
@@ -168,11 +169,17 @@
   return result;
 }
 
-std::chrono::microseconds backlog::work_before(std::uint64_t key) const {
+std::chrono::microseconds backlog::work_before(const std::set<std::string>& kinds,
+                                               std::uint64_t key) const {
   const auto end = settings_.order == backlog_order::first_come ? work_buckets : bucket_of(key);
   std::uint64_t work_us = 0;
-  for (std::size_t bucket = 0; bucket < end; ++bucket) {
-    work_us += work_us_.at(bucket);
+  for (const auto& name : kinds) {
+    const auto found = kinds_.find(name);
+    if (found == kinds_.end() || found->second.waiting == 0) {
+      continue;
+    }
+    const auto& work = found->second.work_us;
+    work_us = std::accumulate(work.begin(), work.begin() + end, work_us);
   }
   return std::chrono::microseconds(static_cast<std::int64_t>(work_us));
 }
@@ -221,7 +228,7 @@
   unlist_kind(kind);
   kind.second.order.emplace(state.at, &state);
   list_kind(kind);
-  work_us_.at(bucket_of(state.at.key)) += state.work_us;
+  kind.second.work_us.at(bucket_of(state.at.key)) += state.work_us;
   kind.second.waiting += state.waiting;
   waiting_ += state.waiting;
   if (!kind.second.blocked) {
@@ -238,7 +245,7 @@
   unlist_kind(kind);
   kind.second.order.erase(state.at);
   list_kind(kind);
-  work_us_.at(bucket_of(state.at.key)) -= state.work_us;
+  kind.second.work_us.at(bucket_of(state.at.key)) -= state.work_us;
   kind.second.waiting -= state.waiting;
   waiting_ -= state.waiting;
   if (!kind.second.blocked) {
--- a/src/placement/backlog_test.cpp
+++ b/src/placement/backlog_test.cpp
@@ -37,7 +37,9 @@
   CHECK(tested.waiting_demand() == demand{200'000, 122});
   CHECK(tested.waiting_demand({"quote"}) == demand{600'000, 102});
   CHECK(tested.waiting_demand({"other"}).none());
-  CHECK(tested.work_before(600'000) == milliseconds(200));
+  CHECK(tested.work_before({"quote", "check"}, 600'000) == milliseconds(200));
+  CHECK(tested.work_before({"check"}, 200'000) == milliseconds(0));
+  CHECK(tested.work_before({"quote", "check"}, 40'000'000) == milliseconds(30'800));
   tested.add(make_job(4, 1, 499), at_ms(499));
   tested.age(at_ms(500));
   CHECK(order_of(tested) == std::vector<uuid>{test_id(1), test_id(2), test_id(3), test_id(4)});
@@ -50,7 +52,7 @@
   tested.add(make_job(1, 100, 0), at_ms(0));
   tested.add(make_job(2, 1, 1), at_ms(1));
   CHECK(order_of(tested) == std::vector<uuid>{test_id(1), test_id(2)});
-  CHECK(tested.work_before(0) > milliseconds(0));
+  CHECK(tested.work_before({"quote"}, 0) > milliseconds(0));
 }
 
 TEST_CASE("a blocked kind stays out of order and demand until its owner is unblocked") {
--- a/src/placement/placement_test.cpp
+++ b/src/placement/placement_test.cpp
@@ -39,6 +39,11 @@
   CHECK(pool.with_credits("quote").size() == 1);
   CHECK(pool.best_speed("quote") == 0.5);
   pool.set_credits("b", 2);
+  CHECK(pool.with_credits("quote").size() == 2);
+  pool.set_credits("b", 1);
+  pool.set_credits("a", 0);
+  CHECK(pool.with_credits("quote").size() == 1);
+  pool.set_credits("a", 1);
   pool.set_ejected("b", true);
   CHECK(pool.with_credits("quote").size() == 1);
   CHECK(pool.usable("quote").size() == 1);
@@ -58,6 +63,20 @@
   CHECK(pool.find("b") == nullptr);
 }
 
+TEST_CASE("only work that must run on the same workers counts as ahead") {
+  // Guards against refusing a job because of a queue that other workers can take.
+  worker_pool pool("z1");
+  auto both = worker("a", 1);
+  both.kinds = {"quote", "check"};
+  pool.put(both);
+  CHECK(pool.confined_kinds("quote") == std::set<std::string>{"check", "quote"});
+  pool.put(worker("b", 1));
+  CHECK(pool.confined_kinds("quote") == std::set<std::string>{"check", "quote"});
+  CHECK(pool.confined_kinds("check") == std::set<std::string>{"check"});
+  pool.remove("b");
+  CHECK(pool.confined_kinds("check") == std::set<std::string>{"check", "quote"});
+}
+
 TEST_CASE("the credit policy prefers the fastest worker, then the own zone") {
   worker_pool pool("z1");
   credit_policy policy;
--- a/src/placement/worker_pool.cpp
+++ b/src/placement/worker_pool.cpp
@@ -16,6 +16,7 @@
   remove(view.id);
   auto owned = std::make_unique<worker_view>(std::move(view));
   link(*owned);
+  confined_.clear();
   const auto id = owned->id;
   workers_.emplace(id, std::move(owned));
 }
@@ -27,6 +28,7 @@
   }
   unlink(*found->second);
   workers_.erase(found);
+  confined_.clear();
 }
 
 const worker_view* worker_pool::find(const std::string& id) const {
@@ -108,6 +110,23 @@
   return slots;
 }
 
+const std::set<std::string>& worker_pool::confined_kinds(const std::string& kind) const {
+  const auto known = confined_.find(kind);
+  if (known != confined_.end()) {
+    return known->second;
+  }
+  auto& confined = confined_[kind];
+  for (const auto& [other, entry] : kinds_) {
+    const auto only_here =
+        std::all_of(entry.serving.begin(), entry.serving.end(),
+                    [&kind](const worker_view* view) { return view->kinds.contains(kind); });
+    if (only_here) {
+      confined.insert(other);
+    }
+  }
+  return confined;
+}
+
 double worker_pool::best_speed(const std::string& kind) const {
   const auto& speeds = index(kind).speeds;
   return speeds.empty() ? 1 : *speeds.begin();
