--- a/cmd/parsleylead-agent/main.cpp
+++ b/cmd/parsleylead-agent/main.cpp
@@ -13,7 +13,8 @@
 
 DEFINE_string(settings, "", "Settings file, JSON with comments.");
 DEFINE_bool(check_settings, false, "Check the settings, print every fault and exit.");
-DEFINE_string(port_file, "", "File that receives the ports in use: RPC, operations, announcements.");
+DEFINE_string(port_file, "",
+              "File that receives the ports in use: RPC, operations, announcements.");
 
 namespace {
 
@@ -66,7 +67,7 @@
   return exit == parsleylead::agent_exit::drained ? 0 : exit_abandoned_tasks;
 }
 
-}  // namespace
+} // namespace
 
 int main(int argc, char** argv) {
   gflags::SetUsageMessage("runs beside one upstream and starts its tasks");
--- a/cmd/parsleylead-entry/main.cpp
+++ b/cmd/parsleylead-entry/main.cpp
@@ -78,7 +78,7 @@
   return 0;
 }
 
-}  // namespace
+} // namespace
 
 int main(int argc, char** argv) {
   gflags::SetUsageMessage("serves callers and dispatches their jobs");
--- a/include/parsleylead/entry/agent_link.hpp
+++ b/include/parsleylead/entry/agent_link.hpp
@@ -42,7 +42,7 @@
 /// The session of this entry with one agent: connection, calls, silence detection and resume (D1,
 /// D7). Control thread only.
 class agent_link : public std::enable_shared_from_this<agent_link> {
- public:
+public:
   agent_link(link_context& context, agent_address address);
   ~agent_link();
   agent_link(const agent_link&) = delete;
@@ -70,7 +70,7 @@
   bool is_leaving() const { return leaving_; }
   std::size_t outstanding() const { return ledger_.outstanding(); }
 
- private:
+private:
   class receiver;
   struct session_connection;
 
@@ -95,4 +95,4 @@
   bool first_open_ = true;
 };
 
-}  // namespace parsleylead
+} // namespace parsleylead
--- a/include/parsleylead/entry/entry_process.hpp
+++ b/include/parsleylead/entry/entry_process.hpp
@@ -17,7 +17,7 @@
 ///     process.run();  // until request_stop, or a drain by the catalogue
 ///   }
 class entry_process {
- public:
+public:
   /// `log` must outlive the process.
   entry_process(const entry_settings& settings, log_service& log);
   ~entry_process();
@@ -40,9 +40,9 @@
   endpoint operations_endpoint() const;
   endpoint rpc_endpoint() const;
 
- private:
+private:
   class state;
   std::unique_ptr<state> state_;
 };
 
-}  // namespace parsleylead
+} // namespace parsleylead
--- a/include/parsleylead/transport/ignore_task_errors.hpp
+++ b/include/parsleylead/transport/ignore_task_errors.hpp
@@ -8,4 +8,4 @@
 /// broken connection, which is an ordinary event. Valid for the life of the process.
 kj::TaskSet::ErrorHandler& ignore_task_errors();
 
-}  // namespace parsleylead
+} // namespace parsleylead
--- a/include/parsleylead/transport/run_on_loop.hpp
+++ b/include/parsleylead/transport/run_on_loop.hpp
@@ -14,10 +14,11 @@
 /// only. Precondition: the loop runs until the action is done.
 template <class Action>
 auto run_on_loop(rpc_loop& loop, Action action) -> std::invoke_result_t<Action> {
-  auto task = std::make_shared<std::packaged_task<std::invoke_result_t<Action>()>>(std::move(action));
+  auto task =
+      std::make_shared<std::packaged_task<std::invoke_result_t<Action>()>>(std::move(action));
   auto result = task->get_future();
   asio::post(loop.io(), [task] { (*task)(); });
   return result.get();
 }
 
-}  // namespace parsleylead
+} // namespace parsleylead
--- a/scripts/lib/site.sh
+++ b/scripts/lib/site.sh
@@ -106,3 +106,17 @@
 
 declare -A entry_callers=() entry_operations=() agent_operations=() upstream_address=()
 trap 'for id in "${process_ids[@]}"; do kill -KILL "$id" 2>/dev/null || true; done; rm -rf "$site"' EXIT
+
+# wait_workers COUNT: waits until every entry has a session with this many workers.
+wait_workers() {
+  local address open
+  for address in "${entry_operations[@]}"; do
+    for _ in $(seq 200); do
+      open="$(curl -s "http://$address/metrics" | awk '$1 == "parsleylead_entry_open_sessions" { print $2 }')"
+      [ "${open:-0}" = "$1" ] && continue 2
+      sleep 0.05
+    done
+    echo "$address has ${open:-no} sessions instead of $1" >&2
+    return 1
+  done
+}
--- a/src/entry/agent_link.cpp
+++ b/src/entry/agent_link.cpp
@@ -9,9 +9,13 @@
 // An announcement that crossed the opening of a session is ignored for this long.
 constexpr std::chrono::milliseconds announce_guard{1000};
 
-monotonic_time now_on_loop() { return std::chrono::steady_clock::now(); }
+monotonic_time now_on_loop() {
+  return std::chrono::steady_clock::now();
+}
 
-std::string to_string(capnp::Text::Reader text) { return {text.cStr(), text.size()}; }
+std::string to_string(capnp::Text::Reader text) {
+  return {text.cStr(), text.size()};
+}
 
 failure to_failure(wire::Failure::Reader value) {
   return {reason_from_wire(value.getReason()), step_from_wire(value.getStep()),
@@ -34,30 +38,30 @@
 
 resumed_state to_resumed_state(wire::TaskState state) {
   switch (state) {
-    case wire::TaskState::FINISHED:
-      return resumed_state::finished;
-    case wire::TaskState::FAILED:
-      return resumed_state::failed;
-    case wire::TaskState::NOT_RUN:
-      return resumed_state::not_run;
-    case wire::TaskState::RUNNING:
-      return resumed_state::running;
-    case wire::TaskState::UNKNOWN:
-      break;
+  case wire::TaskState::FINISHED:
+    return resumed_state::finished;
+  case wire::TaskState::FAILED:
+    return resumed_state::failed;
+  case wire::TaskState::NOT_RUN:
+    return resumed_state::not_run;
+  case wire::TaskState::RUNNING:
+    return resumed_state::running;
+  case wire::TaskState::UNKNOWN:
+    break;
   }
   return resumed_state::unknown;
 }
 
 outcome_state to_outcome_state(wire::TaskState state) {
   switch (state) {
-    case wire::TaskState::FINISHED:
-      return outcome_state::finished;
-    case wire::TaskState::FAILED:
-      return outcome_state::failed;
-    case wire::TaskState::NOT_RUN:
-      return outcome_state::not_run;
-    default:
-      return outcome_state::unknown;
+  case wire::TaskState::FINISHED:
+    return outcome_state::finished;
+  case wire::TaskState::FAILED:
+    return outcome_state::failed;
+  case wire::TaskState::NOT_RUN:
+    return outcome_state::not_run;
+  default:
+    return outcome_state::unknown;
   }
 }
 
@@ -93,7 +97,7 @@
   }
 }
 
-}  // namespace
+} // namespace
 
 // A connection with its session; dropping it cancels the calls in progress.
 struct agent_link::session_connection {
@@ -107,11 +111,11 @@
 
 // Serves the agent's calls of one session. Calls of a fenced session change nothing.
 class agent_link::receiver : public wire::SessionReceiver::Server {
- public:
+public:
   receiver(std::weak_ptr<agent_link> link, std::uint64_t counter)
       : link_(std::move(link)), counter_(counter) {}
 
- protected:
+protected:
   kj::Promise<void> grant(GrantContext context) override {
     if (const auto link = current()) {
       link->context_.decisions.on_credits(link->address_.name, counter_,
@@ -145,7 +149,7 @@
     return kj::READY_NOW;
   }
 
- private:
+private:
   // Counts the call and its return, and notes that the session is alive.
   std::shared_ptr<agent_link> current() {
     auto link = link_.lock();
@@ -166,7 +170,9 @@
 
 agent_link::~agent_link() = default;
 
-bool agent_link::is_current(std::uint64_t counter) const { return counter == counter_; }
+bool agent_link::is_current(std::uint64_t counter) const {
+  return counter == counter_;
+}
 
 void agent_link::on_announced(const agent_address& address, monotonic_time now) {
   const bool restarted = address.incarnation != address_.incarnation;
@@ -188,25 +194,25 @@
     return true;
   }
   switch (ledger_.next_action(now)) {
-    case session_action::none:
-      return true;
-    case session_action::probe: {
-      auto request = session_->session.probeRequest();
-      const auto acknowledged = ledger_.take_acknowledgements();
-      fill_numbers(request.initAcknowledged(acknowledged.size()), acknowledged);
-      context_.decisions.accounts().messages();
-      context_.decisions.accounts().wasted(waste_cause::probe);
-      watch_call(request.send().ignoreResult());
-      return true;
-    }
-    case session_action::reopen:
-      if (leaving_ && ledger_.outstanding() == 0) {
-        break;
-      }
-      open(now);
-      return true;
-    case session_action::declare_lost:
+  case session_action::none:
+    return true;
+  case session_action::probe: {
+    auto request = session_->session.probeRequest();
+    const auto acknowledged = ledger_.take_acknowledgements();
+    fill_numbers(request.initAcknowledged(acknowledged.size()), acknowledged);
+    context_.decisions.accounts().messages();
+    context_.decisions.accounts().wasted(waste_cause::probe);
+    watch_call(request.send().ignoreResult());
+    return true;
+  }
+  case session_action::reopen:
+    if (leaving_ && ledger_.outstanding() == 0) {
       break;
+    }
+    open(now);
+    return true;
+  case session_action::declare_lost:
+    break;
   }
   opening_.reset();
   session_.reset();
@@ -492,4 +498,4 @@
   context_.decisions.on_agent_changed(to_description(agent), now_on_loop());
 }
 
-}  // namespace parsleylead
+} // namespace parsleylead
--- a/src/entry/agent_links.cpp
+++ b/src/entry/agent_links.cpp
@@ -63,10 +63,8 @@
 }
 
 std::size_t agent_links::open_count() const {
-  return static_cast<std::size_t>(
-      std::count_if(links_.begin(), links_.end(), [](const auto& entry) {
-        return entry.second->is_open();
-      }));
+  return static_cast<std::size_t>(std::count_if(
+      links_.begin(), links_.end(), [](const auto& entry) { return entry.second->is_open(); }));
 }
 
 void agent_links::for_each(const std::function<void(const agent_link&)>& visit) const {
@@ -80,4 +78,4 @@
   return found == links_.end() ? nullptr : found->second.get();
 }
 
-}  // namespace parsleylead
+} // namespace parsleylead
--- a/src/entry/agent_links.hpp
+++ b/src/entry/agent_links.hpp
@@ -14,7 +14,7 @@
 
 /// All sessions of an entry with its agents. Control thread only.
 class agent_links : public agent_gateway {
- public:
+public:
   /// `context` must outlive the links. It is set before the first agent is added.
   void set_context(link_context* context) { context_ = context; }
 
@@ -40,11 +40,11 @@
   std::size_t open_count() const;
   void for_each(const std::function<void(const agent_link&)>& visit) const;
 
- private:
+private:
   agent_link* find(const std::string& agent) const;
 
   link_context* context_ = nullptr;
   std::map<std::string, std::shared_ptr<agent_link>> links_;
 };
 
-}  // namespace parsleylead
+} // namespace parsleylead
--- a/src/entry/catalogue_service.cpp
+++ b/src/entry/catalogue_service.cpp
@@ -15,18 +15,18 @@
 // Entries append snapshots at different ages, so that one of them usually does it for all.
 constexpr std::chrono::seconds snapshot_stagger{600};
 
-}  // namespace
+} // namespace
 
 catalogue_service::catalogue_service(asio::io_context& io, log_service& log,
                                      const entry_settings& settings)
-    : io_(io),
-      log_(log),
-      settings_(settings.catalogue),
+    : io_(io), log_(log), settings_(settings.catalogue),
       snapshot_after_(settings.catalogue.snapshot_after +
                       snapshot_stagger * (settings.entry_slot - 1)),
       alive_(std::make_shared<bool>(true)) {}
 
-catalogue_service::~catalogue_service() { stop(); }
+catalogue_service::~catalogue_service() {
+  stop();
+}
 
 void catalogue_service::start(change_callback on_change) {
   on_change_ = std::move(on_change);
@@ -161,14 +161,14 @@
   if (snapshot_in_flight_ || !replica_->snapshot_due(wall_now(), snapshot_after_)) {
     return;
   }
-  snapshot_in_flight_ = appender_->append(
-      encode_snapshot(replica_->snapshot()), [this, alive = alive_](absl::StatusOr<std::uint64_t>) {
-        asio::post(io_, [this, alive] {
-          if (*alive) {
-            snapshot_in_flight_ = false;
-          }
-        });
-      });
+  snapshot_in_flight_ = appender_->append(encode_snapshot(replica_->snapshot()),
+                                          [this, alive = alive_](absl::StatusOr<std::uint64_t>) {
+                                            asio::post(io_, [this, alive] {
+                                              if (*alive) {
+                                                snapshot_in_flight_ = false;
+                                              }
+                                            });
+                                          });
 }
 
 std::vector<std::pair<std::string, std::uint64_t>> catalogue_service::kind_revisions() const {
@@ -181,4 +181,4 @@
   return revisions;
 }
 
-}  // namespace parsleylead
+} // namespace parsleylead
--- a/src/entry/catalogue_service.hpp
+++ b/src/entry/catalogue_service.hpp
@@ -26,7 +26,7 @@
 /// Keeps this entry's replica of the catalogue up to date from the log and from peers. Control
 /// thread only, except for the threads that it starts.
 class catalogue_service {
- public:
+public:
   /// Called with the changes of one batch, in order of their subjects.
   using change_callback = std::function<void(const std::vector<subject_change>&)>;
 
@@ -53,7 +53,7 @@
   std::vector<std::pair<std::string, std::uint64_t>> kind_revisions() const;
   bool is_log_reachable() const { return log_reachable_; }
 
- private:
+private:
   void on_batch(const log_batch& batch);
   void load();
   void apply(const log_batch& batch);
@@ -82,4 +82,4 @@
   std::shared_ptr<bool> alive_;
 };
 
-}  // namespace parsleylead
+} // namespace parsleylead
--- a/src/entry/claim_service.cpp
+++ b/src/entry/claim_service.cpp
@@ -13,7 +13,9 @@
 // Longest time between two looks at deadlines.
 constexpr std::chrono::milliseconds idle_interval{50};
 
-monotonic_time now_on_loop() { return std::chrono::steady_clock::now(); }
+monotonic_time now_on_loop() {
+  return std::chrono::steady_clock::now();
+}
 
 claimant_options make_options(const entry_settings& settings) {
   claimant_options options;
@@ -24,15 +26,11 @@
   return options;
 }
 
-}  // namespace
+} // namespace
 
 claim_service::claim_service(asio::io_context& io, log_service& log, const entry_settings& settings)
-    : io_(io),
-      log_(log),
-      options_(make_options(settings)),
-      poll_wait_(settings.catalogue.poll_wait),
-      timer_(io),
-      alive_(std::make_shared<bool>(true)) {
+    : io_(io), log_(log), options_(make_options(settings)),
+      poll_wait_(settings.catalogue.poll_wait), timer_(io), alive_(std::make_shared<bool>(true)) {
   for (std::uint32_t i = 0; i < settings.claims.partitions; ++i) {
     auto added = std::make_unique<partition>();
     added->stream = "claims-" + std::to_string(i);
@@ -40,7 +38,9 @@
   }
 }
 
-claim_service::~claim_service() { stop(); }
+claim_service::~claim_service() {
+  stop();
+}
 
 void claim_service::start(std::string rpc_address, decision_callback on_decision) {
   options_.entry_address = std::move(rpc_address);
@@ -89,8 +89,8 @@
   options.stream = target.stream;
   options.from = first_offset;
   options.poll_wait = poll_wait_;
-  target.tailer = std::make_unique<log_tailer>(
-      log_, options, [this, alive = alive_, &target](log_batch batch) {
+  target.tailer =
+      std::make_unique<log_tailer>(log_, options, [this, alive = alive_, &target](log_batch batch) {
         asio::post(io_, [this, alive, &target, batch = std::move(batch)] {
           if (*alive) {
             deliver(target.decisions->on_records(batch.read.records, now_on_loop()));
@@ -119,20 +119,21 @@
   if (!batch) {
     return;
   }
-  const bool queued = target.appender->append(
-      std::move(batch->payload), [this, alive = alive_, &target](absl::StatusOr<std::uint64_t> done) {
-        asio::post(io_, [this, alive, &target, done = std::move(done)] {
-          if (!*alive) {
-            return;
-          }
-          if (done.ok()) {
-            target.decisions->on_append_ok(*done);
-          } else {
-            target.decisions->on_append_error(now_on_loop());
-          }
-          pump(target);
-        });
-      });
+  const bool queued =
+      target.appender->append(std::move(batch->payload),
+                              [this, alive = alive_, &target](absl::StatusOr<std::uint64_t> done) {
+                                asio::post(io_, [this, alive, &target, done = std::move(done)] {
+                                  if (!*alive) {
+                                    return;
+                                  }
+                                  if (done.ok()) {
+                                    target.decisions->on_append_ok(*done);
+                                  } else {
+                                    target.decisions->on_append_error(now_on_loop());
+                                  }
+                                  pump(target);
+                                });
+                              });
   if (!queued) {
     target.decisions->on_append_error(now);
   }
@@ -183,9 +184,8 @@
 
 claim_service::partition& claim_service::partition_of(const uuid& key) {
   const auto stream = claim_stream(key, static_cast<std::uint32_t>(partitions_.size()));
-  const auto found =
-      std::find_if(partitions_.begin(), partitions_.end(),
-                   [&](const auto& target) { return target->stream == stream; });
+  const auto found = std::find_if(partitions_.begin(), partitions_.end(),
+                                  [&](const auto& target) { return target->stream == stream; });
   return **found;
 }
 
@@ -254,4 +254,4 @@
   return first == nullptr ? 0 : first->table().next_offset();
 }
 
-}  // namespace parsleylead
+} // namespace parsleylead
--- a/src/entry/claim_service.hpp
+++ b/src/entry/claim_service.hpp
@@ -19,7 +19,7 @@
 /// Connects the claimants of all partitions to the platform's log. Control thread only, except for
 /// the threads that it starts.
 class claim_service : public claim_gateway {
- public:
+public:
   using decision_callback = std::function<void(const claim_decision&)>;
 
   /// `log` must outlive the service.
@@ -35,8 +35,7 @@
   void stop();
 
   std::optional<claim_decision> request_claim(const uuid& key, const uuid& submission,
-                                              monotonic_time deadline,
-                                              monotonic_time now) override;
+                                              monotonic_time deadline, monotonic_time now) override;
   void release(const uuid& key, const uuid& submission) override;
   void abandon(const uuid& key, const uuid& submission) override;
   void record_outcome(const uuid& key, const uuid& submission, std::string state,
@@ -50,7 +49,7 @@
   /// Offset after the last record read of partition 0; 0 before the first read.
   std::uint64_t next_offset() const;
 
- private:
+private:
   struct waiting_request {
     uuid key;
     uuid submission;
@@ -85,4 +84,4 @@
   std::atomic<bool> stopping_{false};
 };
 
-}  // namespace parsleylead
+} // namespace parsleylead
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -138,7 +138,7 @@
       static_cast<std::int64_t>(run_time * pool_.best_speed(request.kind)));
   if (learned) {
     const auto key = backlog_.key_of_new(request.kind, request.tasks.size());
-    estimate.work_ahead = backlog_.work_before(key);
+    estimate.work_ahead = backlog_.work_before(pool_.confined_kinds(request.kind), key);
   }
   estimate.suspended = health_.kind_suspended(request.kind, now);
   return estimate;
--- a/src/entry/entry_port.cpp
+++ b/src/entry/entry_port.cpp
@@ -8,9 +8,13 @@
 namespace parsleylead {
 namespace {
 
-monotonic_time now_on_loop() { return std::chrono::steady_clock::now(); }
+monotonic_time now_on_loop() {
+  return std::chrono::steady_clock::now();
+}
 
-std::string to_string(capnp::Text::Reader text) { return {text.cStr(), text.size()}; }
+std::string to_string(capnp::Text::Reader text) {
+  return {text.cStr(), text.size()};
+}
 
 void fill_reply(wire::JobReply::Builder target, const job_reply& reply) {
   target.setFound(true);
@@ -19,10 +23,10 @@
 }
 
 class entry_port : public wire::EntryPort::Server {
- public:
+public:
   explicit entry_port(const entry_port_context& context) : context_(context) {}
 
- protected:
+protected:
   kj::Promise<void> announce(AnnounceContext context) override {
     const auto params = context.getParams();
     if (params.getProtocolVersion() != wire::PROTOCOL_VERSION) {
@@ -83,8 +87,8 @@
     const auto wait = std::chrono::milliseconds(params.getWaitMs());
     auto answered = kj::newPromiseAndFulfiller<job_reply>();
     // std::function needs a copyable callback.
-    auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<job_reply>>>(
-        kj::mv(answered.fulfiller));
+    auto fulfiller =
+        std::make_shared<kj::Own<kj::PromiseFulfiller<job_reply>>>(kj::mv(answered.fulfiller));
     const auto callback = [fulfiller](job_reply reply) { (*fulfiller)->fulfill(kj::mv(reply)); };
     const bool found =
         submission && context_.decisions.fetch(*submission, wait.count() > 0, callback);
@@ -92,8 +96,9 @@
       context.getResults().initReply().setFound(false);
       return kj::READY_NOW;
     }
-    auto filled = answered.promise.then(
-        [context](job_reply reply) mutable { fill_reply(context.getResults().initReply(), reply); });
+    auto filled = answered.promise.then([context](job_reply reply) mutable {
+      fill_reply(context.getResults().initReply(), reply);
+    });
     if (wait.count() == 0) {
       return filled;
     }
@@ -125,14 +130,14 @@
     return kj::READY_NOW;
   }
 
- private:
+private:
   entry_port_context context_;
 };
 
-}  // namespace
+} // namespace
 
 kj::Own<wire::EntryPort::Server> make_entry_port(const entry_port_context& context) {
   return kj::heap<entry_port>(context);
 }
 
-}  // namespace parsleylead
+} // namespace parsleylead
--- a/src/entry/entry_port.hpp
+++ b/src/entry/entry_port.hpp
@@ -22,4 +22,4 @@
 /// Creates the RPC service that agents and other entries call. Control thread only.
 kj::Own<wire::EntryPort::Server> make_entry_port(const entry_port_context& context);
 
-}  // namespace parsleylead
+} // namespace parsleylead
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -41,7 +41,9 @@
 // Without agents for this long, the entry is ready all the same: it refuses truthfully.
 constexpr std::chrono::milliseconds agent_grace{3000};
 
-monotonic_time now_on_loop() { return std::chrono::steady_clock::now(); }
+monotonic_time now_on_loop() {
+  return std::chrono::steady_clock::now();
+}
 
 dispatcher_options make_options(const entry_settings& settings) {
   dispatcher_options options;
@@ -63,13 +65,13 @@
 
 // Waits on a traffic thread for the reply that the control thread gives.
 class pending_reply {
- public:
+public:
   dispatcher::reply_callback callback() {
     return [promise = promise_](job_reply reply) { promise->set_value(std::move(reply)); };
   }
   job_reply wait() { return promise_->get_future().get(); }
 
- private:
+private:
   std::shared_ptr<std::promise<job_reply>> promise_ = std::make_shared<std::promise<job_reply>>();
 };
 
@@ -78,15 +80,15 @@
 }
 
 job_reply unknown_submission(const std::string& id) {
-  return make_failure_reply(id, run_truth::may_have_run,
-                            {reason::unknown_submission, step::receive, "",
-                             "no reachable entry knows this submission"});
+  return make_failure_reply(
+      id, run_truth::may_have_run,
+      {reason::unknown_submission, step::receive, "", "no reachable entry knows this submission"});
 }
 
-}  // namespace
+} // namespace
 
 class entry_process::state : public peer_gateway {
- public:
+public:
   state(const entry_settings& settings, log_service& log);
   // Members of KJ have destructors that may throw; here they must not.
   ~state() noexcept override;
@@ -104,7 +106,7 @@
   void fetch_job(const claim_holder& holder, std::chrono::milliseconds wait,
                  std::function<void(std::optional<job_reply>)> done) override;
 
- private:
+private:
   enum class phase { serving, notifying, finishing, stopped };
 
   link_context make_link_context();
@@ -162,22 +164,16 @@
 };
 
 entry_process::state::state(const entry_settings& settings, log_service& log)
-    : settings_(settings),
-      log_(log),
-      logger_(make_logger("entry", settings.logging)),
-      spans_(settings.traces.path, settings.name),
-      claims_(loop_.io(), log, settings_),
+    : settings_(settings), log_(log), logger_(make_logger("entry", settings.logging)),
+      spans_(settings.traces.path, settings.name), claims_(loop_.io(), log, settings_),
       catalogue_(loop_.io(), log, settings_),
       decisions_(make_options(settings_), make_policy(settings_), links_, claims_, *this),
-      members_(loop_, settings_, make_member_callbacks()),
-      link_context_(make_link_context()),
+      members_(loop_, settings_, make_member_callbacks()), link_context_(make_link_context()),
       rpc_(loop_, make_entry_port({decisions_, links_, catalogue_, members_, loop_})),
-      callers_({settings.callers.threads, settings.callers.max_body_bytes,
-                settings.callers.keep_alive}),
+      callers_(
+          {settings.callers.threads, settings.callers.max_body_bytes, settings.callers.keep_alive}),
       operations_({operations_threads, operations_body_bytes, settings.callers.keep_alive}),
-      tick_timer_(loop_.io()),
-      link_timer_(loop_.io()),
-      drain_timer_(loop_.io()) {
+      tick_timer_(loop_.io()), link_timer_(loop_.io()), drain_timer_(loop_.io()) {
   links_.set_context(&link_context_);
 }
 
@@ -255,7 +251,8 @@
 
 void entry_process::state::continue_drain(monotonic_time deadline) {
   const auto now = now_on_loop();
-  const bool done = decisions_.open_jobs() == 0 && decisions_.tasks_in_flight() == 0 && claims_.idle();
+  const bool done =
+      decisions_.open_jobs() == 0 && decisions_.tasks_in_flight() == 0 && claims_.idle();
   if (done || now >= deadline) {
     end_now();
     return;
@@ -342,8 +339,8 @@
   }
   const auto wanted = request.query.find("wait_ms");
   const long wait_ms = wanted == request.query.end() ? 0 : std::atol(wanted->second.c_str());
-  const auto wait = std::clamp(std::chrono::milliseconds(wait_ms), std::chrono::milliseconds(0),
-                               max_fetch_wait);
+  const auto wait =
+      std::clamp(std::chrono::milliseconds(wait_ms), std::chrono::milliseconds(0), max_fetch_wait);
   pending_reply pending;
   asio::post(loop_.io(), [this, id, submission = *submission, wait, callback = pending.callback()] {
     if (!decisions_.fetch(submission, wait.count() > 0, callback)) {
@@ -396,7 +393,8 @@
   });
   operations_.route("GET", "/v1/members", [this](const auto&) {
     return run_on_loop(loop_, [this] {
-      return http_response{200, members_report(members_.self(), members_.members(), links_, decisions_)};
+      return http_response{200,
+                           members_report(members_.self(), members_.members(), links_, decisions_)};
     });
   });
   operations_.route("GET", "/v1/account", [this](const auto&) {
@@ -410,8 +408,7 @@
   return run_on_loop(loop_, [this] {
     const bool leaving = phase_ != phase::serving;
     const bool has_catalogue = catalogue_.replica() != nullptr;
-    const bool has_agents =
-        links_.open_count() > 0 || now_on_loop() - started_at_ > agent_grace;
+    const bool has_agents = links_.open_count() > 0 || now_on_loop() - started_at_ > agent_grace;
     const bool is_ready = !leaving && has_catalogue && has_agents;
     const nlohmann::json body = {{"ready", is_ready},
                                  {"leaving", leaving},
@@ -458,25 +455,25 @@
 void entry_process::state::apply_change(const subject_change& change, monotonic_time now) {
   const auto& name = change.subject.name;
   switch (change.subject.type) {
-    case subject_type::kind:
-      if (change.value == nullptr) {
-        decisions_.remove_kind(name, change.revision);
-      } else {
-        decisions_.set_kind(name, std::get<kind_definition>(*change.value), change.revision, now);
-      }
-      return;
-    case subject_type::owner:
-      if (change.value == nullptr) {
-        decisions_.remove_owner(name);
-      } else {
-        decisions_.set_owner(name, std::get<owner_quota>(*change.value), now);
-      }
-      return;
-    case subject_type::drain:
-      if (change.value != nullptr) {
-        apply_drain(name);
-      }
-      return;
+  case subject_type::kind:
+    if (change.value == nullptr) {
+      decisions_.remove_kind(name, change.revision);
+    } else {
+      decisions_.set_kind(name, std::get<kind_definition>(*change.value), change.revision, now);
+    }
+    return;
+  case subject_type::owner:
+    if (change.value == nullptr) {
+      decisions_.remove_owner(name);
+    } else {
+      decisions_.set_owner(name, std::get<owner_quota>(*change.value), now);
+    }
+    return;
+  case subject_type::drain:
+    if (change.value != nullptr) {
+      apply_drain(name);
+    }
+    return;
   }
 }
 
@@ -558,16 +555,28 @@
 
 entry_process::~entry_process() = default;
 
-absl::Status entry_process::start() { return state_->start(); }
+absl::Status entry_process::start() {
+  return state_->start();
+}
 
-void entry_process::run() { state_->run(); }
+void entry_process::run() {
+  state_->run();
+}
 
-void entry_process::request_stop() { state_->request_stop(); }
+void entry_process::request_stop() {
+  state_->request_stop();
+}
 
-endpoint entry_process::caller_endpoint() const { return state_->caller_endpoint(); }
+endpoint entry_process::caller_endpoint() const {
+  return state_->caller_endpoint();
+}
 
-endpoint entry_process::operations_endpoint() const { return state_->operations_endpoint(); }
+endpoint entry_process::operations_endpoint() const {
+  return state_->operations_endpoint();
+}
 
-endpoint entry_process::rpc_endpoint() const { return state_->rpc_endpoint(); }
+endpoint entry_process::rpc_endpoint() const {
+  return state_->rpc_endpoint();
+}
 
-}  // namespace parsleylead
+} // namespace parsleylead
--- a/src/entry/entry_reports.cpp
+++ b/src/entry/entry_reports.cpp
@@ -38,9 +38,8 @@
 }
 
 json to_json(const reason_total& total) {
-  return {{"category", total.category}, {"kind", total.kind},
-          {"owner", total.owner},       {"reason", to_string(total.why)},
-          {"step", to_string(total.at)}, {"count", total.count}};
+  return {{"category", total.category},     {"kind", total.kind},          {"owner", total.owner},
+          {"reason", to_string(total.why)}, {"step", to_string(total.at)}, {"count", total.count}};
 }
 
 json wasted_json(const account_snapshot& snapshot) {
@@ -51,12 +50,13 @@
   return wasted;
 }
 
-}  // namespace
+} // namespace
 
 std::string catalogue_report(const std::string& process, const catalogue_replica* replica) {
   json subjects = json::array();
   if (replica == nullptr) {
-    return json{{"process", process}, {"known", false}, {"offset", 0}, {"subjects", subjects}}.dump();
+    return json{{"process", process}, {"known", false}, {"offset", 0}, {"subjects", subjects}}
+        .dump();
   }
   for (const auto& item : replica->list()) {
     auto subject = json::parse(encode_entry(item.entry));
@@ -95,9 +95,8 @@
     }
     agent_list.push_back(std::move(agent));
   });
-  return json{{"process", self.name},
-              {"entries", std::move(entry_list)},
-              {"agents", std::move(agent_list)}}
+  return json{
+      {"process", self.name}, {"entries", std::move(entry_list)}, {"agents", std::move(agent_list)}}
       .dump();
 }
 
@@ -169,4 +168,4 @@
   set("parsleylead_claim_refused_total", static_cast<double>(gauges.claims.refused));
 }
 
-}  // namespace parsleylead
+} // namespace parsleylead
--- a/src/entry/entry_reports.hpp
+++ b/src/entry/entry_reports.hpp
@@ -37,4 +37,4 @@
 void update_metrics(metrics_registry& metrics, const account_snapshot& snapshot,
                     const entry_gauges& gauges);
 
-}  // namespace parsleylead
+} // namespace parsleylead
--- a/src/entry/member_service.cpp
+++ b/src/entry/member_service.cpp
@@ -16,9 +16,13 @@
 constexpr std::chrono::milliseconds max_retry_interval{10'000};
 constexpr std::chrono::milliseconds call_limit{1000};
 
-monotonic_time now_on_loop() { return std::chrono::steady_clock::now(); }
+monotonic_time now_on_loop() {
+  return std::chrono::steady_clock::now();
+}
 
-std::string to_string(capnp::Text::Reader text) { return {text.cStr(), text.size()}; }
+std::string to_string(capnp::Text::Reader text) {
+  return {text.cStr(), text.size()};
+}
 
 std::optional<job_reply> to_reply(wire::JobReply::Reader reply) {
   if (!reply.getFound()) {
@@ -43,7 +47,7 @@
   }
 };
 
-}  // namespace
+} // namespace
 
 entry_member to_member(wire::EntryInfo::Reader info, monotonic_time now) {
   entry_member member;
@@ -78,9 +82,7 @@
 };
 
 member_service::member_service(rpc_loop& loop, const entry_settings& settings, callbacks calls)
-    : loop_(loop),
-      settings_(settings),
-      calls_(std::move(calls)),
+    : loop_(loop), settings_(settings), calls_(std::move(calls)),
       tasks_(std::make_unique<kj::TaskSet>(ignore_task_errors())) {}
 
 member_service::~member_service() = default;
@@ -183,13 +185,14 @@
     return request.send();
   });
   auto answered = call.then([this, &target](auto&& response) { on_exchange(target, response); });
-  target.call =
-      loop_.with_timeout(kj::mv(answered), call_limit).eagerlyEvaluate([this, &target](kj::Exception&&) {
-        target.in_progress = false;
-        target.connection = nullptr;
-        target.backoff = std::clamp(target.backoff * 2, settings_.exchange_interval, max_retry_interval);
-        target.next_try = now_on_loop() + target.backoff;
-      });
+  target.call = loop_.with_timeout(kj::mv(answered), call_limit)
+                    .eagerlyEvaluate([this, &target](kj::Exception&&) {
+                      target.in_progress = false;
+                      target.connection = nullptr;
+                      target.backoff = std::clamp(target.backoff * 2, settings_.exchange_interval,
+                                                  max_retry_interval);
+                      target.next_try = now_on_loop() + target.backoff;
+                    });
 }
 
 void member_service::on_exchange(peer& target, wire::EntryPort::ExchangeResults::Reader reply) {
@@ -234,7 +237,8 @@
     for (const auto agent : response.getAgents()) {
       const auto address = parse_endpoint(to_string(agent.getAddress()));
       if (address.ok()) {
-        calls_.on_agent({to_string(agent.getId().getName()), agent.getId().getIncarnation(), *address});
+        calls_.on_agent(
+            {to_string(agent.getId().getName()), agent.getId().getIncarnation(), *address});
       }
     }
   });
@@ -265,11 +269,11 @@
   search->open = addresses.size();
   search->done = std::move(done);
   for (const auto& address : addresses) {
-    tasks_->add(call_entry(address, call, limit)
-                    .then([search](std::optional<job_reply>&& reply) {
-                      search->on_answer(std::move(reply));
-                    },
-                          [search](kj::Exception&&) { search->on_answer(std::nullopt); }));
+    tasks_->add(
+        call_entry(address, call, limit)
+            .then(
+                [search](std::optional<job_reply>&& reply) { search->on_answer(std::move(reply)); },
+                [search](kj::Exception&&) { search->on_answer(std::nullopt); }));
   }
 }
 
@@ -309,4 +313,4 @@
   call_entries(member_addresses(), call, call_limit, std::move(done));
 }
 
-}  // namespace parsleylead
+} // namespace parsleylead
--- a/src/entry/member_service.hpp
+++ b/src/entry/member_service.hpp
@@ -35,7 +35,7 @@
 /// Knows the other entries: exchanges members and catalogue offsets with them, and asks them for
 /// agents, catalogue snapshots and jobs (D7). Control thread only.
 class member_service {
- public:
+public:
   struct callbacks {
     std::function<std::uint64_t()> catalogue_offset;
     std::function<bool()> needs_peer;
@@ -75,7 +75,7 @@
   /// Asks all members to cancel a submission.
   void cancel_job(const std::string& submission, reply_callback done);
 
- private:
+private:
   struct peer;
   using job_call = std::function<kj::Promise<std::optional<job_reply>>(wire::EntryPort::Client)>;
 
@@ -99,4 +99,4 @@
   std::unique_ptr<kj::TaskSet> tasks_;
 };
 
-}  // namespace parsleylead
+} // namespace parsleylead
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -28,6 +28,9 @@
   return request;
 }
 
+// cpp-httplib listens with a backlog of 5; a burst of callers beyond that is refused or delayed.
+constexpr int listen_backlog = 1024;
+
 // cpp-httplib would set SO_REUSEPORT, with which a second process shares a port in use unnoticed.
 void set_reuse_address(socket_t socket) {
   const int on = 1;
@@ -40,6 +43,7 @@
 public:
   httplib::Server server;
   std::thread listener;
+  socket_t listening_socket = INVALID_SOCKET;
   std::atomic<bool> closing{false};
   std::atomic<bool> started{false};
 };
@@ -54,7 +58,10 @@
   server.set_keep_alive_timeout(keep_alive.count());
   server.set_keep_alive_max_count(std::numeric_limits<std::size_t>::max());
   server.set_tcp_nodelay(true);
-  server.set_socket_options(set_reuse_address);
+  server.set_socket_options([this](socket_t socket) {
+    set_reuse_address(socket);
+    state_->listening_socket = socket;
+  });
   server.set_error_handler([](const httplib::Request&, httplib::Response& response) {
     if (!response.body.empty()) {
       return;
@@ -106,7 +113,7 @@
   } else {
     bound = server.bind_to_port(address.ip, address.port);
   }
-  if (!bound) {
+  if (!bound || ::listen(state_->listening_socket, listen_backlog) != 0) {
     return make_error(absl::StatusCode::kUnavailable, step::connect, to_string(address),
                       "cannot listen; is the port in use?");
   }
--- a/src/transport/ignore_task_errors.cpp
+++ b/src/transport/ignore_task_errors.cpp
@@ -4,15 +4,15 @@
 namespace {
 
 class ignore_errors : public kj::TaskSet::ErrorHandler {
- public:
+public:
   void taskFailed(kj::Exception&& /*exception*/) override {}
 };
 
-}  // namespace
+} // namespace
 
 kj::TaskSet::ErrorHandler& ignore_task_errors() {
   static ignore_errors handler;
   return handler;
 }
 
-}  // namespace parsleylead
+} // namespace parsleylead
--- a/src/transport/rpc_connection.cpp
+++ b/src/transport/rpc_connection.cpp
@@ -199,15 +199,13 @@
 rpc_connection::rpc_connection(kj::Own<kj::AsyncIoStream> stream)
     : stream_(kj::mv(stream)),
       network_(*stream_, capnp::rpc::twoparty::Side::CLIENT, reader_options()),
-      system_(capnp::makeRpcClient(network_)),
-      bootstrap_(ask_bootstrap(system_)) {}
+      system_(capnp::makeRpcClient(network_)), bootstrap_(ask_bootstrap(system_)) {}
 
 rpc_connection::rpc_connection(kj::Own<kj::AsyncIoStream> stream,
                                capnp::Capability::Client bootstrap)
     : stream_(kj::mv(stream)),
       network_(*stream_, capnp::rpc::twoparty::Side::SERVER, reader_options()),
-      system_(capnp::makeRpcServer(network_, kj::mv(bootstrap))),
-      bootstrap_(nullptr) {}
+      system_(capnp::makeRpcServer(network_, kj::mv(bootstrap))), bootstrap_(nullptr) {}
 
 kj::Promise<void> rpc_connection::on_disconnect() {
   return network_.onDisconnect();
--- a/src/transport/rpc_server.cpp
+++ b/src/transport/rpc_server.cpp
@@ -16,8 +16,8 @@
 
 rpc_server::rpc_server(rpc_loop& loop, capnp::Capability::Client bootstrap)
     : loop_(loop), bootstrap_(kj::mv(bootstrap)), acceptor_(loop.io()),
-      watchers_(kj::heap<kj::TaskSet>(ignore_task_errors())),
-      alive_(std::make_shared<bool>(true)) {}
+      watchers_(kj::heap<kj::TaskSet>(ignore_task_errors())), alive_(std::make_shared<bool>(true)) {
+}
 
 rpc_server::~rpc_server() {
   *alive_ = false;
