--- a/src/agent/agent_core.cpp
+++ b/src/agent/agent_core.cpp
@@ -659,7 +659,7 @@
   }
 }
 
-kj::Promise<void> agent_core::announce_to(endpoint address) {
+kj::Promise<void> agent_core::announce_to(const endpoint& address) {
   return connect(loop_, address, announce_timeout)
       .then([this](kj::Own<rpc_connection> connection) {
         auto request = connection->bootstrap().castAs<wire::EntryPort>().announceRequest();
--- a/src/agent/agent_core.hpp
+++ b/src/agent/agent_core.hpp
@@ -168,7 +168,7 @@
   void send_update();
   void upstream_absent(const char* cause);
   void announce_due(monotonic_time now);
-  kj::Promise<void> announce_to(endpoint address);
+  kj::Promise<void> announce_to(const endpoint& address);
   kj::Promise<void> tick_forever();
   void tick();
   void notice_pause(monotonic_time now);
