Send task payloads as strings; show totals as counters

Cause: entries take a task as a string or as base64, so every generated job was refused as malformed. Entries set totals that they keep elsewhere, which were shown as gauges. Change: parsleyload sends each task as JSON text; job files may hold any JSON value. Names in _total are counters in /metrics.

--- a/include/parsleylead/load/job_file.hpp
+++ b/include/parsleylead/load/job_file.hpp
@@ -8,7 +8,8 @@
 
 namespace parsleylead {
 
-/// A job to submit, as written by a person: {"kind","key"?,"budget_ms","tasks":[...]}.
+/// A job to submit, as written by a person: {"kind","key"?,"budget_ms","tasks":[...]}. A task is a
+/// string, {"base64":"..."} for bytes, or any other JSON value, which is sent as its JSON text.
 class job_file {
 public:
   /// Parses JSON with comments. Errors: kInvalidArgument naming the faulty field.
--- a/include/parsleylead/observe/metrics_registry.hpp
+++ b/include/parsleylead/observe/metrics_registry.hpp
@@ -26,7 +26,7 @@
   /// Adds to a counter, creating it at 0.
   void add(std::string_view name, const metric_labels& labels, double delta = 1);
 
-  /// Sets a gauge.
+  /// Sets a gauge, or a total that is kept elsewhere: names in `_total` are always counters.
   void set(std::string_view name, const metric_labels& labels, double value);
 
   /// Records a time in a histogram (Boost.Histogram, logarithmic bins from 100 us to 100 s).
--- a/src/load/job_file.cpp
+++ b/src/load/job_file.cpp
@@ -42,6 +42,13 @@
   return absl::OkStatus();
 }
 
+/// An entry takes strings and {"base64":"..."}; any other value becomes its JSON text.
+json payload_of(const json& task) {
+  const bool is_taken_as_is =
+      task.is_string() || (task.is_object() && task.size() == 1 && task.contains("base64"));
+  return is_taken_as_is ? task : json(task.dump());
+}
+
 std::string shown(const json& value) {
   return value.is_string() ? value.get<std::string>() : value.dump();
 }
@@ -60,7 +67,11 @@
   file.kind_ = job["kind"].get<std::string>();
   file.key_ = job.value("key", std::string());
   file.budget_ = std::chrono::milliseconds(job["budget_ms"].get<std::int64_t>());
-  file.tasks_ = job["tasks"].dump();
+  auto payloads = json::array();
+  for (const auto& task : job["tasks"]) {
+    payloads.push_back(payload_of(task));
+  }
+  file.tasks_ = payloads.dump();
   return file;
 }
 
--- a/src/load/load_report.cpp
+++ b/src/load/load_report.cpp
@@ -168,7 +168,7 @@
     }
   }
   for (const auto& [cause, value] : messages_.wasted) {
-    text += fmt::format("    wasted per task, {:<15}{:.4f}\n", cause, per_task(value));
+    text += fmt::format("    wasted per task, {:<20} {:.4f}\n", cause, per_task(value));
   }
   for (const auto& name : unread_) {
     text += "messages of " + name + " are missing: its /metrics could not be read\n";
--- a/src/load/load_test.cpp
+++ b/src/load/load_test.cpp
@@ -225,7 +225,7 @@
 TEST_CASE("load: job files") {
   const auto job = job_file::parse(R"({"kind":"a","budget_ms":100,"tasks":[{"n":1}]} // comment)");
   REQUIRE(job.ok());
-  CHECK(nlohmann::json::parse(job->body(true))["tasks"][0]["n"] == 1);
+  CHECK(nlohmann::json::parse(job->body(true))["tasks"][0] == R"({"n":1})");
   for (const auto* text :
        {"", "[]", R"({"kind":"a","tasks":[1]})", R"({"kind":"a","budget_ms":0,"tasks":[1]})",
         R"({"kind":"a","budget_ms":5,"tasks":[]})", R"({"kind":"","budget_ms":5,"tasks":[1]})",
--- a/src/observe/metrics_registry.cpp
+++ b/src/observe/metrics_registry.cpp
@@ -129,8 +129,12 @@
   append_sample(out, one.name, "_count", one.labels, cumulative);
 }
 
-std::string_view type_name(series_kind kind) {
-  switch (kind) {
+/// A total that is kept elsewhere and set here is still a counter.
+std::string_view type_name(const series& one) {
+  if (one.kind == series_kind::gauge && one.name.ends_with("_total")) {
+    return "counter";
+  }
+  switch (one.kind) {
   case series_kind::counter:
     return "counter";
   case series_kind::gauge:
@@ -243,7 +247,7 @@
   std::string_view last_name;
   for (const series* one : state_->sorted()) {
     if (one->name != last_name) {
-      out.append("# TYPE ").append(one->name).append(" ").append(type_name(one->kind));
+      out.append("# TYPE ").append(one->name).append(" ").append(type_name(*one));
       out += '\n';
       last_name = one->name;
     }
--- a/src/observe/observe_test.cpp
+++ b/src/observe/observe_test.cpp
@@ -40,6 +40,8 @@
   CHECK(contains(text, "parsleylead_run_seconds_bucket{kind=\"k\",le=\"100\"} 2\n"));
   CHECK(contains(text, "parsleylead_run_seconds_bucket{kind=\"k\",le=\"+Inf\"} 3\n"));
   CHECK(contains(text, "parsleylead_run_seconds_count{kind=\"k\"} 3\n"));
+  metrics.set("parsleylead_b_total", {}, 5);
+  CHECK(contains(metrics.render(), "# TYPE parsleylead_b_total counter\n"));
   CHECK(metrics.value("parsleylead_a_total", {{"peer", "x"}}) == 1);
   CHECK(metrics.value("parsleylead_absent", {}) == 0);
 }
