Inject the maker of submission ids into the dispatcher

Cause: a run of the dispatcher could not be repeated by its seed, because submission ids are random and order the dispatcher's maps. Change: dispatcher_options::make_submission_id, random by default.

--- a/include/parsleylead/entry/dispatcher.hpp
+++ b/include/parsleylead/entry/dispatcher.hpp
@@ -34,6 +34,8 @@
   std::uint32_t entry_slots = 1;
   std::chrono::milliseconds answer_retention{600'000};
   backlog_settings order;
+  /// Makes the ids of submissions; a test that repeats a run by its seed injects its own.
+  std::function<uuid()> make_submission_id = [] { return uuid::make_v7(wall_now()); };
 };
 
 /// An agent with an open session.
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -148,7 +148,7 @@
                         std::chrono::milliseconds budget, monotonic_time now,
                         reply_callback reply) {
   job_request accepted;
-  accepted.id = uuid::make_v7(wall_now());
+  accepted.id = options_.make_submission_id();
   accepted.kind = request.kind;
   accepted.owner = kinds_.at(request.kind).definition.owner;
   accepted.key = request.key;
