Refuse a request key that belongs to another request

Cause: a request key that was used again with another body got the first body's answer. Change: the claim record and its holder carry the XXH3 digest of kind and payloads; a duplicate with another digest is refused as invalid_key, not run. A record without a digest counts as before; a malformed digest makes the item a bad one. Before: duplicate, the other request's answer. After: invalid_key (claim tests pass).

--- a/include/parsleylead/claim/claim_record.hpp
+++ b/include/parsleylead/claim/claim_record.hpp
@@ -18,6 +18,8 @@
   std::string entry_name;
   /// RPC address of the entry, "ip:port".
   std::string entry_address;
+  /// Digest of the request's kind and payloads; nothing in a record that names none.
+  std::optional<std::uint64_t> digest;
 
   bool operator==(const claim_item&) const = default;
 };
--- a/include/parsleylead/claim/claim_table.hpp
+++ b/include/parsleylead/claim/claim_table.hpp
@@ -28,6 +28,8 @@
   std::string entry_name;
   std::string entry_address;
   std::optional<claim_outcome> outcome;
+  /// Digest of the holder's request, if its claim names it.
+  std::optional<std::uint64_t> digest;
 
   bool operator==(const claim_holder&) const = default;
 };
@@ -97,6 +99,7 @@
   struct key_state {
     std::optional<uuid> holder;
     std::uint32_t entry = 0;
+    std::optional<std::uint64_t> digest;
     std::string outcome;
     std::optional<std::string> answer;
     /// Submissions that lost or released the key; they never hold it again.
--- a/include/parsleylead/claim/claimant.hpp
+++ b/include/parsleylead/claim/claimant.hpp
@@ -26,8 +26,8 @@
   claim_verdict verdict = claim_verdict::refused;
   /// Set for a duplicate.
   std::optional<claim_holder> holder;
-  /// Set for a duplicate (duplicate_key) and a refusal (invalid_key, key_expired,
-  /// claim_unavailable). Both mean: not run.
+  /// Set for a duplicate (duplicate_key) and a refusal (invalid_key, also for a key that belongs to
+  /// another request; key_expired; claim_unavailable). Both mean: not run.
   reason why = reason::none;
   std::string detail;
 };
@@ -80,8 +80,10 @@
 
   /// Asks for the right to run the request with this key. Returns the decision if it is known
   /// already; otherwise it follows from `on_records` or `expire`. A submission asks once.
+  /// `digest` is that of the request: a key whose holder has another one is refused.
   std::optional<claim_decision> request_claim(const uuid& key, const uuid& submission,
-                                              monotonic_time deadline, monotonic_time now);
+                                              std::uint64_t digest, monotonic_time deadline,
+                                              monotonic_time now);
 
   /// Gives up a granted claim. Precondition: nothing of the submission was dispatched, and nothing
   /// of it will be.
@@ -124,6 +126,7 @@
 private:
   struct request {
     uuid key;
+    std::uint64_t digest = 0;
     monotonic_time deadline;
     /// The claim was handed out for appending.
     bool handed_out = false;
@@ -145,7 +148,8 @@
   };
 
   claim_decision refuse(const uuid& key, const uuid& submission, reason why, std::string detail);
-  claim_decision duplicate(const uuid& key, const uuid& submission, claim_holder holder);
+  claim_decision lose(const uuid& key, const uuid& submission, std::uint64_t digest,
+                      claim_holder holder);
   claim_decision decide(const applied_claim& claim, const request& asked, monotonic_time now);
   claim_decision decide_won(const applied_claim& claim, const request& asked, monotonic_time now);
   void withdraw(const uuid& submission, const request& asked);
--- a/include/parsleylead/entry/gateways.hpp
+++ b/include/parsleylead/entry/gateways.hpp
@@ -64,7 +64,7 @@
 public:
   virtual ~claim_gateway() = default;
   virtual std::optional<claim_decision> request_claim(const uuid& key, const uuid& submission,
-                                                      monotonic_time deadline,
+                                                      std::uint64_t digest, monotonic_time deadline,
                                                       monotonic_time now) = 0;
   virtual void release(const uuid& key, const uuid& submission) = 0;
   virtual void abandon(const uuid& key, const uuid& submission) = 0;
--- a/src/claim/claim_record.cpp
+++ b/src/claim/claim_record.cpp
@@ -2,6 +2,10 @@
 
 #include <xxhash.h>
 
+#include <array>
+#include <charconv>
+#include <cinttypes>
+#include <cstdio>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -15,6 +19,7 @@
 
 constexpr std::size_t max_entry_name_bytes = 128;
 constexpr std::size_t max_state_bytes = 32;
+constexpr std::size_t digest_digits = 16;
 
 // Whether the text survives in a JSON document. The encoder leaves malformed bytes out.
 bool is_utf8(const std::string& text) {
@@ -23,16 +28,35 @@
   return decoded.is_string() && decoded.get_ref<const std::string&>() == text;
 }
 
+std::string encode_digest(std::uint64_t digest) {
+  std::array<char, digest_digits + 1> text{};
+  std::snprintf(text.data(), text.size(), "%016" PRIx64, digest);
+  return text.data();
+}
+
+std::optional<std::uint64_t> decode_digest(std::string_view text) {
+  constexpr int hexadecimal = 16;
+  std::uint64_t digest = 0;
+  const char* end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, digest, hexadecimal);
+  const bool valid = text.size() == digest_digits && stop == end && error == std::errc();
+  return valid ? std::optional<std::uint64_t>(digest) : std::nullopt;
+}
+
 std::string dump(const json& value) {
   return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 json to_json(const claim_item& item) {
-  return {{"type", "claim"},
-          {"key", item.key.to_string()},
-          {"submission", item.submission.to_string()},
-          {"entry", item.entry_name},
-          {"address", item.entry_address}};
+  json object = {{"type", "claim"},
+                 {"key", item.key.to_string()},
+                 {"submission", item.submission.to_string()},
+                 {"entry", item.entry_name},
+                 {"address", item.entry_address}};
+  if (item.digest) {
+    object["digest"] = encode_digest(*item.digest);
+  }
+  return object;
 }
 
 json to_json(const release_item& item) {
@@ -75,7 +99,15 @@
   if (name == nullptr || address == nullptr || !parse_endpoint(*address).ok()) {
     return std::nullopt;
   }
-  return claim_item{key, submission, *name, *address};
+  claim_item item{key, submission, *name, *address, std::nullopt};
+  if (object.contains("digest")) {
+    const std::string* text = text_member(object, "digest", digest_digits);
+    item.digest = text == nullptr ? std::nullopt : decode_digest(*text);
+    if (!item.digest) {
+      return std::nullopt;
+    }
+  }
+  return item;
 }
 
 std::optional<claim_record_item> decode_outcome(const json& object, const uuid& key,
--- a/src/claim/claim_table.cpp
+++ b/src/claim/claim_table.cpp
@@ -84,6 +84,7 @@
   }
   state.holder = item.submission;
   state.entry = intern(item.entry_name, item.entry_address);
+  state.digest = item.digest;
   return claim_result::won;
 }
 
@@ -176,7 +177,7 @@
   }
   const key_state& state = found->second;
   const entry_identity& entry = entries_[state.entry];
-  claim_holder holder{*state.holder, entry.first, entry.second, std::nullopt};
+  claim_holder holder{*state.holder, entry.first, entry.second, std::nullopt, state.digest};
   if (!state.outcome.empty()) {
     holder.outcome = claim_outcome{state.outcome, state.answer};
   }
@@ -193,6 +194,7 @@
   for (const auto& [key, state] : keys_) {
     text.append(key.to_string());
     text.append(state.holder ? state.holder->to_string() : "-");
+    text.append(state.holder && state.digest ? std::to_string(*state.digest) : "-");
     text.append(state.outcome).append(";");
     for (const uuid& submission : state.closed) {
       text.append(submission.to_string());
--- a/src/claim/claim_test.cpp
+++ b/src/claim/claim_test.cpp
@@ -20,6 +20,7 @@
 constexpr const char* stream = "claims-0";
 constexpr wall_time wall_start{seconds(1'000'000)};
 constexpr monotonic_time begin{seconds(1000)};
+constexpr std::uint64_t test_digest = 7;
 
 uuid new_id() {
   return uuid::make_v7(wall_start);
@@ -58,7 +59,8 @@
 }
 
 std::string claim_text(const uuid& key, const uuid& submission) {
-  return encode_claim_record({new_id(), {claim_item{key, submission, "other", "127.0.0.1:2"}}});
+  return encode_claim_record(
+      {new_id(), {claim_item{key, submission, "other", "127.0.0.1:2", std::nullopt}}});
 }
 
 std::string release_text(const uuid& key, const uuid& submission) {
@@ -69,7 +71,7 @@
   // Guards against one damaged item that hides the claims beside it.
   const uuid key = new_id();
   const claim_record record{new_id(),
-                            {claim_item{key, new_id(), "entry", "127.0.0.1:7"},
+                            {claim_item{key, new_id(), "entry", "127.0.0.1:7", 0xab},
                              release_item{key, new_id()},
                              outcome_item{key, new_id(), "complete", "\"answer\"\n"},
                              outcome_item{key, new_id(), "failed", std::nullopt}}};
@@ -176,18 +178,21 @@
   claimant target(make_options("a"), 1);
   const auto deadline = site.now + seconds(10);
   for (int i = 0; i < 3; ++i) {
-    CHECK_FALSE(target.request_claim(new_id(), new_id(), deadline, site.now).has_value());
+    CHECK_FALSE(
+        target.request_claim(new_id(), new_id(), test_digest, deadline, site.now).has_value());
   }
   const auto batch = target.next_batch(site.now);
   REQUIRE(batch.has_value());
   CHECK(decode_claim_record(batch->payload).items.size() == 3);
-  CHECK_FALSE(target.request_claim(new_id(), new_id(), deadline, site.now).has_value());
+  CHECK_FALSE(
+      target.request_claim(new_id(), new_id(), test_digest, deadline, site.now).has_value());
   site.advance(seconds(1));
   CHECK_FALSE(target.next_batch(site.now).has_value());
   target.on_append_ok(site.append(batch->payload));
   REQUIRE(target.next_batch(site.now).has_value());
   target.on_append_ok(2);
-  CHECK_FALSE(target.request_claim(new_id(), new_id(), deadline, site.now).has_value());
+  CHECK_FALSE(
+      target.request_claim(new_id(), new_id(), test_digest, deadline, site.now).has_value());
   CHECK_FALSE(target.next_batch(site.now).has_value());
   CHECK(target.next_due() == site.now + milliseconds(10));
 }
@@ -200,8 +205,8 @@
   const uuid key = new_id();
   const uuid submission = new_id();
   const auto deadline = site.now + seconds(1);
-  first.request_claim(key, submission, deadline, site.now);
-  second.request_claim(key, new_id(), deadline, site.now);
+  first.request_claim(key, submission, test_digest, deadline, site.now);
+  second.request_claim(key, new_id(), test_digest, deadline, site.now);
   CHECK(run_once(site, first).at(0).verdict == claim_verdict::granted);
   const auto decision = run_once(site, second).at(0);
   CHECK(decision.verdict == claim_verdict::duplicate);
@@ -213,25 +218,59 @@
   site.advance(milliseconds(100));
   run_once(site, first);
   run_once(site, second);
-  const auto known = second.request_claim(key, new_id(), deadline, site.now);
+  const auto known = second.request_claim(key, new_id(), test_digest, deadline, site.now);
   REQUIRE(known.has_value());
   CHECK(known->holder->outcome == claim_outcome{"complete", "done"});
   CHECK(first.idle());
 }
 
+TEST_CASE("a key of another request is refused, before and after its record was read") {
+  // Guards against a caller that gets the answer to another request.
+  test_site site;
+  claimant first(make_options("a"), 1);
+  claimant second(make_options("b"), 1);
+  const uuid key = new_id();
+  const auto deadline = site.now + seconds(1);
+  first.request_claim(key, new_id(), test_digest, deadline, site.now);
+  second.request_claim(key, new_id(), test_digest + 1, deadline, site.now);
+  CHECK(run_once(site, first).at(0).verdict == claim_verdict::granted);
+  const auto refused = run_once(site, second).at(0);
+  CHECK(refused.verdict == claim_verdict::refused);
+  CHECK(refused.why == reason::invalid_key);
+  CHECK(refused.detail == "The key belongs to another request.");
+  const auto later = second.request_claim(key, new_id(), test_digest + 1, deadline, site.now);
+  REQUIRE(later.has_value());
+  CHECK(later->why == reason::invalid_key);
+  const auto same = second.request_claim(key, new_id(), test_digest, deadline, site.now);
+  REQUIRE(same.has_value());
+  CHECK(same->verdict == claim_verdict::duplicate);
+}
+
+TEST_CASE("a claim without a digest counts, one with a malformed digest does not") {
+  // Guards against a split of the replicas while entries of two versions run side by side.
+  const uuid key = new_id();
+  const auto text = claim_text(key, new_id());
+  CHECK(decode_claim_record(text).items.size() == 1);
+  for (const char* digest : {"\"12\"", "\"00000000000000zz\"", "7", "null"}) {
+    auto damaged = text;
+    damaged.replace(damaged.find("\"address\""), 0, std::string("\"digest\":") + digest + ",");
+    CHECK(decode_claim_record(damaged).bad_items == 1);
+  }
+}
+
 TEST_CASE("an append of unknown effect is found by reading or repeated under its id") {
   // Guards against a claim that is lost, or taken for another entry's, after a lost reply.
   test_site site;
   claimant target(make_options("a"), 1);
   const auto deadline = site.now + seconds(10);
-  target.request_claim(new_id(), new_id(), deadline, site.now);
+  target.request_claim(new_id(), new_id(), test_digest, deadline, site.now);
   const auto found = target.next_batch(site.now);
   site.append(found->payload);
   target.on_append_error(site.now);
   CHECK(target.on_records(site.read(1), site.now).at(0).verdict == claim_verdict::granted);
   CHECK(target.idle());
 
-  target.request_claim(new_id(), new_id(), deadline, site.now + milliseconds(20));
+  target.request_claim(new_id(), new_id(), test_digest, deadline, site.now + milliseconds(20));
   const auto lost = target.next_batch(site.now + milliseconds(20));
   target.on_append_error(site.now + milliseconds(20));
   CHECK_FALSE(target.next_batch(site.now + milliseconds(69)).has_value());
@@ -261,9 +300,9 @@
   const uuid sent = new_id();
   const uuid queued = new_id();
   const auto deadline = site.now + seconds(1);
-  target.request_claim(key, sent, deadline, site.now);
+  target.request_claim(key, sent, test_digest, deadline, site.now);
   const auto batch = target.next_batch(site.now);
-  target.request_claim(new_id(), queued, deadline, site.now);
+  target.request_claim(new_id(), queued, test_digest, deadline, site.now);
   CHECK(target.expire(deadline - milliseconds(1)).empty());
   const auto refused = target.expire(deadline);
   REQUIRE(refused.size() == 2);
@@ -282,7 +321,7 @@
   // Guards against an entry that resumes after a pause and runs a request that has timed out.
   test_site site;
   claimant target(make_options("a"), 1);
-  target.request_claim(new_id(), new_id(), site.now + seconds(1), site.now);
+  target.request_claim(new_id(), new_id(), test_digest, site.now + seconds(1), site.now);
   const auto batch = target.next_batch(site.now);
   target.on_append_ok(site.append(batch->payload));
   const auto decisions = target.on_records(site.read(1), site.now + seconds(1));
@@ -300,12 +339,14 @@
   site.append("[]");
   site.log.forget_below(stream, 2);
   target.on_records(site.read(1), site.now);
-  const auto refused = target.request_claim(key, new_id(), site.now + seconds(1), site.now);
+  const auto refused =
+      target.request_claim(key, new_id(), test_digest, site.now + seconds(1), site.now);
   REQUIRE(refused.has_value());
   CHECK(refused->why == reason::claim_unavailable);
   site.advance(seconds(7));
   const uuid later = uuid::make_v7(site.wall);
-  CHECK_FALSE(target.request_claim(later, new_id(), site.now + seconds(1), site.now).has_value());
+  CHECK_FALSE(target.request_claim(later, new_id(), test_digest, site.now + seconds(1), site.now)
+                  .has_value());
 }
 
 TEST_CASE("requests that cannot be claimed are refused at once") {
@@ -316,12 +357,13 @@
   options.max_outcomes = 1;
   claimant target(options, 1);
   const auto deadline = site.now + seconds(1);
-  CHECK(target.request_claim(uuid(), new_id(), deadline, site.now)->why == reason::invalid_key);
-  CHECK(target.request_claim(new_id(), new_id(), site.now, site.now)->why ==
+  CHECK(target.request_claim(uuid(), new_id(), test_digest, deadline, site.now)->why ==
+        reason::invalid_key);
+  CHECK(target.request_claim(new_id(), new_id(), test_digest, site.now, site.now)->why ==
         reason::claim_unavailable);
   const uuid waiting = new_id();
-  CHECK_FALSE(target.request_claim(new_id(), waiting, deadline, site.now).has_value());
-  CHECK(target.request_claim(new_id(), new_id(), deadline, site.now)->why ==
+  CHECK_FALSE(target.request_claim(new_id(), waiting, test_digest, deadline, site.now).has_value());
+  CHECK(target.request_claim(new_id(), new_id(), test_digest, deadline, site.now)->why ==
         reason::claim_unavailable);
   target.abandon(waiting);
   CHECK(target.idle());
@@ -406,7 +448,8 @@
     const uuid submission = new_id();
     asking.undecided.insert(submission);
     const auto deadline = site_.now + milliseconds(below(4000));
-    if (const auto known = asking.target->request_claim(key, submission, deadline, site_.now)) {
+    if (const auto known =
+            asking.target->request_claim(key, submission, test_digest, deadline, site_.now)) {
       take(asking, {*known});
     }
   }
--- a/src/claim/claimant.cpp
+++ b/src/claim/claimant.cpp
@@ -16,7 +16,12 @@
   return {key, submission, claim_verdict::refused, std::nullopt, why, std::move(detail)};
 }
 
-claim_decision claimant::duplicate(const uuid& key, const uuid& submission, claim_holder holder) {
+// Another submission holds the key. A caller must never get the answer to another request.
+claim_decision claimant::lose(const uuid& key, const uuid& submission, std::uint64_t digest,
+                              claim_holder holder) {
+  if (holder.digest.value_or(digest) != digest) {
+    return refuse(key, submission, reason::invalid_key, "The key belongs to another request.");
+  }
   ++statistics_.duplicates;
   return {key,
           submission,
@@ -27,14 +32,15 @@
 }
 
 std::optional<claim_decision> claimant::request_claim(const uuid& key, const uuid& submission,
-                                                      monotonic_time deadline, monotonic_time now) {
+                                                      std::uint64_t digest, monotonic_time deadline,
+                                                      monotonic_time now) {
   check_invariant(requests_.count(submission) == 0, "claim: a submission asks once");
   const auto created = key.created();
   if (!created) {
     return refuse(key, submission, reason::invalid_key, "The key is not a UUID of version 7.");
   }
   if (auto holder = table_.find(key)) {
-    return duplicate(key, submission, std::move(*holder));
+    return lose(key, submission, digest, std::move(*holder));
   }
   if (options_.rules.judge(key, table_.log_time()) == key_validity::expired) {
     return refuse(key, submission, reason::key_expired, "The key is older than its lifetime.");
@@ -49,7 +55,7 @@
   if (now >= deadline) {
     return refuse(key, submission, reason::claim_unavailable, "The deadline has passed.");
   }
-  requests_.emplace(submission, request{key, deadline, false});
+  requests_.emplace(submission, request{key, digest, deadline, false});
   deadlines_.emplace(deadline, submission);
   queued_claims_.push_back(submission);
   check_invariants();
@@ -163,8 +169,8 @@
     check_invariant(found != requests_.end(), "claim: a queued claim belongs to a request");
     check_invariant(!found->second.handed_out, "claim: a claim is in one batch only");
     found->second.handed_out = true;
-    record.items.emplace_back(
-        claim_item{found->second.key, submission, options_.entry_name, options_.entry_address});
+    record.items.emplace_back(claim_item{found->second.key, submission, options_.entry_name,
+                                         options_.entry_address, found->second.digest});
   }
 }
 
@@ -259,7 +265,7 @@
     return decide_won(claim, asked, now);
   case claim_result::lost:
     check_invariant(claim.holder.has_value(), "claim: a lost key has a holder");
-    return duplicate(claim.key, claim.submission, *claim.holder);
+    return lose(claim.key, claim.submission, asked.digest, *claim.holder);
   case claim_result::expired:
     return refuse(claim.key, claim.submission, reason::key_expired,
                   "The key is older than its lifetime.");
--- a/src/entry/claim_service.cpp
+++ b/src/entry/claim_service.cpp
@@ -100,8 +100,8 @@
       });
   const auto now = now_on_loop();
   for (const auto& request : std::exchange(target.waiting, {})) {
-    const auto decision =
-        target.decisions->request_claim(request.key, request.submission, request.deadline, now);
+    const auto decision = target.decisions->request_claim(request.key, request.submission,
+                                                          request.digest, request.deadline, now);
     if (decision) {
       on_decision_(*decision);
     }
@@ -190,14 +190,15 @@
 }
 
 std::optional<claim_decision> claim_service::request_claim(const uuid& key, const uuid& submission,
+                                                           std::uint64_t digest,
                                                            monotonic_time deadline,
                                                            monotonic_time now) {
   auto& target = partition_of(key);
   if (target.decisions == nullptr) {
-    target.waiting.push_back({key, submission, deadline});
+    target.waiting.push_back({key, submission, digest, deadline});
     return std::nullopt;
   }
-  auto decision = target.decisions->request_claim(key, submission, deadline, now);
+  auto decision = target.decisions->request_claim(key, submission, digest, deadline, now);
   pump(target);
   return decision;
 }
--- a/src/entry/claim_service.hpp
+++ b/src/entry/claim_service.hpp
@@ -35,7 +35,8 @@
   void stop();
 
   std::optional<claim_decision> request_claim(const uuid& key, const uuid& submission,
-                                              monotonic_time deadline, monotonic_time now) override;
+                                              std::uint64_t digest, monotonic_time deadline,
+                                              monotonic_time now) override;
   void release(const uuid& key, const uuid& submission) override;
   void abandon(const uuid& key, const uuid& submission) override;
   void record_outcome(const uuid& key, const uuid& submission, std::string state,
@@ -53,6 +54,7 @@
   struct waiting_request {
     uuid key;
     uuid submission;
+    std::uint64_t digest = 0;
     monotonic_time deadline;
   };
   struct partition {
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "parsleylead/base/invariant.hpp"
+#include "parsleylead/entry/request_digest.hpp"
 
 namespace parsleylead {
 namespace {
@@ -149,6 +150,7 @@
                         reply_callback reply) {
   job_request accepted;
   accepted.id = options_.make_submission_id();
+  const auto digest = key ? request_digest(request.kind, request.tasks) : 0;
   accepted.kind = request.kind;
   accepted.owner = kinds_.at(request.kind).definition.owner;
   accepted.key = request.key;
@@ -173,7 +175,7 @@
   }
   state.claim = claim_state::requested;
   const uuid id = added->id();
-  if (const auto decision = claims_.request_claim(*key, id, added->deadline(), now)) {
+  if (const auto decision = claims_.request_claim(*key, id, digest, added->deadline(), now)) {
     on_claim(*decision, now);
   }
 }
