Test the decisions in random histories of faults

Several dispatchers, commit tables, slot ledgers, claimants and catalogue replicas run over a small event queue with an injected clock.

--- /dev/null
+++ b/src/entry/dispatcher_histories_test.cpp
@@ -0,0 +1,1256 @@
+#include <doctest/doctest.h>
+
+#include <cstdlib>
+#include <memory>
+#include <queue>
+#include <random>
+#include <stdexcept>
+
+#include "../test_support.hpp"
+#include "parsleylead/catalogue/catalogue_codec.hpp"
+#include "parsleylead/catalogue/catalogue_replica.hpp"
+#include "parsleylead/entry/dispatcher.hpp"
+#include "parsleylead/session/commit_table.hpp"
+#include "parsleylead/session/dispatch_ledger.hpp"
+#include "parsleylead/slot/slot_ledger.hpp"
+
+namespace parsleylead {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr unsigned entry_count = 3;
+constexpr unsigned agent_count = 3;
+constexpr std::uint32_t agent_slots = 4;
+constexpr milliseconds tick_interval{10};
+constexpr milliseconds fault_time{3000};
+// Longer than resume time-out, longest budget and recall time-out together.
+constexpr milliseconds total_time{9000};
+constexpr milliseconds recall_timeout{1000};
+
+struct violation : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+void require(bool holds, const std::string& what) {
+  if (!holds) {
+    throw violation(what);
+  }
+}
+
+// Something that messages are delivered to. A frozen process handles them late; a restarted one
+// never does.
+struct process {
+  unsigned start = 0;
+  monotonic_time frozen_until{};
+};
+
+struct connection {
+  bool broken = false;
+  bool silent = false;
+  monotonic_time stalled_until{};
+  /// Latest arrival in each direction: a connection keeps the order of its messages.
+  monotonic_time last[2]{};
+};
+using connection_ptr = std::shared_ptr<connection>;
+
+/// One request of a caller with all its submissions.
+struct request {
+  std::string kind;
+  std::optional<std::string> key;
+  std::vector<std::string> tasks;
+  /// The submission that started a task of a request with a key.
+  std::optional<uuid> runner;
+};
+
+struct submission {
+  std::size_t request = 0;
+  unsigned entry = 0;
+  unsigned entry_start = 0;
+  int replies = 0;
+  bool not_run = false;
+  std::set<std::uint32_t> started;
+};
+
+struct totals {
+  std::size_t complete = 0;
+  std::size_t not_run = 0;
+  std::size_t may_have_run = 0;
+  std::size_t starts = 0;
+  std::size_t duplicates = 0;
+};
+
+class history {
+public:
+  explicit history(std::uint64_t seed) : random_(seed) {}
+  totals run();
+
+private:
+  struct event {
+    monotonic_time when;
+    std::uint64_t order;
+    process* target;
+    unsigned start;
+    std::function<void()> action;
+  };
+  struct later {
+    bool operator()(const event& a, const event& b) const {
+      return std::tie(a.when, a.order) > std::tie(b.when, b.order);
+    }
+  };
+  struct link {
+    link(const session_settings& settings, sequence_allocator& numbers)
+        : ledger(settings, numbers) {}
+    dispatch_ledger ledger;
+    connection_ptr wire;
+    std::uint64_t counter = 0;
+    slot_session session = 0;
+  };
+  struct sent_task {
+    std::string kind;
+    std::uint32_t kind_limit;
+    std::uint32_t owner_limit;
+  };
+  struct entry_model : process, agent_gateway, claim_gateway, peer_gateway {
+    entry_model(history& owner, unsigned number) : site(owner), index(number) {}
+    bool dispatch(const task_dispatch& sent) override { return site.send_dispatch(*this, sent); }
+    void cancel(const std::string& agent, const uuid& id) override {
+      site.send_cancel(*this, agent, id);
+    }
+    void want(const std::string& agent, const demand& waiting) override {
+      site.send_want(*this, agent, waiting);
+    }
+    void give_back(const std::string& agent, std::uint32_t credits) override {
+      site.send_give_back(*this, agent, credits);
+    }
+    std::optional<claim_decision> request_claim(const uuid& key, const uuid& id,
+                                                std::uint64_t digest, monotonic_time deadline,
+                                                monotonic_time now) override {
+      return claims->request_claim(key, id, digest, deadline, now);
+    }
+    void release(const uuid& key, const uuid& id) override { claims->release(key, id); }
+    void abandon(const uuid& /*key*/, const uuid& id) override { claims->abandon(id); }
+    void record_outcome(const uuid& key, const uuid& id, std::string state,
+                        std::optional<std::string> answer, monotonic_time now) override {
+      claims->record_outcome(key, id, std::move(state), std::move(answer), now);
+    }
+    void fetch_job(const claim_holder& holder, milliseconds wait,
+                   std::function<void(std::optional<job_reply>)> done) override {
+      site.fetch_from_peer(*this, holder, wait, std::move(done));
+    }
+
+    history& site;
+    unsigned index;
+    std::uint64_t incarnation = 0;
+    std::unique_ptr<sequence_allocator> numbers;
+    std::unique_ptr<claimant> claims;
+    std::unique_ptr<dispatcher> decisions;
+    catalogue_replica catalogue;
+    std::map<catalogue_subject, std::uint64_t> in_force;
+    std::map<std::string, std::uint32_t> limits;
+    std::map<std::string, std::unique_ptr<link>> links;
+    std::map<std::tuple<uuid, std::uint32_t, std::uint32_t>, sent_task> in_flight;
+    bool reading_claims = false;
+    bool reading_catalogue = false;
+  };
+  struct agent_session {
+    session_key key;
+    unsigned entry = 0;
+    connection_ptr wire;
+  };
+  struct frame {
+    session_key key;
+    slot_session session = 0;
+    std::uint64_t sequence = 0;
+    uuid id;
+    std::uint32_t index = 0;
+    std::string kind;
+    std::uint64_t revision = 0;
+    milliseconds budget{0};
+    slot_demand waiting;
+    std::string payload;
+  };
+  struct agent_task {
+    frame received;
+    slot_session waiter = 0;
+  };
+  struct agent_model : process {
+    std::string name;
+    std::uint64_t incarnation = 0;
+    std::unique_ptr<commit_table> commits;
+    std::unique_ptr<slot_ledger> slots;
+    std::map<slot_session, agent_session> sessions;
+    std::map<slot_ticket, agent_task> tasks;
+    std::map<std::string, std::uint64_t> revisions;
+    slot_session next_session = 1;
+    slot_ticket next_ticket = 1;
+    bool announced = false;
+  };
+  struct result {
+    std::uint64_t sequence = 0;
+    resumed_state state = resumed_state::not_run;
+    upstream_outcome outcome;
+    std::uint32_t credits = 0;
+  };
+
+  // Events.
+  bool chance(double probability) {
+    return std::uniform_real_distribution<>(0, 1)(random_) < probability;
+  }
+  std::uint64_t pick(std::uint64_t from, std::uint64_t to) {
+    return std::uniform_int_distribution<std::uint64_t>(from, to)(random_);
+  }
+  std::chrono::microseconds delay(std::uint64_t longest_us = 4000) {
+    return std::chrono::microseconds(pick(100, longest_us));
+  }
+  bool faults() const { return now_ < begin_ + fault_time; }
+  void at(monotonic_time when, process* target, std::function<void()> action) {
+    const unsigned start = target == nullptr ? 0 : target->start;
+    queue_.push({when, ++order_, target, start, std::move(action)});
+  }
+  void send(const connection_ptr& wire, int direction, process& target,
+            std::function<void()> action) {
+    if (wire->broken || wire->silent) {
+      return;
+    }
+    auto& last = wire->last[direction];
+    last = std::max({now_ + delay(), last, wire->stalled_until});
+    at(last, &target, [wire, action = std::move(action)] {
+      if (!wire->broken && !wire->silent) {
+        action();
+      }
+    });
+  }
+  wall_time wall() const {
+    return wall_time(std::chrono::seconds(1000)) +
+           std::chrono::duration_cast<milliseconds>(now_ - begin_);
+  }
+  agent_model& agent_named(const std::string& name) { return *agents_.at(name.back() - '0'); }
+
+  // Entries.
+  void start_entry(entry_model& entry);
+  void tick_entry(entry_model& entry);
+  void tick_link(entry_model& entry, const std::string& name);
+  void open_link(entry_model& entry, const std::string& name);
+  void on_reply(entry_model& entry, const std::string& name, std::uint64_t counter,
+                std::uint64_t incarnation, slot_session session, const std::vector<result>& resumed,
+                std::uint32_t credits);
+  void on_result(entry_model& entry, const std::string& name, std::uint64_t counter,
+                 const result& received);
+  void give_outcome(entry_model& entry, const std::string& name, const outstanding_dispatch& sent,
+                    const result* received);
+  link* current_link(entry_model& entry, const std::string& name, std::uint64_t counter);
+  void break_connection(entry_model& entry, const std::string& name);
+  bool send_dispatch(entry_model& entry, const task_dispatch& sent);
+  void send_cancel(entry_model& entry, const std::string& name, const uuid& id);
+  void send_want(entry_model& entry, const std::string& name, demand waiting);
+  void send_give_back(entry_model& entry, const std::string& name, std::uint32_t credits);
+  void fetch_from_peer(entry_model& entry, const claim_holder& holder, milliseconds wait,
+                       std::function<void(std::optional<job_reply>)> done);
+  void pump_claims(entry_model& entry);
+  void read_logs(entry_model& entry);
+  void apply_catalogue(entry_model& entry);
+
+  // Agents.
+  void start_agent(agent_model& agent);
+  agent_session* find_session(agent_model& agent, const entry_key& key, slot_session& id);
+  void open_session(agent_model& agent, entry_model& entry, const session_key& key,
+                    const session_hello& hello, const connection_ptr& wire);
+  void close_session(agent_model& agent, slot_session id);
+  void on_dispatch(agent_model& agent, const connection_ptr& wire, frame received);
+  void refuse(agent_model& agent, const connection_ptr& wire, const frame& received, reason why,
+              std::uint32_t credits);
+  void send_result(agent_model& agent, const agent_session& session, const result& sent);
+  void end_task(agent_model& agent, slot_ticket ticket, upstream_outcome outcome);
+  result result_of(agent_model& agent, const entry_key& key, std::uint64_t sequence);
+  void apply(agent_model& agent, const slot_actions& actions);
+  void set_upstream(agent_model& agent, bool announced);
+  agent_description describe(const agent_model& agent) const {
+    const bool serves = agent.announced;
+    return {agent.name, "zone", {"check", "draft", "flood"}, serves ? agent_slots : 0, 8, 4096};
+  }
+
+  // Callers, operators and faults.
+  void submit(std::size_t number, unsigned entry);
+  void on_caller_reply(const uuid& id, const job_reply& reply);
+  void call();
+  void publish();
+  void inject_fault();
+  void check();
+  void check_end();
+
+  std::mt19937_64 random_;
+  const monotonic_time begin_ = at_ms(0);
+  monotonic_time now_ = begin_;
+  std::uint64_t order_ = 0;
+  std::priority_queue<event, std::vector<event>, later> queue_;
+  session_settings settings_;
+  std::vector<std::unique_ptr<entry_model>> entries_;
+  std::vector<std::unique_ptr<agent_model>> agents_;
+  std::vector<log_record> claim_log_;
+  std::vector<log_record> catalogue_log_;
+  catalogue_replica reference_;
+  std::map<std::uint64_t, std::uint64_t> digests_;
+  monotonic_time log_down_until_{};
+  std::vector<request> requests_;
+  std::map<uuid, submission> submissions_;
+  unsigned next_id_ = 1;
+  uuid last_id_;
+  totals totals_;
+};
+
+// Entries.
+
+void history::start_entry(entry_model& entry) {
+  for (auto& [name, old] : entry.links) {
+    break_connection(entry, name);
+  }
+  ++entry.start;
+  entry.frozen_until = {};
+  entry.incarnation = ++order_;
+  entry.links.clear();
+  entry.in_flight.clear();
+  entry.decisions.reset();
+  entry.numbers = std::make_unique<sequence_allocator>();
+  claimant_options claims;
+  claims.entry_name = "entry" + std::to_string(entry.index);
+  claims.entry_address = "127.0.0.1:" + std::to_string(entry.index + 1);
+  entry.claims = std::make_unique<claimant>(claims, 1);
+  dispatcher_options options;
+  options.entry_slot = entry.index + 1;
+  options.entry_slots = entry_count;
+  options.make_submission_id = [this] { return last_id_ = test_id(1000 + next_id_++); };
+  entry.decisions = std::make_unique<dispatcher>(
+      options, selected_policy::make("credits", 1).value(), entry, entry, entry);
+  entry.catalogue = catalogue_replica();
+  entry.in_force.clear();
+  entry.limits.clear();
+  entry.reading_claims = entry.reading_catalogue = false;
+  const auto& peer = *entries_.at((entry.index + 1) % entry_count);
+  if (&peer != &entry && chance(0.5)) {
+    entry.catalogue.install(peer.catalogue.snapshot());
+    apply_catalogue(entry);
+  }
+  at(now_, &entry, [this, &entry] { tick_entry(entry); });
+}
+
+void history::tick_entry(entry_model& entry) {
+  entry.decisions->tick(now_);
+  for (const auto& agent : agents_) {
+    if (!entry.links.contains(agent->name) && agent->frozen_until <= now_) {
+      entry.links.emplace(agent->name, std::make_unique<link>(settings_, *entry.numbers));
+      open_link(entry, agent->name);
+    } else if (entry.links.contains(agent->name)) {
+      tick_link(entry, agent->name);
+    }
+  }
+  pump_claims(entry);
+  read_logs(entry);
+  at(now_ + tick_interval, &entry, [this, &entry] { tick_entry(entry); });
+}
+
+void history::tick_link(entry_model& entry, const std::string& name) {
+  auto& target = *entry.links.at(name);
+  switch (target.ledger.next_action(now_)) {
+  case session_action::none:
+    return;
+  case session_action::probe: {
+    auto& agent = agent_named(name);
+    const auto numbers = target.ledger.take_acknowledgements();
+    send(target.wire, 0, agent,
+         [this, &entry, &agent, name, numbers, wire = target.wire, counter = target.counter,
+          key = entry_key{claimant_options{}.entry_name, 0}, from = entry.index,
+          incarnation = entry.incarnation] {
+           agent.commits->acknowledge({"entry" + std::to_string(from), incarnation}, numbers);
+           send(wire, 1, entry, [this, &entry, name, counter] {
+             if (auto* alive = current_link(entry, name, counter)) {
+               alive->ledger.on_frame_received(now_);
+             }
+           });
+         });
+    return;
+  }
+  case session_action::reopen:
+    open_link(entry, name);
+    return;
+  case session_action::declare_lost:
+    break;
+  }
+  const auto lost = target.ledger.lose();
+  entry.links.erase(name);
+  entry.decisions->on_agent_lost(name);
+  for (const auto& sent : lost) {
+    give_outcome(entry, name, sent, nullptr);
+  }
+}
+
+void history::open_link(entry_model& entry, const std::string& name) {
+  auto& target = *entry.links.at(name);
+  entry.decisions->on_session_suspended(name);
+  const auto hello = target.ledger.hello(now_);
+  target.counter = hello.counter;
+  target.session = 0;
+  target.wire = std::make_shared<connection>();
+  if (faults() && chance(0.1)) {
+    target.wire->silent = true;
+  }
+  auto& agent = agent_named(name);
+  const session_key key{{"entry" + std::to_string(entry.index), entry.incarnation}, hello.counter};
+  send(target.wire, 0, agent, [this, &agent, &entry, key, hello, wire = target.wire] {
+    open_session(agent, entry, key, hello, wire);
+  });
+}
+
+history::link* history::current_link(entry_model& entry, const std::string& name,
+                                     std::uint64_t counter) {
+  const auto found = entry.links.find(name);
+  return found != entry.links.end() && found->second->counter == counter ? found->second.get()
+                                                                         : nullptr;
+}
+
+void history::break_connection(entry_model& entry, const std::string& name) {
+  auto& target = *entry.links.at(name);
+  if (target.wire == nullptr || target.wire->broken) {
+    return;
+  }
+  target.wire->broken = true;
+  at(now_ + delay(), &entry, [this, &entry, name, counter = target.counter] {
+    if (auto* broken = current_link(entry, name, counter)) {
+      broken->session = 0;
+      broken->ledger.on_disconnected(now_);
+      entry.decisions->on_session_suspended(name);
+    }
+  });
+  auto& agent = agent_named(name);
+  at(now_ + delay(20'000), &agent, [this, &agent, wire = target.wire] {
+    for (const auto& [id, session] : agent.sessions) {
+      if (session.wire == wire) {
+        agent.commits->lose_session(session.key, now_);
+        close_session(agent, id);
+        return;
+      }
+    }
+  });
+}
+
+void history::on_reply(entry_model& entry, const std::string& name, std::uint64_t counter,
+                       std::uint64_t incarnation, slot_session session,
+                       const std::vector<result>& resumed, std::uint32_t credits) {
+  auto* target = current_link(entry, name, counter);
+  if (target == nullptr) {
+    return;
+  }
+  std::vector<resumed_entry> states;
+  std::map<std::uint64_t, const result*> results;
+  for (const auto& each : resumed) {
+    states.push_back({each.sequence, each.state});
+    results.emplace(each.sequence, &each);
+  }
+  target->session = session;
+  const auto outcomes = target->ledger.resume(counter, incarnation, states, now_);
+  auto& agent = agent_named(name);
+  entry.decisions->on_session_opened(describe(agent), counter, credits, now_);
+  for (const auto& outcome : outcomes) {
+    const auto sequence = outcome.dispatch.sequence;
+    const bool known = outcome.state != resumed_state::unknown && results.contains(sequence);
+    if (outcome.state != resumed_state::running) {
+      give_outcome(entry, name, outcome.dispatch, known ? results.at(sequence) : nullptr);
+      continue;
+    }
+    // Collects the result of a task that runs.
+    send(target->wire, 0, agent,
+         [this, &agent, wire = target->wire, session, sequence,
+          key = entry_key{"entry" + std::to_string(entry.index), entry.incarnation}] {
+           for (auto& [ticket, task] : agent.tasks) {
+             if (task.received.sequence == sequence && task.received.key.entry == key) {
+               task.waiter = session;
+               return;
+             }
+           }
+           const auto found = agent.sessions.find(session);
+           if (found != agent.sessions.end()) {
+             send_result(agent, found->second, result_of(agent, key, sequence));
+           }
+         });
+  }
+}
+
+void history::on_result(entry_model& entry, const std::string& name, std::uint64_t counter,
+                        const result& received) {
+  auto* target = current_link(entry, name, counter);
+  if (target == nullptr) {
+    return;
+  }
+  target->ledger.on_frame_received(now_);
+  const bool held =
+      received.state == resumed_state::finished || received.state == resumed_state::failed;
+  if (const auto sent = target->ledger.finish(received.sequence, held)) {
+    give_outcome(entry, name, *sent, &received);
+  }
+  entry.decisions->on_credits(name, counter, received.credits, now_);
+}
+
+void history::give_outcome(entry_model& entry, const std::string& name,
+                           const outstanding_dispatch& sent, const result* received) {
+  dispatch_outcome outcome;
+  outcome.why = {reason::agent_lost, step::resume, name, "nothing is known of the task"};
+  if (received != nullptr && received->state != resumed_state::unknown) {
+    outcome.state = received->state == resumed_state::finished ? outcome_state::finished
+                    : received->state == resumed_state::failed ? outcome_state::failed
+                                                               : outcome_state::not_run;
+    outcome.answer = received->outcome.answer;
+    outcome.why = received->outcome.why;
+    outcome.run_time = received->outcome.run_time;
+  }
+  entry.in_flight.erase({sent.submission, sent.task.index, sent.task.attempt});
+  entry.decisions->on_outcome(sent.submission, sent.task, std::move(outcome), now_);
+}
+
+bool history::send_dispatch(entry_model& entry, const task_dispatch& sent) {
+  auto& target = *entry.links.at(sent.agent);
+  if (target.session == 0) {
+    return false;
+  }
+  const auto sequence = target.ledger.dispatch(sent.submission, sent.task, now_);
+  if (!sequence) {
+    return false;
+  }
+  entry.in_flight[{sent.submission, sent.task.index, sent.task.attempt}] = {
+      sent.kind, entry.limits.at("kind " + sent.kind), entry.limits.at("owner desk")};
+  frame message;
+  message.key = {{"entry" + std::to_string(entry.index), entry.incarnation}, target.counter};
+  message.session = target.session;
+  message.sequence = *sequence;
+  message.id = sent.submission;
+  message.index = sent.task.index;
+  message.kind = sent.kind;
+  message.revision = sent.revision;
+  message.budget = sent.budget;
+  message.waiting = {sent.waiting.key, sent.waiting.waiting};
+  message.payload = *sent.payload;
+  auto& agent = agent_named(sent.agent);
+  const auto numbers = target.ledger.take_acknowledgements();
+  send(target.wire, 0, agent, [this, &agent, wire = target.wire, message, numbers] {
+    agent.commits->acknowledge(message.key.entry, numbers);
+    on_dispatch(agent, wire, message);
+  });
+  return true;
+}
+
+void history::send_cancel(entry_model& entry, const std::string& name, const uuid& id) {
+  const auto found = entry.links.find(name);
+  if (found == entry.links.end() || found->second->session == 0) {
+    return;
+  }
+  auto& target = *found->second;
+  auto& agent = agent_named(name);
+  const session_key key{{"entry" + std::to_string(entry.index), entry.incarnation}, target.counter};
+  send(target.wire, 0, agent, [this, &agent, key, sequences = target.ledger.sequences_of(id)] {
+    for (const auto sequence : sequences) {
+      if (agent.commits->cancel(key, sequence) != cancel_result::running) {
+        continue;
+      }
+      for (const auto& [ticket, task] : agent.tasks) {
+        if (task.received.sequence == sequence && task.received.key.entry == key.entry) {
+          at(now_ + delay(), &agent, [this, &agent, ticket] {
+            end_task(agent, ticket,
+                     {task_end::failed, "", {reason::cancelled, step::run, agent.name, ""}});
+          });
+        }
+      }
+    }
+  });
+}
+
+void history::send_want(entry_model& entry, const std::string& name, demand waiting) {
+  const auto found = entry.links.find(name);
+  if (found == entry.links.end() || found->second->session == 0) {
+    return;
+  }
+  auto& target = *found->second;
+  auto& agent = agent_named(name);
+  send(target.wire, 0, agent,
+       [this, &entry, &agent, name, waiting, wire = target.wire, counter = target.counter,
+        session = target.session] {
+         if (!agent.sessions.contains(session)) {
+           return;
+         }
+         const auto actions = agent.slots->want(session, {waiting.key, waiting.waiting});
+         apply(agent, actions);
+         send(wire, 1, entry, [this, &entry, name, counter, credits = actions.own_credits] {
+           if (auto* alive = current_link(entry, name, counter)) {
+             alive->ledger.on_frame_received(now_);
+             entry.decisions->on_credits(name, counter, credits, now_);
+           }
+         });
+       });
+}
+
+void history::send_give_back(entry_model& entry, const std::string& name, std::uint32_t credits) {
+  const auto found = entry.links.find(name);
+  if (found == entry.links.end() || found->second->session == 0) {
+    return;
+  }
+  auto& agent = agent_named(name);
+  send(found->second->wire, 0, agent, [this, &agent, credits, session = found->second->session] {
+    if (agent.sessions.contains(session)) {
+      apply(agent, agent.slots->give_back(session, credits));
+    }
+  });
+}
+
+void history::fetch_from_peer(entry_model& entry, const claim_holder& holder, milliseconds wait,
+                              std::function<void(std::optional<job_reply>)> done) {
+  auto& peer = *entries_.at(static_cast<std::size_t>(holder.entry_address.back() - '1'));
+  auto pending = std::make_shared<bool>(true);
+  const auto finish = [pending, done](std::optional<job_reply> reply) {
+    if (std::exchange(*pending, false)) {
+      done(std::move(reply));
+    }
+  };
+  at(now_ + wait + milliseconds(100), &entry, [finish] { finish(std::nullopt); });
+  at(now_ + delay(), &peer, [this, &entry, &peer, finish, id = holder.submission, wait] {
+    const auto answer = [this, &entry, finish](const job_reply& reply) {
+      at(now_ + delay(), &entry, [finish, reply] { finish(reply); });
+    };
+    if (!peer.decisions->fetch(id, wait > milliseconds(0), answer)) {
+      at(now_ + delay(), &entry, [finish] { finish(std::nullopt); });
+    }
+  });
+}
+
+void history::pump_claims(entry_model& entry) {
+  for (const auto& decision : entry.claims->expire(now_)) {
+    entry.decisions->on_claim(decision, now_);
+  }
+  auto batch = entry.claims->next_batch(now_);
+  if (!batch) {
+    return;
+  }
+  const bool in_doubt = faults() && chance(0.15);
+  const bool takes_effect = !in_doubt || chance(0.7);
+  const auto append_at = now_ + delay() + milliseconds(in_doubt ? pick(0, 300) : 0);
+  auto offset = std::make_shared<std::uint64_t>(0);
+  at(append_at, nullptr, [this, offset, takes_effect, payload = std::move(batch->payload)] {
+    if (takes_effect && now_ >= log_down_until_) {
+      claim_log_.push_back({claim_log_.size() + 1, wall(), payload});
+      *offset = claim_log_.size();
+    }
+  });
+  const auto reply_at = in_doubt ? now_ + milliseconds(30) : append_at + delay();
+  at(reply_at, &entry, [this, &entry, offset, in_doubt] {
+    if (in_doubt || *offset == 0) {
+      entry.claims->on_append_error(now_);
+    } else {
+      entry.claims->on_append_ok(*offset);
+    }
+    pump_claims(entry);
+  });
+}
+
+void history::read_logs(entry_model& entry) {
+  if (!std::exchange(entry.reading_claims, true)) {
+    at(now_ + delay(), nullptr, [this, &entry, start = entry.start] {
+      std::vector<log_record> records;
+      const bool up = now_ >= log_down_until_;
+      if (up && start == entry.start) {
+        const auto from = entry.claims->table().next_offset() - 1;
+        const auto count = std::min<std::size_t>(claim_log_.size() - from, 20);
+        records.assign(claim_log_.begin() + static_cast<long>(from),
+                       claim_log_.begin() + static_cast<long>(from + count));
+      }
+      at(now_ + delay(), &entry, [this, &entry, up, records = std::move(records)] {
+        entry.reading_claims = false;
+        if (!up) {
+          return;
+        }
+        for (const auto& decision : entry.claims->on_records(records, now_)) {
+          entry.decisions->on_claim(decision, now_);
+        }
+        pump_claims(entry);
+      });
+    });
+  }
+  if (now_ < log_down_until_ || std::exchange(entry.reading_catalogue, true)) {
+    return;
+  }
+  at(now_ + delay(40'000), &entry, [this, &entry, end = catalogue_log_.size()] {
+    entry.reading_catalogue = false;
+    // Sometimes records arrive a second time.
+    const auto known = static_cast<std::size_t>(entry.catalogue.applied());
+    const auto from = chance(0.2) ? 0 : std::min(known, end);
+    entry.catalogue.apply(std::span(catalogue_log_).subspan(from, end - from));
+    require(entry.catalogue.applied() >= known, "a catalogue replica moved back");
+    apply_catalogue(entry);
+  });
+}
+
+// Passes on what changed, as the entry process does.
+void history::apply_catalogue(entry_model& entry) {
+  const auto offset = entry.catalogue.applied();
+  const auto digest = entry.catalogue.state_digest();
+  require(digests_.try_emplace(offset, digest).first->second == digest,
+          "catalogue replicas with the same offset differ");
+  if (offset == 0) {
+    return;
+  }
+  entry.decisions->set_catalogue_known();
+  auto gone = entry.in_force;
+  for (const auto& item : entry.catalogue.list()) {
+    const auto& subject = item.entry.subject;
+    gone.erase(subject);
+    if (std::exchange(entry.in_force[subject], item.revision) == item.revision) {
+      continue;
+    }
+    if (const auto* kind = std::get_if<kind_definition>(&item.entry.value)) {
+      entry.limits[to_string(subject)] = kind->limits.in_flight;
+      entry.decisions->set_kind(subject.name, *kind, item.revision, now_);
+    } else if (const auto* owner = std::get_if<owner_quota>(&item.entry.value)) {
+      entry.limits[to_string(subject)] = owner->in_flight;
+      entry.decisions->set_owner(subject.name, *owner, now_);
+    }
+  }
+  for (const auto& [subject, revision] : gone) {
+    entry.in_force.erase(subject);
+    entry.decisions->remove_kind(subject.name, entry.catalogue.revision(subject));
+  }
+  for (const auto& [name, target] : entry.links) {
+    auto& agent = agent_named(name);
+    if (target->session != 0) {
+      send(target->wire, 0, agent, [&agent, revisions = entry.in_force] {
+        for (const auto& [subject, revision] : revisions) {
+          auto& known = agent.revisions[subject.name];
+          known = std::max(known, revision);
+        }
+      });
+    }
+  }
+}
+
+// Agents.
+
+void history::start_agent(agent_model& agent) {
+  for (const auto& entry : entries_) {
+    if (entry->links.contains(agent.name)) {
+      break_connection(*entry, agent.name);
+    }
+  }
+  ++agent.start;
+  agent.frozen_until = {};
+  agent.incarnation = ++order_;
+  agent.commits = std::make_unique<commit_table>(agent.incarnation);
+  agent.slots = std::make_unique<slot_ledger>();
+  agent.sessions.clear();
+  agent.tasks.clear();
+  agent.revisions.clear();
+  agent.announced = true;
+  agent.slots->resize(agent_slots, entry_count);
+}
+
+void history::open_session(agent_model& agent, entry_model& entry, const session_key& key,
+                           const session_hello& hello, const connection_ptr& wire) {
+  const auto opening = agent.commits->open_session(key, hello.agent_incarnation, hello.outstanding,
+                                                   hello.acknowledged, now_);
+  if (!opening.accepted) {
+    return;
+  }
+  for (const auto& [id, session] : agent.sessions) {
+    if (session.key.entry == key.entry) {
+      close_session(agent, id);
+      break;
+    }
+  }
+  const auto id = agent.next_session++;
+  agent.sessions.emplace(id, agent_session{key, entry.index, wire});
+  const auto actions = agent.slots->open(id, entry_count);
+  std::vector<result> resumed;
+  for (const auto& task : opening.tasks) {
+    auto report = result_of(agent, key.entry, task.sequence);
+    if (task.state == resume_state::sealed) {
+      report.state = resumed_state::not_run;
+      report.outcome.why = {reason::sealed, step::resume, agent.name, ""};
+    }
+    resumed.push_back(std::move(report));
+  }
+  send(wire, 1, entry,
+       [this, &entry, name = agent.name, counter = key.counter, incarnation = agent.incarnation, id,
+        resumed, credits = actions.own_credits] {
+         on_reply(entry, name, counter, incarnation, id, resumed, credits);
+       });
+}
+
+void history::close_session(agent_model& agent, slot_session id) {
+  agent.sessions.erase(id);
+  apply(agent, agent.slots->close(id));
+}
+
+history::result history::result_of(agent_model& agent, const entry_key& key,
+                                   std::uint64_t sequence) {
+  result known{sequence, resumed_state::unknown, {}, 0};
+  if (agent.commits->is_running(key, sequence)) {
+    known.state = resumed_state::running;
+  } else if (const auto* outcome = agent.commits->outcome(key, sequence)) {
+    known.outcome = *outcome;
+    known.state = outcome->end == task_end::finished ? resumed_state::finished
+                  : outcome->end == task_end::failed ? resumed_state::failed
+                                                     : resumed_state::not_run;
+  }
+  return known;
+}
+
+void history::send_result(agent_model& agent, const agent_session& session, const result& sent) {
+  auto& entry = *entries_.at(session.entry);
+  send(session.wire, 1, entry,
+       [this, &entry, name = agent.name, counter = session.key.counter, sent] {
+         on_result(entry, name, counter, sent);
+       });
+}
+
+void history::refuse(agent_model& agent, const connection_ptr& wire, const frame& received,
+                     reason why, std::uint32_t credits) {
+  const agent_session from{received.key,
+                           static_cast<unsigned>(received.key.entry.name.back() - '0'), wire};
+  const failure cause{why, step::dispatch, agent.name, ""};
+  send_result(agent, from,
+              {received.sequence, resumed_state::not_run, {task_end::not_run, "", cause}, credits});
+}
+
+void history::on_dispatch(agent_model& agent, const connection_ptr& wire, frame received) {
+  const auto& key = received.key;
+  const auto session = received.session;
+  if (!agent.commits->is_current(key) || !agent.sessions.contains(session)) {
+    refuse(agent, wire, received, reason::stale_session, 0);
+    return;
+  }
+  auto why = reason::none;
+  if (!agent.announced) {
+    why = reason::upstream_absent;
+  } else if (received.revision < agent.revisions[received.kind]) {
+    why = reason::stale_revision;
+  } else {
+    agent.revisions[received.kind] = received.revision;
+    why = agent.commits->accept(key, received.sequence);
+  }
+  if (why != reason::none) {
+    refuse(agent, wire, received, why, agent.slots->refuse(session));
+    return;
+  }
+  const auto ticket = agent.next_ticket++;
+  slot_actions actions;
+  const auto taken = agent.slots->dispatch(session, ticket, received.waiting, false, actions);
+  if (taken != slot_result::slot_taken) {
+    agent.commits->cancel(key, received.sequence);
+    apply(agent, actions);
+    refuse(agent, wire, received, reason::no_free_slot, 0);
+    return;
+  }
+  if (!agent.commits->start(key, received.sequence, now_, now_ + received.budget)) {
+    const auto ended = agent.slots->end_task(session);
+    refuse(agent, wire, received, reason::budget_exhausted, ended.own_credits);
+    apply(agent, actions);
+    apply(agent, ended);
+    return;
+  }
+  auto& started = submissions_.at(received.id);
+  require(agent.announced, "a task started without an announced upstream");
+  require(!started.not_run, "a task of a submission that was reported as not run started");
+  upstream_outcome outcome{
+      task_end::finished, "answer to " + received.payload, {}, milliseconds(5)};
+  auto time = delay(60'000);
+  if (faults() && chance(0.04)) {
+    // No byte reached the upstream.
+    outcome = {task_end::not_run, "", {reason::connect_failed, step::start, agent.name, ""}, {}};
+  } else {
+    ++totals_.starts;
+    require(started.started.insert(received.index).second, "a task of a submission started twice");
+    auto& origin = requests_.at(started.request);
+    require(!origin.key || origin.runner.value_or(received.id) == received.id,
+            "two submissions ran the same request key");
+    origin.runner = received.id;
+    if (faults() && chance(0.02)) {
+      outcome = {task_end::failed, "", {reason::task_failed, step::run, agent.name, ""}, {}};
+    } else if (faults() && chance(0.01)) {
+      time = received.budget;
+      outcome = {task_end::failed, "", {reason::deadline_exceeded, step::run, agent.name, ""}, {}};
+    }
+  }
+  agent.tasks.emplace(ticket, agent_task{std::move(received), session});
+  at(now_ + time, &agent, [this, &agent, ticket, outcome] { end_task(agent, ticket, outcome); });
+  apply(agent, actions);
+}
+
+void history::end_task(agent_model& agent, slot_ticket ticket, upstream_outcome outcome) {
+  const auto found = agent.tasks.find(ticket);
+  if (found == agent.tasks.end()) {
+    return;
+  }
+  const auto task = std::move(found->second);
+  agent.tasks.erase(found);
+  const auto& key = task.received.key.entry;
+  agent.commits->finish(key, task.received.sequence, std::move(outcome));
+  const auto waiting = agent.sessions.find(task.waiter);
+  const auto actions = agent.slots->end_task(waiting == agent.sessions.end() ? 0 : task.waiter);
+  if (waiting != agent.sessions.end()) {
+    auto sent = result_of(agent, key, task.received.sequence);
+    sent.credits = actions.own_credits;
+    send_result(agent, waiting->second, sent);
+  }
+  apply(agent, actions);
+}
+
+void history::apply(agent_model& agent, const slot_actions& actions) {
+  for (const auto& change : actions.grants) {
+    const auto& session = agent.sessions.at(change.session);
+    auto& entry = *entries_.at(session.entry);
+    send(session.wire, 1, entry,
+         [this, &entry, name = agent.name, counter = session.key.counter, n = change.credits] {
+           if (current_link(entry, name, counter) != nullptr) {
+             entry.decisions->on_credits(name, counter, n, now_);
+           }
+         });
+  }
+  for (const auto& change : actions.recalls) {
+    const auto& session = agent.sessions.at(change.session);
+    auto& entry = *entries_.at(session.entry);
+    const auto asked = change.credits;
+    auto pending = std::make_shared<bool>(true);
+    const auto finish = [this, &agent, pending, id = change.session, asked](std::uint32_t given) {
+      if (std::exchange(*pending, false)) {
+        apply(agent, agent.slots->recall_answered(id, asked, given));
+      }
+    };
+    at(now_ + recall_timeout, &agent, [finish, asked] { finish(asked); });
+    send(session.wire, 1, entry,
+         [this, &entry, &agent, finish, asked, wire = session.wire, name = agent.name,
+          counter = session.key.counter] {
+           const auto given = current_link(entry, name, counter) == nullptr
+                                  ? 0
+                                  : entry.decisions->on_recall(name, counter, asked);
+           send(wire, 0, agent, [finish, given] { finish(given); });
+         });
+  }
+}
+
+void history::set_upstream(agent_model& agent, bool announced) {
+  if (std::exchange(agent.announced, announced) == announced) {
+    return;
+  }
+  for (const auto& [id, session] : agent.sessions) {
+    auto& entry = *entries_.at(session.entry);
+    send(session.wire, 1, entry,
+         [this, &entry, announced, counter = session.key.counter, info = describe(agent)] {
+           if (current_link(entry, info.name, counter) == nullptr) {
+             return;
+           }
+           if (announced) {
+             entry.decisions->on_agent_changed(info, now_);
+           } else {
+             entry.decisions->on_agent_leaving(info.name, counter);
+           }
+         });
+  }
+  apply(agent, agent.slots->resize(announced ? agent_slots : 0, entry_count));
+}
+
+// Callers, operators and faults.
+
+void history::submit(std::size_t number, unsigned index) {
+  auto& entry = *entries_.at(index);
+  if (entry.frozen_until > now_) {
+    return;
+  }
+  const auto& asked = requests_.at(number);
+  caller_request job;
+  job.kind = asked.kind;
+  job.key = asked.key;
+  job.tasks = asked.tasks;
+  job.budget = milliseconds(pick(100, 1500));
+  const auto before = next_id_;
+  auto id = std::make_shared<uuid>(test_id(900'000'000 + static_cast<unsigned>(++order_)));
+  // The id is known after the call; tasks start by later events only.
+  auto known = std::make_shared<bool>(false);
+  auto first = std::make_shared<std::vector<job_reply>>();
+  entry.decisions->submit(std::move(job), now_, [this, id, known, first](const job_reply& reply) {
+    if (*known) {
+      on_caller_reply(*id, reply);
+    } else {
+      first->push_back(reply);
+    }
+  });
+  if (next_id_ != before) {
+    *id = last_id_;
+  }
+  *known = true;
+  submissions_.emplace(*id, submission{number, index, entry.start, 0, false, {}});
+  for (const auto& reply : *first) {
+    on_caller_reply(*id, reply);
+  }
+}
+
+void history::on_caller_reply(const uuid& id, const job_reply& reply) {
+  auto& target = submissions_.at(id);
+  require(++target.replies == 1, "a job was answered twice");
+  const auto has = [&reply](const char* text) {
+    return reply.body.find(text) != std::string::npos;
+  };
+  if (has("\"state\":\"complete\"")) {
+    ++totals_.complete;
+    std::vector<std::string> answers;
+    for (const auto& task : requests_.at(target.request).tasks) {
+      answers.push_back("answer to " + task);
+    }
+    const auto expected = make_complete_reply("", answers).body;
+    const auto length = expected.find("\"submission\"");
+    require(reply.body.substr(0, length) == expected.substr(0, length),
+            "a job was completed with other answers than its own");
+    return;
+  }
+  if (!has("\"run\":\"not_run\"")) {
+    ++totals_.may_have_run;
+    return;
+  }
+  ++totals_.not_run;
+  // The reply names the submission that it speaks of; a refused request has none.
+  constexpr std::size_t id_length = 36;
+  const auto position = reply.body.find("\"submission\":\"");
+  const auto named = uuid::parse(reply.body.substr(position + 14, id_length));
+  auto& subject = named ? submissions_.at(*named) : target;
+  require(subject.started.empty(), "a submission that started was reported as not run");
+  subject.not_run = true;
+}
+
+void history::call() {
+  const auto entry = static_cast<unsigned>(pick(0, entry_count - 1));
+  if (!requests_.empty() && chance(0.3)) {
+    // A caller that waited too long asks again, at any entry.
+    const auto number = pick(requests_.size() < 8 ? 0 : requests_.size() - 8, requests_.size() - 1);
+    totals_.duplicates += requests_.at(number).key ? 1 : 0;
+    submit(number, entry);
+    return;
+  }
+  const auto number = static_cast<unsigned>(requests_.size());
+  request fresh;
+  fresh.kind = chance(0.4) ? "draft" : chance(0.6) ? "check" : "flood";
+  if (fresh.kind == "draft") {
+    fresh.key = test_id(number).to_string();
+  }
+  const auto tasks = pick(1, fresh.kind == "flood" ? 12 : 4);
+  for (std::uint64_t i = 0; i < tasks; ++i) {
+    fresh.tasks.push_back(std::to_string(number) + "/" + std::to_string(i));
+  }
+  requests_.push_back(std::move(fresh));
+  submit(number, entry);
+}
+
+void history::publish() {
+  catalogue_change change;
+  change.id = test_id(500'000 + static_cast<unsigned>(catalogue_log_.size()));
+  change.operator_name = "operator";
+  const auto index = catalogue_log_.size();
+  const char* names[] = {"check", "draft", "flood"};
+  const bool first = index < 4;
+  const auto subject = first ? index : pick(0, 3);
+  if (subject == 3) {
+    change.subject = {subject_type::owner, "desk"};
+    change.value = owner_quota{static_cast<std::uint32_t>(first ? 8 : pick(2, 12)), 100'000};
+  } else {
+    change.subject = {subject_type::kind, names[subject]};
+    kind_definition kind;
+    kind.owner = "desk";
+    kind.idempotent = subject != 1;
+    kind.limits = {static_cast<std::uint32_t>(first ? 6 : pick(2, 9)), 300, 100'000, 50,
+                   milliseconds(2000)};
+    if (first || !chance(subject == 2 ? 0.5 : 0.1)) {
+      change.value = kind;
+    }
+  }
+  const auto base = reference_.revision(change.subject);
+  change.base = !first && base > 0 && chance(0.2) ? base - 1 : base;
+  auto payload = encode_change(change);
+  if (!first && chance(0.15)) {
+    payload.resize(pick(0, payload.size()));
+  }
+  catalogue_log_.push_back({index + 1, wall(), payload});
+  reference_.apply(std::span(catalogue_log_).subspan(index));
+  digests_.emplace(reference_.applied(), reference_.state_digest());
+}
+
+void history::inject_fault() {
+  auto& entry = *entries_.at(pick(0, entry_count - 1));
+  auto& agent = *agents_.at(pick(0, agent_count - 1));
+  const auto found = entry.links.find(agent.name);
+  const auto wire = found == entry.links.end() ? nullptr : found->second->wire;
+  switch (pick(0, 11)) {
+  case 0:
+    start_entry(entry);
+    return;
+  case 1:
+    start_agent(agent);
+    return;
+  case 2:
+    entry.frozen_until = now_ + milliseconds(pick(10, 1500));
+    return;
+  case 3:
+    agent.frozen_until = now_ + milliseconds(pick(10, 1500));
+    return;
+  case 4:
+  case 5:
+    if (wire != nullptr) {
+      break_connection(entry, agent.name);
+    }
+    return;
+  case 6:
+    if (wire != nullptr) {
+      wire->silent = true;
+    }
+    return;
+  case 7:
+    if (wire != nullptr) {
+      wire->stalled_until = now_ + milliseconds(pick(100, 2500));
+    }
+    return;
+  case 8:
+    log_down_until_ = now_ + milliseconds(pick(20, 600));
+    return;
+  case 9:
+    set_upstream(agent, !agent.announced);
+    return;
+  case 10:
+    publish();
+    return;
+  default:
+    break;
+  }
+  std::vector<uuid> open;
+  for (const auto& [id, each] : submissions_) {
+    if (each.entry == entry.index && each.entry_start == entry.start && each.replies == 0) {
+      open.push_back(id);
+    }
+  }
+  for (const auto& id : open) {
+    if (entry.frozen_until <= now_ && chance(0.5)) {
+      entry.decisions->cancel(id, now_, [](const job_reply&) {});
+    }
+  }
+}
+
+void history::check() {
+  std::map<std::string, std::size_t> running;
+  std::map<std::string, std::size_t> limit;
+  for (const auto& entry : entries_) {
+    require(entry->decisions->accounts().balances(), "an account does not balance");
+    require(entry->in_flight.size() == entry->decisions->tasks_in_flight(),
+            "the count of tasks in flight is wrong");
+    for (const auto& [key, sent] : entry->in_flight) {
+      // Tasks that were sent under a larger limit may still run after it was lowered.
+      auto& kind_limit = limit["kind " + sent.kind];
+      auto& owner_limit = limit["owner desk"];
+      kind_limit = std::max<std::size_t>(kind_limit, sent.kind_limit);
+      owner_limit = std::max<std::size_t>(owner_limit, sent.owner_limit);
+      ++running["kind " + sent.kind];
+      ++running["owner desk"];
+    }
+  }
+  for (const auto& [name, count] : running) {
+    require(count <= limit.at(name), "more tasks in flight than the limit of " + name);
+  }
+  for (const auto& agent : agents_) {
+    const auto& slots = *agent->slots;
+    require(slots.granted() == 0 || slots.granted() + slots.running() <= slots.slots(),
+            "more credits and running tasks than slots");
+    require(slots.running() == agent->tasks.size(), "the count of running tasks is wrong");
+  }
+}
+
+void history::check_end() {
+  for (const auto& entry : entries_) {
+    require(entry->decisions->open_jobs() == 0, "a job never ended");
+    require(entry->decisions->tasks_in_flight() == 0, "a task stays in flight");
+    require(entry->decisions->waiting_tasks() == 0, "a task of an ended job waits");
+    require(entry->claims->idle(), "a claim stays undecided");
+    require(entry->catalogue.applied() == catalogue_log_.size(), "a replica is behind");
+  }
+  for (const auto& [id, each] : submissions_) {
+    const bool lost = entries_.at(each.entry)->start != each.entry_start;
+    require(lost || each.replies == 1, "a caller was never answered");
+  }
+  for (const auto& agent : agents_) {
+    require(agent->commits->running() == 0, "an agent counts a task that has ended");
+  }
+}
+
+totals history::run() {
+  for (unsigned i = 0; i < agent_count; ++i) {
+    agents_.push_back(std::make_unique<agent_model>());
+    agents_.back()->name = "agent" + std::to_string(i);
+    start_agent(*agents_.back());
+  }
+  for (unsigned i = 0; i < entry_count; ++i) {
+    entries_.push_back(std::make_unique<entry_model>(*this, i));
+  }
+  for (auto& entry : entries_) {
+    start_entry(*entry);
+  }
+  for (int i = 0; i < 4; ++i) {
+    publish();
+  }
+  for (auto when = begin_ + milliseconds(100); when < begin_ + fault_time; when += delay(40'000)) {
+    at(when, nullptr, [this] { call(); });
+  }
+  for (auto when = begin_ + milliseconds(200); when < begin_ + fault_time; when += delay(120'000)) {
+    at(when, nullptr, [this] { inject_fault(); });
+  }
+  at(begin_ + fault_time, nullptr, [this] {
+    for (auto& agent : agents_) {
+      set_upstream(*agent, true);
+    }
+  });
+  while (!queue_.empty() && queue_.top().when < begin_ + total_time) {
+    auto next = queue_.top();
+    queue_.pop();
+    if (next.target != nullptr && next.target->start != next.start) {
+      continue;
+    }
+    if (next.target != nullptr && next.target->frozen_until > next.when) {
+      next.when = next.target->frozen_until;
+      next.order = ++order_;
+      queue_.push(std::move(next));
+      continue;
+    }
+    now_ = next.when;
+    next.action();
+    check();
+  }
+  check_end();
+  return totals_;
+}
+
+TEST_CASE("decisions keep their promises in random histories of faults") {
+  // Guards against tasks that start twice, untrue refusals, lost jobs and exceeded limits when
+  // connections, processes, the log, upstreams and callers fail in any combination.
+  const char* more = std::getenv("PARSLEYLEAD_HISTORIES");
+  const std::uint64_t seeds = more == nullptr ? 40 : std::strtoull(more, nullptr, 10);
+  totals sum;
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    CAPTURE(seed);
+    try {
+      const auto part = history(seed).run();
+      sum.complete += part.complete;
+      sum.not_run += part.not_run;
+      sum.may_have_run += part.may_have_run;
+      sum.starts += part.starts;
+      sum.duplicates += part.duplicates;
+    } catch (const violation& broken) {
+      FAIL_CHECK(broken.what());
+    }
+  }
+  MESSAGE(sum.complete << " complete, " << sum.not_run << " not run, " << sum.may_have_run
+                       << " may have run, " << sum.starts << " starts, " << sum.duplicates
+                       << " duplicates");
+  CHECK(sum.complete > 10 * seeds);
+  CHECK(sum.not_run > seeds);
+  CHECK(sum.may_have_run > seeds);
+}
+
+} // namespace
+} // namespace parsleylead
