--- a/src/platform_log/http_log_service.cpp
+++ b/src/platform_log/http_log_service.cpp
@@ -14,6 +14,9 @@
 namespace parsleylead {
 namespace {
 
+// The end of the year 9999. Later times would overflow in sums with durations.
+constexpr wall_time max_time{std::chrono::milliseconds(253'402'300'799'999)};
+
 using json = nlohmann::json;
 
 // Idle connections beyond this number are closed.
@@ -59,10 +62,33 @@
   if (!offset || !time || payload == object.end() || !payload->is_string()) {
     return std::nullopt;
   }
+  if (*time > static_cast<std::uint64_t>(max_time.time_since_epoch().count())) {
+    return std::nullopt;
+  }
   return log_record{*offset, wall_time(std::chrono::milliseconds(static_cast<std::int64_t>(*time))),
                     payload->get<std::string>()};
 }
 
+// Readers rely on these rules; an answer that breaks them could make a replica skip, repeat or
+// reorder records.
+bool is_consistent(const log_read_result& answer, std::uint64_t from) {
+  const auto first = std::max({from, answer.earliest, std::uint64_t{1}});
+  if (answer.records.empty()) {
+    return answer.next <= first;
+  }
+  if (answer.records.front().offset < first) {
+    return false;
+  }
+  auto expected = answer.records.front().offset;
+  for (const log_record& record : answer.records) {
+    if (record.offset != expected) {
+      return false;
+    }
+    ++expected;
+  }
+  return answer.next == expected;
+}
+
 std::optional<log_read_result> parse_read_answer(const std::string& body) {
   const json answer = json::parse(body, nullptr, false);
   if (!answer.is_object()) {
@@ -195,7 +221,7 @@
     return answer_error(*result, step::log_read, pool_->peer());
   }
   auto answer = parse_read_answer(result->body);
-  if (!answer) {
+  if (!answer || !is_consistent(*answer, from)) {
     return malformed_answer(step::log_read, pool_->peer());
   }
   return std::move(*answer);
