--- a/src/platform_log/http_log_service.cpp
+++ b/src/platform_log/http_log_service.cpp
@@ -86,7 +86,8 @@
     }
     ++expected;
   }
-  return answer.next == expected;
+  // Offsets that wrap around would let a replica start again.
+  return answer.next == expected && expected > first;
 }
 
 std::optional<log_read_result> parse_read_answer(const std::string& body) {
