--- a/include/parsleylead/entry/dispatcher.hpp
+++ b/include/parsleylead/entry/dispatcher.hpp
@@ -68,7 +68,7 @@
   bool fetch(const uuid& submission, bool wait, reply_callback reply);
 
   /// Ends a submission at its caller's request and gives its reply. False if it is unknown.
-  bool cancel(const uuid& submission, monotonic_time now, reply_callback reply);
+  bool cancel(const uuid& submission, monotonic_time now, const reply_callback& reply);
 
   /// The catalogue is known from here on.
   void set_catalogue_known() { catalogue_known_ = true; }
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -215,7 +215,7 @@
   return true;
 }
 
-bool dispatcher::cancel(const uuid& submission, monotonic_time now, reply_callback reply) {
+bool dispatcher::cancel(const uuid& submission, monotonic_time now, const reply_callback& reply) {
   job* target = jobs_.find(submission);
   if (target == nullptr) {
     return false;
@@ -311,12 +311,13 @@
         make_failure_reply(holder.submission.to_string(), run_truth::may_have_run, ended);
     auto waiters = std::exchange(submissions_.at(duplicate.id()).waiters, {});
     end_job(duplicate, now, expired);
-    peers_.fetch_job(holder, std::chrono::milliseconds(0),
-                     [waiters = std::move(waiters), expired](std::optional<job_reply> reply) {
-                       for (const auto& waiter : waiters) {
-                         waiter(reply.value_or(expired));
-                       }
-                     });
+    peers_.fetch_job(
+        holder, std::chrono::milliseconds(0),
+        [waiters = std::move(waiters), expired](const std::optional<job_reply>& reply) {
+          for (const auto& waiter : waiters) {
+            waiter(reply.value_or(expired));
+          }
+        });
     return;
   }
   auto waiters = std::exchange(submissions_.at(duplicate.id()).waiters, {});
@@ -328,7 +329,7 @@
     return;
   }
   peers_.fetch_job(holder, wait,
-                   [waiters = std::move(waiters), unknown](std::optional<job_reply> reply) {
+                   [waiters = std::move(waiters), unknown](const std::optional<job_reply>& reply) {
                      for (const auto& waiter : waiters) {
                        waiter(reply.value_or(unknown));
                      }
--- a/src/entry/dispatcher_histories_test.cpp
+++ b/src/entry/dispatcher_histories_test.cpp
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <array>
 #include <cstdlib>
 #include <memory>
 #include <queue>
@@ -50,7 +51,7 @@
   bool silent = false;
   monotonic_time stalled_until{};
   /// Latest arrival in each direction: a connection keeps the order of its messages.
-  monotonic_time last[2]{};
+  std::array<monotonic_time, 2> last{};
 };
 using connection_ptr = std::shared_ptr<connection>;
 
@@ -136,7 +137,7 @@
     }
     void fetch_job(const claim_holder& holder, milliseconds wait,
                    std::function<void(std::optional<job_reply>)> done) override {
-      site.fetch_from_peer(*this, holder, wait, std::move(done));
+      site.fetch_from_peer(*this, holder, wait, done);
     }
 
     entry_key key() const { return {"entry" + std::to_string(index), incarnation}; }
@@ -210,7 +211,7 @@
     const unsigned start = target == nullptr ? 0 : target->start;
     queue_.push({when, ++order_, target, start, std::move(action)});
   }
-  void send(const connection_ptr& wire, int direction, process& target,
+  void send(const connection_ptr& wire, std::size_t direction, process& target,
             std::function<void()> action) {
     if (wire->broken || wire->silent) {
       return;
@@ -248,7 +249,7 @@
   void send_want(entry_model& entry, const std::string& name, demand waiting);
   void send_give_back(entry_model& entry, const std::string& name, std::uint32_t credits);
   void fetch_from_peer(entry_model& entry, const claim_holder& holder, milliseconds wait,
-                       std::function<void(std::optional<job_reply>)> done);
+                       const std::function<void(std::optional<job_reply>)>& done);
   void pump_claims(entry_model& entry);
   void read_logs(entry_model& entry);
   void apply_catalogue(entry_model& entry);
@@ -551,8 +552,8 @@
       }
       for (const auto& [ticket, task] : agent.tasks) {
         if (task.received.sequence == sequence && task.received.key.entry == key.entry) {
-          at(now_ + delay(), &agent, [this, &agent, ticket] {
-            end_task(agent, ticket,
+          at(now_ + delay(), &agent, [this, &agent, number = ticket] {
+            end_task(agent, number,
                      {task_end::failed, "", {reason::cancelled, step::run, agent.name, ""}});
           });
         }
@@ -599,7 +600,7 @@
 }
 
 void history::fetch_from_peer(entry_model& entry, const claim_holder& holder, milliseconds wait,
-                              std::function<void(std::optional<job_reply>)> done) {
+                              const std::function<void(std::optional<job_reply>)>& done) {
   auto& peer = *entries_.at(static_cast<std::size_t>(holder.entry_address.back() - '1'));
   auto pending = std::make_shared<bool>(true);
   const auto finish = [pending, done](std::optional<job_reply> reply) {
@@ -1049,7 +1050,7 @@
   change.id = test_id(500'000 + static_cast<unsigned>(catalogue_log_.size()));
   change.operator_name = "operator";
   const auto index = catalogue_log_.size();
-  const char* names[] = {"check", "draft", "flood"};
+  const std::array names{"check", "draft", "flood"};
   const bool first = index < 4;
   const auto subject = first ? index : pick(0, 3);
   if (subject == 3) {
@@ -1231,7 +1232,7 @@
   // Guards against tasks that start twice, untrue refusals, lost jobs and exceeded limits when
   // connections, processes, the log, upstreams and callers fail in any combination.
   const char* more = std::getenv("PARSLEYLEAD_HISTORIES");
-  const std::uint64_t seeds = more == nullptr ? 40 : std::strtoull(more, nullptr, 10);
+  const std::uint64_t seeds = more == nullptr ? 120 : std::strtoull(more, nullptr, 10);
   totals sum;
   for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
     CAPTURE(seed);
