--- /dev/null
+++ b/src/agent/announce_schedule_test.cpp
@@ -0,0 +1,44 @@
+#include "announce_schedule.hpp"
+
+#include <doctest/doctest.h>
+
+namespace parsleylead {
+namespace {
+
+using namespace std::chrono_literals;
+using addresses = std::vector<endpoint>;
+
+const monotonic_time t0 = monotonic_time{} + 1h;
+const endpoint seed{"127.0.0.1", 1};
+const endpoint learned{"127.0.0.1", 2};
+
+TEST_CASE("announcements back off, stop while a session is open and start again when it ends") {
+  // Guards against announcing too often to an absent entry, and against never reaching it again.
+  announce_schedule schedule(1s, 4s);
+  schedule.add_seed(seed);
+  CHECK(schedule.due({}, t0) == addresses{seed});
+  CHECK(schedule.due({}, t0 + 1s).empty());
+  schedule.done(seed, false);
+  CHECK(schedule.due({}, t0 + 1s) == addresses{seed});
+  schedule.done(seed, false);
+  CHECK(schedule.due({}, t0 + 2s).empty());
+  CHECK(schedule.due({seed}, t0 + 3s).empty());
+  schedule.reset(seed);
+  CHECK(schedule.due({}, t0 + 3s) == addresses{seed});
+}
+
+TEST_CASE("an entry that was learned is forgotten after many failures, a seed is not") {
+  // Guards against a growing list of entries that were replaced.
+  announce_schedule schedule(1s, 1s);
+  schedule.add_seed(seed);
+  schedule.add(learned);
+  for (int i = 0; i < 30; ++i) {
+    for (const auto& address : schedule.due({}, t0 + i * 1s)) {
+      schedule.done(address, false);
+    }
+  }
+  CHECK(schedule.entries() == addresses{seed});
+}
+
+} // namespace
+} // namespace parsleylead
