--- a/include/parsleylead/load/message_counts.hpp
+++ b/include/parsleylead/load/message_counts.hpp
@@ -26,7 +26,8 @@
 /// and counts in full.
 message_counts difference(const message_counts& before, const message_counts& after);
 
-/// Reads /metrics of one process. Blocks.
+/// Reads /metrics of one process. Blocks. Errors: as for `http_client::send`; kInternal for any
+/// status but 200; kNotFound if the process does not count its messages.
 absl::StatusOr<message_counts> read_message_counts(const endpoint& operations);
 
 } // namespace parsleylead
--- a/src/load/load_report.cpp
+++ b/src/load/load_report.cpp
@@ -171,7 +171,8 @@
     text += fmt::format("    wasted per task, {:<20} {:.4f}\n", cause, per_task(value));
   }
   for (const auto& name : unread_) {
-    text += "messages of " + name + " are missing: its /metrics could not be read\n";
+    text += "messages of " + name +
+            " are missing: its /metrics could not be read or has no message counts\n";
   }
   return text;
 }
--- a/src/load/message_counts.cpp
+++ b/src/load/message_counts.cpp
@@ -82,6 +82,11 @@
     return make_error(absl::StatusCode::kInternal, step::receive, to_string(operations),
                       "/metrics answered with status " + std::to_string(response->status));
   }
+  // A process that does not count its messages must not look like one that sends none.
+  if (response->body.find(messages_name) == std::string::npos) {
+    return make_error(absl::StatusCode::kNotFound, step::receive, to_string(operations),
+                      "/metrics has no " + std::string(messages_name));
+  }
   return parse_message_counts(response->body);
 }
 
