--- a/src/settings/parse_entry_settings.cpp
+++ b/src/settings/parse_entry_settings.cpp
@@ -105,11 +105,6 @@
   read_policy(reader.object("policy"), target.policy);
   read_logging(reader.object("logging"), target.logging);
   read_traces(reader.object("traces"), target.traces);
-  // A notice as long as the limit would leave no time to finish open jobs.
-  if (target.drain_notice >= target.drain_limit) {
-    reader.fault("drain_notice_ms", std::to_string(target.drain_notice.count()),
-                 "less than drain_limit_ms (" + std::to_string(target.drain_limit.count()) + ")");
-  }
   require_unique_addresses(reader, {{"rpc_address", target.rpc_address},
                                     {"operations_address", target.operations_address},
                                     {"callers.address", target.callers.address}});
