--- a/include/parsleylead/base/uuid.hpp
+++ b/include/parsleylead/base/uuid.hpp
@@ -28,8 +28,9 @@
   /// The 36-character lower-case form.
   std::string to_string() const;
 
-  // clang-tidy 14 takes the zero in the rewritten comparison for a null pointer.
-  auto operator<=>(const uuid&) const = default; // NOLINT(modernize-use-nullptr)
+  /// Written out because clang-tidy 14 reports a null pointer in a defaulted `<=>`.
+  auto operator<=>(const uuid& other) const { return bytes_ <=> other.bytes_; }
+  bool operator==(const uuid& other) const = default;
 
 private:
   std::array<std::uint8_t, 16> bytes_{};
--- a/src/agent/agent_process.cpp
+++ b/src/agent/agent_process.cpp
@@ -12,6 +12,7 @@
 #include "agent_rpc.hpp"
 #include "parsleylead/base/uuid.hpp"
 #include "parsleylead/http/http_server.hpp"
+#include "parsleylead/observe/make_logger.hpp"
 #include "parsleylead/transport/rpc_server.hpp"
 #include "upstream_announcement.hpp"
 
@@ -20,10 +21,10 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::size_t announce_threads = 8;
-constexpr std::size_t operations_threads = 8;
-constexpr milliseconds keep_alive{5000};
+constexpr std::size_t http_threads = 8;
 constexpr std::size_t max_announcement_bytes = 64UL * 1024;
+// Short, because a stop waits for open connections.
+constexpr milliseconds keep_alive{1000};
 constexpr milliseconds control_timeout{2000};
 constexpr milliseconds control_poll{20};
 
@@ -48,14 +49,14 @@
 public:
   explicit impl(agent_settings settings)
       : settings_(std::move(settings)), incarnation_(make_incarnation()),
-        announcements_(http_server_options{announce_threads, max_announcement_bytes, keep_alive}),
-        operations_(http_server_options{operations_threads, max_announcement_bytes, keep_alive}) {
-    for (const char* method : {"GET", "POST", "DELETE"}) {
-      announcements_.route(method, "/.*",
-                           [this](const http_request& request) { return on_announcement(request); });
-      operations_.route(method, "/.*",
-                        [this](const http_request& request) { return on_operation(request); });
-    }
+        log_(make_logger("agent", settings_.logging)), announcements_(http_options()),
+        operations_(http_options()) {
+    announcements_.route("POST", "/v1/announce",
+                         [this](const http_request& request) { return on_announce(request); });
+    announcements_.route("DELETE", "/v1/announce",
+                         [this](const http_request&) { return on_upstream_left(); });
+    operations_.route("GET", ".*",
+                      [this](const http_request& request) { return on_operation(request); });
   }
 
   ~impl() { stop_listeners(); }
@@ -64,7 +65,7 @@
     if (auto status = operations_.start(settings_.operations_address); !status.ok()) {
       return status;
     }
-    core_.emplace(loop_, settings_, incarnation_, operations_.local_endpoint(),
+    core_.emplace(loop_, settings_, incarnation_, operations_.local_endpoint(), log_,
                   [this] { loop_.stop(); });
     rpc_.emplace(loop_, make_agent_port(*core_));
     if (auto status = rpc_->listen(settings_.rpc_address); !status.ok()) {
@@ -111,19 +112,11 @@
     return unavailable();
   }
 
-  http_response on_announcement(const http_request& request) {
-    if (request.path != "/v1/announce") {
-      return error_reply(404, "unknown path");
-    }
-    if (request.method == "DELETE") {
-      return on_control_thread([](agent_core& core) {
-        core.upstream_left({});
-        return http_response{200, "{}"};
-      });
-    }
-    if (request.method != "POST") {
-      return error_reply(405, "use POST or DELETE");
-    }
+  static http_server_options http_options() {
+    return {http_threads, max_announcement_bytes, keep_alive};
+  }
+
+  http_response on_announce(const http_request& request) {
     auto parsed = parse_announcement(request.body, settings_.upstream);
     if (!parsed.ok()) {
       return error_reply(400, std::string(parsed.status().message()));
@@ -134,10 +127,14 @@
     });
   }
 
+  http_response on_upstream_left() {
+    return on_control_thread([](agent_core& core) {
+      core.upstream_left();
+      return http_response{200, "{}"};
+    });
+  }
+
   http_response on_operation(const http_request& request) {
-    if (request.method != "GET") {
-      return error_reply(405, "use GET");
-    }
     return on_control_thread([path = request.path](agent_core& core) -> http_response {
       if (path == "/health") {
         return {200, R"({"healthy":true})"};
@@ -147,7 +144,7 @@
                             : http_response{503, R"({"ready":false})"};
       }
       if (path == "/metrics") {
-        return {200, to_prometheus(core.account()), "text/plain; version=0.0.4"};
+        return {200, core.metrics(), "text/plain; version=0.0.4"};
       }
       if (path == "/v1/account") {
         return {200, to_json(core.account())};
@@ -164,12 +161,15 @@
 
   void stop_listeners() {
     stopped_ = true;
+    announcements_.set_closing(true);
+    operations_.set_closing(true);
     announcements_.stop();
     operations_.stop();
   }
 
   agent_settings settings_;
   std::uint64_t incarnation_;
+  std::shared_ptr<spdlog::logger> log_;
   std::atomic<bool> stopped_ = false;
   rpc_loop loop_;
   // Destroyed after the RPC server, whose connections hold sessions that refer to it.
