Make the linter clean for the entry

Cause: copies of reply callbacks and a false report of a leak in std::function. Change: callbacks by reference; the reply callback is made on the control thread.

--- a/include/parsleylead/entry/dispatcher.hpp
+++ b/include/parsleylead/entry/dispatcher.hpp
@@ -63,10 +63,10 @@
 
   /// Gives the reply of a known submission, at its end if `wait`. False if it is unknown; `reply`
   /// is then not called.
-  bool fetch(const uuid& submission, bool wait, reply_callback reply);
+  bool fetch(const uuid& submission, bool wait, const reply_callback& reply);
 
   /// Ends a submission at its caller's request and gives its reply. False if it is unknown.
-  bool cancel(const uuid& submission, monotonic_time now, reply_callback reply);
+  bool cancel(const uuid& submission, monotonic_time now, const reply_callback& reply);
 
   /// The catalogue is known from here on.
   void set_catalogue_known() { catalogue_known_ = true; }
--- a/src/entry/catalogue_service.cpp
+++ b/src/entry/catalogue_service.cpp
@@ -161,14 +161,15 @@
   if (snapshot_in_flight_ || !replica_->snapshot_due(wall_now(), snapshot_after_)) {
     return;
   }
-  snapshot_in_flight_ = appender_->append(encode_snapshot(replica_->snapshot()),
-                                          [this, alive = alive_](absl::StatusOr<std::uint64_t>) {
-                                            asio::post(io_, [this, alive] {
-                                              if (*alive) {
-                                                snapshot_in_flight_ = false;
-                                              }
-                                            });
-                                          });
+  snapshot_in_flight_ =
+      appender_->append(encode_snapshot(replica_->snapshot()),
+                        [this, alive = alive_](const absl::StatusOr<std::uint64_t>&) {
+                          asio::post(io_, [this, alive] {
+                            if (*alive) {
+                              snapshot_in_flight_ = false;
+                            }
+                          });
+                        });
 }
 
 std::vector<std::pair<std::string, std::uint64_t>> catalogue_service::kind_revisions() const {
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -200,20 +200,20 @@
   }
 }
 
-bool dispatcher::fetch(const uuid& submission, bool wait, reply_callback reply) {
+bool dispatcher::fetch(const uuid& submission, bool wait, const reply_callback& reply) {
   const job* target = jobs_.find(submission);
   if (target == nullptr) {
     return false;
   }
   if (wait && !target->ended()) {
-    submissions_.at(submission).waiters.push_back(std::move(reply));
+    submissions_.at(submission).waiters.push_back(reply);
     return true;
   }
   reply(reply_of(*target));
   return true;
 }
 
-bool dispatcher::cancel(const uuid& submission, monotonic_time now, reply_callback reply) {
+bool dispatcher::cancel(const uuid& submission, monotonic_time now, const reply_callback& reply) {
   job* target = jobs_.find(submission);
   if (target == nullptr) {
     return false;
@@ -309,24 +309,25 @@
         make_failure_reply(holder.submission.to_string(), run_truth::may_have_run, ended);
     auto waiters = std::exchange(submissions_.at(duplicate.id()).waiters, {});
     end_job(duplicate, now, expired);
-    peers_.fetch_job(holder, std::chrono::milliseconds(0),
-                     [waiters = std::move(waiters), expired](std::optional<job_reply> reply) {
-                       for (const auto& waiter : waiters) {
-                         waiter(reply.value_or(expired));
-                       }
-                     });
+    peers_.fetch_job(
+        holder, std::chrono::milliseconds(0),
+        [waiters = std::move(waiters), expired](const std::optional<job_reply>& reply) {
+          for (const auto& waiter : waiters) {
+            waiter(reply.value_or(expired));
+          }
+        });
     return;
   }
   auto waiters = std::exchange(submissions_.at(duplicate.id()).waiters, {});
   end_job(duplicate, now, unknown);
   if (jobs_.find(holder.submission) != nullptr) {
-    for (auto& waiter : waiters) {
-      fetch(holder.submission, true, std::move(waiter));
+    for (const auto& waiter : waiters) {
+      fetch(holder.submission, true, waiter);
     }
     return;
   }
   peers_.fetch_job(holder, wait,
-                   [waiters = std::move(waiters), unknown](std::optional<job_reply> reply) {
+                   [waiters = std::move(waiters), unknown](const std::optional<job_reply>& reply) {
                      for (const auto& waiter : waiters) {
                        waiter(reply.value_or(unknown));
                      }
--- a/src/entry/entry_port.cpp
+++ b/src/entry/entry_port.cpp
@@ -96,7 +96,7 @@
       context.getResults().initReply().setFound(false);
       return kj::READY_NOW;
     }
-    auto filled = answered.promise.then([context](job_reply reply) mutable {
+    auto filled = answered.promise.then([context](const job_reply& reply) mutable {
       fill_reply(context.getResults().initReply(), reply);
     });
     if (wait.count() == 0) {
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -63,17 +63,16 @@
   return *std::move(policy);
 }
 
-// Waits on a traffic thread for the reply that the control thread gives.
-class pending_reply {
-public:
-  dispatcher::reply_callback callback() {
-    return [promise = promise_](job_reply reply) { promise->set_value(std::move(reply)); };
-  }
-  job_reply wait() { return promise_->get_future().get(); }
+// The reply that the control thread gives to a waiting traffic thread.
+using reply_promise = std::shared_ptr<std::promise<job_reply>>;
 
-private:
-  std::shared_ptr<std::promise<job_reply>> promise_ = std::make_shared<std::promise<job_reply>>();
-};
+reply_promise make_reply_promise() {
+  return std::make_shared<std::promise<job_reply>>();
+}
+
+dispatcher::reply_callback deliver_to(const reply_promise& promise) {
+  return [promise](job_reply reply) { promise->set_value(std::move(reply)); };
+}
 
 http_response to_response(job_reply reply) {
   return {reply.status, std::move(reply.body), "application/json", {}};
@@ -301,11 +300,11 @@
   auto& job = std::get<caller_request>(parsed);
   const auto context = trace_context::continue_from(request.traceparent);
   job.traceparent = context.traceparent();
-  pending_reply pending;
-  asio::post(loop_.io(), [this, job, callback = pending.callback()]() mutable {
-    decisions_.submit(std::move(job), now_on_loop(), std::move(callback));
+  const auto promise = make_reply_promise();
+  asio::post(loop_.io(), [this, job, promise]() mutable {
+    decisions_.submit(std::move(job), now_on_loop(), deliver_to(promise));
   });
-  auto reply = pending.wait();
+  auto reply = promise->get_future().get();
   observe_reply(job, context, received, reply);
   return to_response(std::move(reply));
 }
@@ -341,13 +340,14 @@
   const long wait_ms = wanted == request.query.end() ? 0 : std::atol(wanted->second.c_str());
   const auto wait =
       std::clamp(std::chrono::milliseconds(wait_ms), std::chrono::milliseconds(0), max_fetch_wait);
-  pending_reply pending;
-  asio::post(loop_.io(), [this, id, submission = *submission, wait, callback = pending.callback()] {
+  const auto promise = make_reply_promise();
+  asio::post(loop_.io(), [this, id, submission = *submission, wait, promise] {
+    const auto callback = deliver_to(promise);
     if (!decisions_.fetch(submission, wait.count() > 0, callback)) {
       find_elsewhere(id, wait, callback);
     }
   });
-  return to_response(pending.wait());
+  return to_response(promise->get_future().get());
 }
 
 void entry_process::state::find_elsewhere(const std::string& id, std::chrono::milliseconds wait,
@@ -363,8 +363,9 @@
   if (!submission) {
     return to_response(unknown_submission(id));
   }
-  pending_reply pending;
-  asio::post(loop_.io(), [this, id, submission = *submission, callback = pending.callback()] {
+  const auto promise = make_reply_promise();
+  asio::post(loop_.io(), [this, id, submission = *submission, promise] {
+    const auto callback = deliver_to(promise);
     if (decisions_.cancel(submission, now_on_loop(), callback)) {
       return;
     }
@@ -372,7 +373,7 @@
       callback(found ? *std::move(found) : unknown_submission(id));
     });
   });
-  return to_response(pending.wait());
+  return to_response(promise->get_future().get());
 }
 
 void entry_process::state::fetch_job(const claim_holder& holder, std::chrono::milliseconds wait,
