Add the fault matrix over the real processes

Cause: the promises P1-P8 were checked by unit tests only. Entries and agents can advertise an RPC address, so that relays fit between them; the stand-in upstream records each start in a file and can leave while it still serves; the stand-in relay can change its target.

--- a/include/parsleylead/settings/agent_settings.hpp
+++ b/include/parsleylead/settings/agent_settings.hpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,9 @@
   std::string region;
   std::string availability_zone;
   endpoint rpc_address;
+  /// The address that peers are told to connect to; by default the RPC address in use. For hosts
+  /// behind an address translation or a proxy.
+  std::optional<endpoint> advertised_rpc_address;
   endpoint operations_address;
   /// RPC addresses of entries.
   std::vector<endpoint> seeds;
--- a/include/parsleylead/settings/entry_settings.hpp
+++ b/include/parsleylead/settings/entry_settings.hpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -67,6 +68,9 @@
   std::string region;
   std::string availability_zone;
   endpoint rpc_address;
+  /// The address that peers are told to connect to; by default the RPC address in use. For hosts
+  /// behind an address translation or a proxy.
+  std::optional<endpoint> advertised_rpc_address;
   endpoint operations_address;
   /// This entry's number among the site's entries, from 1 to `entry_slots`.
   std::uint32_t entry_slot = 1;
--- a/src/agent/agent_process.cpp
+++ b/src/agent/agent_process.cpp
@@ -71,7 +71,7 @@
     if (auto status = rpc_->listen(settings_.rpc_address); !status.ok()) {
       return status;
     }
-    core_->set_rpc_address(rpc_->local_endpoint());
+    core_->set_rpc_address(settings_.advertised_rpc_address.value_or(rpc_->local_endpoint()));
     return announcements_.start(settings_.upstream.announce_address);
   }
 
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -109,6 +109,10 @@
 private:
   enum class phase { serving, notifying, finishing, stopped };
 
+  // The address that peers are told to connect to.
+  endpoint advertised_endpoint() const {
+    return settings_.advertised_rpc_address.value_or(rpc_endpoint());
+  }
   link_context make_link_context();
   member_service::callbacks make_member_callbacks();
   entry_member describe_self() const;
@@ -195,7 +199,7 @@
     return status;
   }
   members_.start(describe_self());
-  claims_.start(to_string(rpc_endpoint()), [this](const claim_decision& decision) {
+  claims_.start(to_string(advertised_endpoint()), [this](const claim_decision& decision) {
     decisions_.on_claim(decision, now_on_loop());
   });
   catalogue_.start([this](const auto& changes) { on_catalogue_changes(changes); });
@@ -489,7 +493,7 @@
   entry_member self;
   self.name = settings_.name;
   self.incarnation = incarnation_;
-  self.address = to_string(rpc_endpoint());
+  self.address = to_string(advertised_endpoint());
   self.operations_address = to_string(operations_endpoint());
   self.availability_zone = settings_.availability_zone;
   return self;
--- a/src/settings/object_reader.cpp
+++ b/src/settings/object_reader.cpp
@@ -159,6 +159,19 @@
   }
 }
 
+void object_reader::optional_address(std::string_view name, std::optional<endpoint>& target) {
+  const auto* found = find(name, presence::optional, "an address \"ip:port\"");
+  endpoint address;
+  if (found == nullptr || !read_address(*found, path_of(name), address)) {
+    return;
+  }
+  if (address.port == 0) {
+    fault(name, shown(*found), "an address \"ip:port\" with a port other than 0");
+    return;
+  }
+  target = std::move(address);
+}
+
 void object_reader::addresses(std::string_view name, std::vector<endpoint>& target,
                               presence needed) {
   constexpr auto allowed = "a list of addresses \"ip:port\"";
--- a/src/settings/object_reader.hpp
+++ b/src/settings/object_reader.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <limits>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -59,6 +60,8 @@
   void choice(std::string_view name, std::string& target,
               const std::vector<std::string_view>& allowed);
   void address(std::string_view name, endpoint& target);
+  /// Leaves the target empty if the field is absent. Port 0 is a fault: a peer could not connect.
+  void optional_address(std::string_view name, std::optional<endpoint>& target);
   void addresses(std::string_view name, std::vector<endpoint>& target, presence needed);
 
   /// Reports a fault of a rule that covers several fields. `value` is what was found.
--- a/src/settings/parse_agent_settings.cpp
+++ b/src/settings/parse_agent_settings.cpp
@@ -41,6 +41,7 @@
   reader.identifier("region", target.region);
   reader.identifier("availability_zone", target.availability_zone);
   reader.address("rpc_address", target.rpc_address);
+  reader.optional_address("advertised_rpc_address", target.advertised_rpc_address);
   reader.address("operations_address", target.operations_address);
   read_announcing(reader, target);
   reader.duration("state_retention_s", target.state_retention, {1, day_s});
--- a/src/settings/parse_entry_settings.cpp
+++ b/src/settings/parse_entry_settings.cpp
@@ -78,6 +78,7 @@
   reader.identifier("region", target.region);
   reader.identifier("availability_zone", target.availability_zone);
   reader.address("rpc_address", target.rpc_address);
+  reader.optional_address("advertised_rpc_address", target.advertised_rpc_address);
   reader.address("operations_address", target.operations_address);
   reader.integer("entry_slot", target.entry_slot, {1, max_entry_slots});
   reader.integer("entry_slots", target.entry_slots, {1, max_entry_slots});
--- a/src/settings/settings_test.cpp
+++ b/src/settings/settings_test.cpp
@@ -67,6 +67,21 @@
   CHECK(result.settings->callers.address == endpoint{"127.0.0.1", 3});
 }
 
+TEST_CASE("settings: an advertised address must be one that peers can reach") {
+  // Guards against announcing port 0 or a host name, which no peer could dial.
+  const auto absent = parse_entry_settings(entry_with(""));
+  REQUIRE(absent.ok());
+  CHECK_FALSE(absent.settings->advertised_rpc_address.has_value());
+  const auto set = parse_entry_settings(entry_with(R"(,"advertised_rpc_address":"127.0.0.1:9")"));
+  REQUIRE(set.ok());
+  CHECK(set.settings->advertised_rpc_address == endpoint{"127.0.0.1", 9});
+  for (const std::string bad : {"127.0.0.1:0", "host:9"}) {
+    const auto result =
+        parse_entry_settings(entry_with(R"(,"advertised_rpc_address":")" + bad + "\""));
+    CHECK(allowed_at(result, "advertised_rpc_address").starts_with("an address"));
+  }
+}
+
 TEST_CASE("settings: rules across fields") {
   const auto late = parse_entry_settings(
       entry_with(R"(,"sessions":{"probe_after_ms":3500,"probe_timeout_ms":500})"));
--- a/standins/standin-relay/main.cpp
+++ b/standins/standin-relay/main.cpp
@@ -1,6 +1,6 @@
 // A TCP relay with faults for tests: standin-relay --listen ip:port --target ip:port.
 // POST /control with {"action": "silence_open"|"silence_all"|"cut_open"|"refuse_all"|"heal"} and
-// {"delay_ms": n}; GET /control/stats.
+// {"delay_ms": n} and {"target": "ip:port"} (for new connections); GET /control/stats.
 
 #include <gflags/gflags.h>
 #include <httplib.h>
@@ -46,6 +46,13 @@
   if (command.contains("delay_ms")) {
     path.set_delay(std::chrono::milliseconds(command["delay_ms"].get<int>()));
   }
+  if (command.contains("target")) {
+    const auto target = parse_endpoint(command["target"].get<std::string>());
+    if (!target.ok()) {
+      return false;
+    }
+    path.set_target(*target);
+  }
   if (!command.contains("action")) {
     return true;
   }
--- a/standins/standin-relay/relay.hpp
+++ b/standins/standin-relay/relay.hpp
@@ -48,6 +48,9 @@
   /// Delays every chunk in both directions.
   void set_delay(std::chrono::milliseconds delay) { delay_ = delay; }
 
+  /// New connections go to this address; open ones stay.
+  void set_target(endpoint target) { target_ = std::move(target); }
+
   relay_stats stats() const;
 
 private:
--- a/standins/standin-upstream/main.cpp
+++ b/standins/standin-upstream/main.cpp
@@ -24,6 +24,7 @@
 DEFINE_uint32(slots, 8, "tasks that may run at once");
 DEFINE_uint32(connections, 64, "connections that may be open at once");
 DEFINE_double(speed, 1.0, "run times are divided by this");
+DEFINE_string(starts_file, "", "file that receives a line for each start; empty for none");
 DEFINE_uint32(default_ms, 50, "run time of a body that names none");
 
 namespace {
@@ -88,7 +89,8 @@
   return sigtimedwait(&signals, nullptr, &limit) > 0;
 }
 
-void announce_until_stopped(const sigset_t& signals, const std::string& body) {
+void announce_until_stopped(const sigset_t& signals, const std::string& body,
+                            const upstream_service& service) {
   const auto agent = parsleylead::parse_endpoint(FLAGS_announce);
   if (!agent.ok()) {
     while (!stop_requested(signals, announce_interval)) {
@@ -98,13 +100,22 @@
   httplib::Client client(agent->ip, agent->port);
   client.set_connection_timeout(std::chrono::milliseconds(500));
   client.set_read_timeout(std::chrono::milliseconds(2500));
+  bool left = false;
   do {
+    if (service.leaving()) {
+      if (!left) {
+        left = static_cast<bool>(client.Delete("/v1/announce"));
+      }
+      continue;
+    }
     const auto result = client.Post("/v1/announce", body, "application/json");
     if (result && result->status != 200) {
       std::cerr << "upstream: announcement refused: " << result->body << '\n';
     }
   } while (!stop_requested(signals, announce_interval));
-  client.Delete("/v1/announce");
+  if (!left) {
+    client.Delete("/v1/announce");
+  }
 }
 
 bool write_port_file(int port) {
@@ -140,6 +151,10 @@
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 
   upstream_service service(FLAGS_name, FLAGS_speed, milliseconds(FLAGS_default_ms));
+  if (!FLAGS_starts_file.empty() && !service.record_starts(FLAGS_starts_file)) {
+    std::cerr << "upstream: cannot write " << FLAGS_starts_file << '\n';
+    return 3;
+  }
   httplib::Server server;
   // Each running task and each idle connection holds a thread.
   server.new_task_queue = [] {
@@ -163,7 +178,7 @@
   }
   std::cerr << "upstream: " << FLAGS_name << " serves at " << to_string(local) << '\n';
 
-  announce_until_stopped(signals, announcement(to_string(local)));
+  announce_until_stopped(signals, announcement(to_string(local)), service);
   std::this_thread::sleep_for(settle_time);
   service.wait_idle();
   // The answers of the last tasks are being written; idle connections hold pool threads, so the
--- a/standins/standin-upstream/upstream_service.cpp
+++ b/standins/standin-upstream/upstream_service.cpp
@@ -1,6 +1,10 @@
 #include "upstream_service.hpp"
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <algorithm>
+#include <cstdlib>
 #include <nlohmann/json.hpp>
 #include <thread>
 
@@ -8,15 +12,6 @@
 using std::chrono::milliseconds;
 
 task_reply upstream_service::run(const task_request& request) {
-  milliseconds delay{0};
-  {
-    const std::lock_guard lock(mutex_);
-    if (faults_.refuse) {
-      return {503, R"({"error":"refused"})", false};
-    }
-    count_start(request);
-    delay = faults_.delay;
-  }
   const auto document = json::parse(request.body, nullptr, false);
   auto time = std::chrono::duration<double, std::milli>(default_time_);
   std::string echo = request.body;
@@ -30,6 +25,15 @@
       echo = position->get<std::string>();
     }
   }
+  milliseconds delay{0};
+  {
+    const std::lock_guard lock(mutex_);
+    if (faults_.refuse) {
+      return {503, R"({"error":"refused"})", false};
+    }
+    count_start(request, echo);
+    delay = faults_.delay;
+  }
   sleep(time / speed_ + delay);
   const json answer{{"echo", echo},
                     {"submission", request.submission},
@@ -49,7 +53,25 @@
   return reply;
 }
 
-void upstream_service::count_start(const task_request& request) {
+bool upstream_service::record_starts(const std::string& path) {
+  starts_file_ = open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+  return starts_file_ >= 0;
+}
+
+bool upstream_service::leaving() const {
+  const std::lock_guard lock(mutex_);
+  return faults_.leave;
+}
+
+void upstream_service::count_start(const task_request& request, const std::string& echo) {
+  if (starts_file_ >= 0) {
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    const auto line = std::to_string(std::chrono::duration_cast<milliseconds>(now).count()) + " " +
+                      request.submission + " " + request.task + " " + echo + "\n";
+    if (write(starts_file_, line.data(), line.size()) != static_cast<ssize_t>(line.size())) {
+      std::abort(); // A start that is not recorded would make the judgement worthless.
+    }
+  }
   ++total_;
   ++by_task_[{request.submission, request.task}];
   if (!request.key.empty()) {
@@ -75,6 +97,7 @@
   try {
     next.fail_all = document.value("fail_all", next.fail_all);
     next.hang = document.value("hang", next.hang);
+    next.leave = document.value("leave", next.leave);
     next.refuse = document.value("refuse", next.refuse);
     next.drop_reply = document.value("drop_reply", next.drop_reply);
     next.delay = milliseconds(document.value("delay_ms", next.delay.count()));
--- a/standins/standin-upstream/upstream_service.hpp
+++ b/standins/standin-upstream/upstream_service.hpp
@@ -20,6 +20,8 @@
   std::uint32_t drop_reply = 0;
   /// Added to each task's run time.
   std::chrono::milliseconds delay{0};
+  /// The next heartbeat is a DELETE and none follows; tasks are still served.
+  bool leave = false;
 };
 
 struct task_request {
@@ -51,6 +53,12 @@
   /// it is malformed.
   bool control(const std::string& body);
 
+  /// Appends a line for each start to the file before the task runs: time in ms since the Unix
+  /// epoch, submission, task, echo. Survives SIGKILL. Call before the first `run`.
+  bool record_starts(const std::string& path);
+
+  bool leaving() const;
+
   /// JSON: totals, and what was started more than once.
   std::string starts() const;
 
@@ -58,9 +66,10 @@
   void wait_idle();
 
 private:
-  void count_start(const task_request& request);
+  void count_start(const task_request& request, const std::string& echo);
   void sleep(std::chrono::duration<double, std::milli> time);
 
+  int starts_file_ = -1;
   std::string name_;
   double speed_;
   std::chrono::milliseconds default_time_;
--- /dev/null
+++ b/tests/faults/catalogue_desk.cpp
@@ -0,0 +1,114 @@
+#include "catalogue_desk.hpp"
+
+#include <stdexcept>
+
+#include "parsleylead/catalogue/catalogue_codec.hpp"
+
+namespace parsleylead::faults {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::uint32_t ample = 100'000;
+constexpr publish_options options{milliseconds(20'000), milliseconds(100)};
+
+log_service_settings log_settings(const endpoint& log) {
+  log_service_settings settings;
+  settings.address = log;
+  return settings;
+}
+
+} // namespace
+
+catalogue_desk::catalogue_desk(const endpoint& log, std::string operator_name)
+    : name_(std::move(operator_name)), log_(log_settings(log)) {}
+
+void catalogue_desk::publish_kind(const std::string& kind, bool idempotent) {
+  kind_definition value;
+  value.owner = "desk";
+  value.urgency = kind == "index" ? kind_class::batch : kind_class::urgent;
+  value.idempotent = idempotent;
+  value.limits = {ample, ample, ample, 370, milliseconds(30'000)};
+  const std::lock_guard lock(mutex_);
+  require_accepted(publish({subject_type::kind, kind}, catalogue_value(value), 0), kind);
+}
+
+absl::StatusOr<change_result> catalogue_desk::publish_quota(const std::string& team,
+                                                            std::uint32_t rate) {
+  const std::lock_guard lock(mutex_);
+  const auto result =
+      publish({subject_type::owner, team}, catalogue_value(owner_quota{ample, rate}), rate);
+  if (!result.ok()) {
+    return result.status();
+  }
+  return result->result;
+}
+
+void catalogue_desk::publish_drain(const std::string& process, bool leave) {
+  const std::lock_guard lock(mutex_);
+  std::optional<catalogue_value> value;
+  if (leave) {
+    value.emplace(drain_order{});
+  }
+  require_accepted(publish({subject_type::drain, process}, std::move(value), 0), process);
+}
+
+absl::Status catalogue_desk::refresh() {
+  const std::lock_guard lock(mutex_);
+  return catch_up(log_, replica_, 0);
+}
+
+std::vector<accepted_change> catalogue_desk::accepted() const {
+  const std::lock_guard lock(mutex_);
+  return accepted_;
+}
+
+void catalogue_desk::adopt(const accepted_change& change) {
+  const std::lock_guard lock(mutex_);
+  accepted_.push_back(change);
+}
+
+std::uint64_t catalogue_desk::newest_snapshot() {
+  const std::lock_guard lock(mutex_);
+  std::uint64_t newest = 0;
+  std::uint64_t from = 1;
+  while (true) {
+    const auto part = log_.read(catalogue_stream, from, 1000, milliseconds(0));
+    if (!part.ok() || part->records.empty()) {
+      return newest;
+    }
+    for (const auto& record : part->records) {
+      catalogue_replica probe;
+      const auto results =
+          probe.apply(std::vector<log_record>{{1, record.appended, record.payload}});
+      if (results.size() == 1 && results[0].result == change_result::snapshot) {
+        newest = record.offset;
+      }
+    }
+    from = part->next;
+  }
+}
+
+absl::StatusOr<publish_result> catalogue_desk::publish(const catalogue_subject& subject,
+                                                       std::optional<catalogue_value> value,
+                                                       std::uint32_t rate) {
+  const catalogue_change change{uuid::make_v7(wall_now()), name_, replica_.revision(subject),
+                                subject, std::move(value)};
+  auto result = publish_change(log_, replica_, change, options);
+  if (result.ok() && result->result == change_result::accepted) {
+    accepted_.push_back({subject, result->offset, rate, std::chrono::steady_clock::now()});
+  }
+  return result;
+}
+
+void catalogue_desk::require_accepted(const absl::StatusOr<publish_result>& result,
+                                      const std::string& what) {
+  if (!result.ok()) {
+    throw std::runtime_error("catalogue: " + what + ": " + std::string(result.status().message()));
+  }
+  if (result->result != change_result::accepted) {
+    throw std::runtime_error("catalogue: " + what + " was not accepted: " + result->detail);
+  }
+}
+
+} // namespace parsleylead::faults
--- /dev/null
+++ b/tests/faults/catalogue_desk.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "parsleylead/base/endpoint.hpp"
+#include "parsleylead/base/time.hpp"
+#include "parsleylead/operate/publish_change.hpp"
+#include "parsleylead/platform_log/http_log_service.hpp"
+
+namespace parsleylead::faults {
+
+/// A change that the log accepted.
+struct accepted_change {
+  catalogue_subject subject;
+  std::uint64_t revision = 0;
+  /// The quota's rate; 0 for a subject of another type.
+  std::uint32_t rate = 0;
+  monotonic_time accepted{};
+};
+
+/// An operator who publishes changes straight to the log. Thread-safe.
+class catalogue_desk {
+public:
+  catalogue_desk(const endpoint& log, std::string operator_name);
+
+  /// Publishes a kind with generous limits. Throws std::runtime_error unless it is accepted.
+  void publish_kind(const std::string& kind, bool idempotent);
+
+  /// Publishes a new quota of a team, based on the revision that the desk has seen. Returns what
+  /// became of it, or an error if that is unknown.
+  absl::StatusOr<change_result> publish_quota(const std::string& team, std::uint32_t rate);
+
+  /// Tells a process to leave. Throws std::runtime_error unless it is accepted.
+  void publish_drain(const std::string& process, bool leave);
+
+  /// Reads the log up to its end.
+  absl::Status refresh();
+
+  std::vector<accepted_change> accepted() const;
+  /// Takes over the accepted change of another desk, so that it is judged, too.
+  void adopt(const accepted_change& change);
+  /// Offset of the newest snapshot in the log, 0 if there is none.
+  std::uint64_t newest_snapshot();
+
+private:
+  absl::StatusOr<publish_result> publish(const catalogue_subject& subject,
+                                         std::optional<catalogue_value> value, std::uint32_t rate);
+  void require_accepted(const absl::StatusOr<publish_result>& result, const std::string& what);
+
+  std::string name_;
+  mutable std::mutex mutex_;
+  http_log_service log_;
+  catalogue_replica replica_;
+  std::vector<accepted_change> accepted_;
+};
+
+} // namespace parsleylead::faults
--- /dev/null
+++ b/tests/faults/child_process.cpp
@@ -0,0 +1,102 @@
+#include "child_process.hpp"
+
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <stdexcept>
+#include <thread>
+
+namespace parsleylead::faults {
+namespace {
+
+constexpr std::chrono::milliseconds poll_interval{5};
+constexpr int exec_failed = 127;
+
+// Runs between fork and exec: only async-signal-safe calls.
+[[noreturn]] void become(char* const* arguments, int output) {
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  sigset_t none;
+  sigemptyset(&none);
+  sigprocmask(SIG_SETMASK, &none, nullptr);
+  std::signal(SIGPIPE, SIG_DFL);
+  dup2(output, STDOUT_FILENO);
+  dup2(output, STDERR_FILENO);
+  execv(arguments[0], arguments);
+  _exit(exec_failed);
+}
+
+} // namespace
+
+child_process::child_process(const std::vector<std::string>& command,
+                             const std::string& output_path) {
+  const int output =
+      open(output_path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, S_IRUSR | S_IWUSR);
+  if (output < 0) {
+    throw std::runtime_error("cannot write " + output_path);
+  }
+  std::vector<std::string> copies = command;
+  std::vector<char*> arguments;
+  for (auto& text : copies) {
+    arguments.push_back(text.data());
+  }
+  arguments.push_back(nullptr);
+  id_ = fork();
+  if (id_ == 0) {
+    become(arguments.data(), output);
+  }
+  close(output);
+  if (id_ < 0) {
+    throw std::runtime_error("cannot start " + command.front());
+  }
+}
+
+child_process::~child_process() {
+  kill();
+}
+
+void child_process::send(int signal) const {
+  if (!status_) {
+    ::kill(id_, signal);
+  }
+}
+
+void child_process::kill() {
+  if (status_) {
+    return;
+  }
+  send(SIGKILL);
+  int status = 0;
+  if (waitpid(id_, &status, 0) == id_) {
+    status_ = status;
+  }
+}
+
+bool child_process::wait(std::chrono::milliseconds limit) {
+  const auto deadline = std::chrono::steady_clock::now() + limit;
+  while (!status_) {
+    int status = 0;
+    if (waitpid(id_, &status, WNOHANG) == id_) {
+      status_ = status;
+      break;
+    }
+    if (std::chrono::steady_clock::now() >= deadline) {
+      return false;
+    }
+    std::this_thread::sleep_for(poll_interval);
+  }
+  return true;
+}
+
+std::string child_process::fault() const {
+  const int status = status_.value_or(0);
+  if (WIFSIGNALED(status)) {
+    return "signal " + std::to_string(WTERMSIG(status));
+  }
+  const int code = WEXITSTATUS(status);
+  return code == 0 ? "" : "exit code " + std::to_string(code);
+}
+
+} // namespace parsleylead::faults
--- /dev/null
+++ b/tests/faults/run_random.cpp
@@ -0,0 +1,103 @@
+#include <algorithm>
+#include <filesystem>
+#include <sstream>
+
+#include "cell.hpp"
+
+namespace parsleylead::faults {
+namespace {
+
+using namespace std::chrono_literals;
+
+load_profile short_tasks(std::uint64_t tasks) {
+  load_profile profile;
+  profile.callers = 24;
+  profile.min_tasks = 1;
+  profile.max_tasks = 60;
+  profile.min_sleep_ms = 1;
+  profile.max_sleep_ms = 5;
+  profile.keyed_share = 0.2;
+  profile.pause = 0ms;
+  profile.max_tasks_in_all = tasks;
+  return profile;
+}
+
+// An upstream that left would stay away for the rest of the run.
+std::vector<fault_definition> repeatable_faults() {
+  auto faults = all_faults();
+  std::erase_if(faults, [](const auto& fault) { return fault.name == "upstream leaves"; });
+  return faults;
+}
+
+void move_to(std::vector<std::string>& target, std::vector<std::string> more) {
+  std::move(more.begin(), more.end(), std::back_inserter(target));
+}
+
+std::string describe(const std::vector<std::string>& violations) {
+  constexpr std::size_t shown = 5;
+  std::ostringstream text;
+  for (std::size_t i = 0; i < violations.size() && i < shown; ++i) {
+    text << "; " << violations[i];
+  }
+  if (violations.size() > shown) {
+    text << "; and " << violations.size() - shown << " more";
+  }
+  return text.str();
+}
+
+} // namespace
+
+cell_result run_random(const run_options& options, std::uint64_t seed, std::uint64_t tasks,
+                       std::chrono::seconds limit) {
+  cell_result result{"random", "all", seed, "failed", ""};
+  const auto folder = options.folder + "/random-" + std::to_string(seed);
+  std::filesystem::create_directories(folder);
+  std::vector<std::string> violations;
+  try {
+    site place({options.binaries, folder, 2, 4, 16, 20});
+    place.start();
+    catalogue_watch catalogue(place, 250ms);
+    caller_load load(place, short_tasks(tasks), seed);
+    cell_context cell{place, load, catalogue, 1, 1, {}};
+    std::mt19937_64 random(seed);
+    const auto faults = repeatable_faults();
+    const auto deadline = std::chrono::steady_clock::now() + limit;
+    int injected = 0;
+    // After the last task the faults end; the deadline bounds a site that makes no progress.
+    while (!load.exhausted() && std::chrono::steady_clock::now() < deadline) {
+      cell.entry = 1 + static_cast<int>(random() % 2);
+      cell.agent = 1 + static_cast<int>(random() % 4);
+      const auto& fault = faults[random() % faults.size()];
+      fault.inject(cell);
+      ++injected;
+      pause(std::chrono::milliseconds(100 + random() % 700));
+    }
+    if (!load.exhausted()) {
+      violations.push_back("only " + std::to_string(load.tasks()) +
+                           " tasks were submitted in time");
+    }
+    const auto healed = std::chrono::steady_clock::now();
+    require_recovery(cell);
+    load.stop();
+    catalogue.stop();
+    move_to(violations, catalogue.judge(healed));
+    move_to(violations, judge_accounts(place));
+    move_to(violations, place.finish());
+    auto verdict = judge_run(place, load.attempts(), tolerance::truthful_failures);
+    move_to(violations, std::move(verdict.violations));
+    move_to(violations, std::move(cell.violations));
+    result.seen = std::to_string(injected) + " faults; " + std::to_string(load.tasks()) +
+                  " tasks; " + verdict.summary() + "; " + std::to_string(catalogue.changes()) +
+                  " changes";
+  } catch (const std::exception& error) {
+    violations.push_back(std::string("the run broke off: ") + error.what());
+  }
+  result.result = violations.empty() ? "passed" : "failed";
+  result.seen += describe(violations);
+  if (violations.empty()) {
+    std::filesystem::remove_all(folder);
+  }
+  return result;
+}
+
+} // namespace parsleylead::faults
--- /dev/null
+++ b/tests/faults/site.cpp
@@ -0,0 +1,454 @@
+#include "site.hpp"
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+
+#include "catalogue_desk.hpp"
+#include "http_calls.hpp"
+
+namespace parsleylead::faults {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr milliseconds start_limit{15'000};
+constexpr milliseconds stop_limit{30'000};
+constexpr milliseconds drain_notice{500};
+
+endpoint local(int port) {
+  return {"127.0.0.1", static_cast<std::uint16_t>(port)};
+}
+
+json entry_document(const entry_node& node, int number, const site_options& options,
+                    const std::vector<std::string>& seeds) {
+  json others = json::array();
+  for (const auto& seed : seeds) {
+    if (seed != to_string(node.rpc.address)) {
+      others.push_back(seed);
+    }
+  }
+  return {{"name", node.name},
+          {"region", "faults"},
+          {"availability_zone", "zone-" + std::to_string(number)},
+          {"rpc_address", "127.0.0.1:0"},
+          {"advertised_rpc_address", to_string(node.rpc.address)},
+          {"operations_address", "127.0.0.1:0"},
+          {"entry_slot", number},
+          {"entry_slots", options.entries},
+          {"seeds", others},
+          {"drain_notice_ms", drain_notice.count()},
+          {"callers", {{"address", "127.0.0.1:0"}, {"threads", 256}}},
+          {"log", {{"address", to_string(node.log.address)}}},
+          {"catalogue", {{"snapshot_after_s", options.snapshot_after_s}}}};
+}
+
+json agent_document(const agent_node& node, int number, const site_options& options,
+                    const std::vector<std::string>& seeds) {
+  return {{"name", node.name},
+          {"region", "faults"},
+          {"availability_zone", "zone-" + std::to_string(number)},
+          {"rpc_address", "127.0.0.1:0"},
+          {"advertised_rpc_address", to_string(node.rpc.address)},
+          {"operations_address", "127.0.0.1:0"},
+          {"seeds", seeds},
+          {"upstream",
+           {{"announce_address", "127.0.0.1:0"}, {"slots", options.slots}, {"connections", 64}}}};
+}
+
+} // namespace
+
+void relayed_path::act(const std::string& action) const {
+  post_control(control, {{"action", action}});
+}
+
+void relayed_path::delay(std::chrono::milliseconds time) const {
+  post_control(control, {{"delay_ms", time.count()}});
+}
+
+void relayed_path::aim(const endpoint& target) const {
+  post_control(control, {{"target", to_string(target)}});
+}
+
+site::site(site_options options) : options_(std::move(options)) {}
+
+// Processes.
+
+std::unique_ptr<child_process> site::run(const std::string& name,
+                                         std::vector<std::string> command) {
+  return std::make_unique<child_process>(command, path(name + ".log"));
+}
+
+void site::write_file(const std::string& name, const std::string& text) const {
+  std::ofstream file(path(name));
+  file << text;
+  if (!file.flush()) {
+    throw std::runtime_error("cannot write " + path(name));
+  }
+}
+
+std::vector<int> site::read_ports(const std::string& name, std::size_t count,
+                                  child_process& process) {
+  std::vector<int> ports;
+  const auto read = [&] {
+    std::ifstream file(path(name + ".ports"));
+    std::stringstream text;
+    text << file.rdbuf();
+    // The line may be seen before it is whole.
+    if (!text.str().ends_with('\n')) {
+      return !process.running();
+    }
+    ports.clear();
+    for (int port = 0; text >> port;) {
+      ports.push_back(port);
+    }
+    return ports.size() == count;
+  };
+  if (!wait_until(read, start_limit) || ports.size() != count) {
+    throw std::runtime_error(name + " did not start; see " + path(name + ".log"));
+  }
+  return ports;
+}
+
+relayed_path site::start_relay(const std::string& name, const endpoint& target) {
+  relayed_path result;
+  result.process = run(name, {binary("standin-relay"), "--listen", "127.0.0.1:0", "--target",
+                              to_string(target), "--port_file", path(name + ".ports")});
+  const auto ports = read_ports(name, 2, *result.process);
+  result.address = local(ports[0]);
+  result.control = local(ports[1]);
+  return result;
+}
+
+void site::make_entry(int number) {
+  entry_node node;
+  node.name = "entry-" + std::to_string(number);
+  const endpoint later{"127.0.0.1", 1};
+  node.rpc = start_relay(node.name + "-rpc", later);
+  node.front = start_relay(node.name + "-front", later);
+  node.log = start_relay(node.name + "-log", log_address_);
+  seeds_.push_back(to_string(node.rpc.address));
+  entries_.push_back(std::move(node));
+  const std::lock_guard lock(mutex_);
+  routed_.push_back(false);
+  entry_running_.push_back(false);
+}
+
+void site::make_agent(int number) {
+  agent_node node;
+  node.name = "agent-" + std::to_string(number);
+  const endpoint later{"127.0.0.1", 1};
+  node.rpc = start_relay(node.name + "-rpc", later);
+  node.announce = start_relay(node.name + "-announce", later);
+  agents_.push_back(std::move(node));
+  const std::lock_guard lock(mutex_);
+  agent_running_.push_back(false);
+}
+
+void site::start_entry(int number) {
+  auto& node = entry(number);
+  write_file(node.name + ".json", entry_document(node, number, options_, seeds_).dump());
+  std::filesystem::remove(path(node.name + ".ports"));
+  node.process =
+      run(node.name, {binary("parsleylead-entry"), "--settings", path(node.name + ".json"),
+                      "--port_file", path(node.name + ".ports")});
+  const auto ports = read_ports(node.name, 3, *node.process);
+  node.callers = local(ports[0]);
+  node.operations = local(ports[1]);
+  node.rpc.aim(local(ports[2]));
+  node.front.aim(node.callers);
+  const std::lock_guard lock(mutex_);
+  ++node.starts;
+  entry_running_[static_cast<std::size_t>(number - 1)] = true;
+}
+
+void site::start_agent(int number) {
+  auto& node = agent(number);
+  write_file(node.name + ".json", agent_document(node, number, options_, seeds_).dump());
+  std::filesystem::remove(path(node.name + ".ports"));
+  node.process =
+      run(node.name, {binary("parsleylead-agent"), "--settings", path(node.name + ".json"),
+                      "--port_file", path(node.name + ".ports")});
+  const auto ports = read_ports(node.name, 3, *node.process);
+  node.rpc.aim(local(ports[0]));
+  node.operations = local(ports[1]);
+  node.announce.aim(local(ports[2]));
+  ++node.starts;
+  set_running(agent_running_, number, true);
+}
+
+void site::start_upstream(int number) {
+  const auto name = "upstream-" + std::to_string(number);
+  auto& node = agent(number);
+  std::filesystem::remove(path(name + ".ports"));
+  node.upstream = run(name, {binary("standin-upstream"), "--name", name, "--kinds",
+                             "check,index,letter", "--slots", std::to_string(options_.slots),
+                             "--announce", to_string(node.announce.address), "--starts_file",
+                             starts_file(number), "--port_file", path(name + ".ports")});
+  node.upstream_address = local(read_ports(name, 1, *node.upstream)[0]);
+}
+
+std::string site::starts_file(int agent) const {
+  return path("upstream-" + std::to_string(agent) + ".starts");
+}
+
+void site::start() {
+  log_ = run("log", {binary("standin-log"), "--port_file", path("log.ports")});
+  log_address_ = local(read_ports("log", 1, *log_)[0]);
+  for (int i = 1; i <= options_.entries; ++i) {
+    make_entry(i);
+  }
+  publish_catalogue();
+  for (int i = 1; i <= options_.entries; ++i) {
+    start_entry(i);
+  }
+  for (int i = 1; i <= options_.agents; ++i) {
+    make_agent(i);
+    start_agent(i);
+    start_upstream(i);
+  }
+  wait_for_sessions();
+  for (int i = 1; i <= options_.entries; ++i) {
+    route_to(i, true);
+  }
+}
+
+void site::publish_catalogue() {
+  catalogue_desk desk(log_address_, "setup");
+  desk.publish_kind("check", true);
+  desk.publish_kind("index", true);
+  desk.publish_kind("letter", false);
+}
+
+void site::wait_for_sessions() {
+  const auto connected = [this] {
+    for (const auto& [name, operations] : running_entries()) {
+      const auto page = get_json(operations, "/v1/members");
+      if (!page.is_object()) {
+        return false;
+      }
+      int open = 0;
+      for (const auto& one : page["agents"]) {
+        open += one["open"].get<bool>() && one.contains("slots") && one["slots"] > 0 ? 1 : 0;
+      }
+      if (open < agents()) {
+        return false;
+      }
+    }
+    return true;
+  };
+  if (!wait_until(connected, start_limit)) {
+    throw std::runtime_error("the entries do not reach every agent; see " + options_.folder);
+  }
+}
+
+// Routing of callers.
+
+void site::route_to(int number, bool on) {
+  set_running(routed_, number, on);
+}
+
+void site::set_running(std::vector<bool>& list, int number, bool on) {
+  const std::lock_guard lock(mutex_);
+  list[static_cast<std::size_t>(number - 1)] = on;
+}
+
+std::optional<site::route> site::pick_entry(std::uint64_t number) const {
+  const std::lock_guard lock(mutex_);
+  for (std::size_t i = 0; i < routed_.size(); ++i) {
+    const auto chosen = (number + i) % routed_.size();
+    if (routed_[chosen]) {
+      const auto& node = entries_[chosen];
+      return route{static_cast<int>(chosen) + 1, node.starts, node.front.address};
+    }
+  }
+  return std::nullopt;
+}
+
+bool site::is_routed(const route& chosen) const {
+  const std::lock_guard lock(mutex_);
+  const auto index = static_cast<std::size_t>(chosen.entry - 1);
+  return routed_[index] && entries_[index].starts == chosen.start;
+}
+
+bool site::entry_runs(int number) const {
+  const std::lock_guard lock(mutex_);
+  return entry_running_[static_cast<std::size_t>(number - 1)];
+}
+
+bool site::agent_runs(int number) const {
+  const std::lock_guard lock(mutex_);
+  return agent_running_[static_cast<std::size_t>(number - 1)];
+}
+
+std::map<std::string, endpoint> site::running_entries() const {
+  const std::lock_guard lock(mutex_);
+  std::map<std::string, endpoint> result;
+  for (std::size_t i = 0; i < entries_.size(); ++i) {
+    if (entry_running_[i]) {
+      result[entries_[i].name + "/" + std::to_string(entries_[i].starts)] = entries_[i].operations;
+    }
+  }
+  return result;
+}
+
+// Faults of processes.
+
+void site::kill_entry(int number) {
+  route_to(number, false);
+  set_running(entry_running_, number, false);
+  if (entry(number).process->wait(milliseconds(0))) {
+    check_exit(entry(number).name, *entry(number).process);
+  }
+  entry(number).process->kill();
+}
+
+void site::restart_entry(int number) {
+  start_entry(number);
+  const auto ready = [&] {
+    const auto page = get_json(entry(number).operations, "/ready");
+    return page.is_object() && page.value("ready", false);
+  };
+  if (!wait_until(ready, start_limit)) {
+    faults_.push_back(entry(number).name + " is not ready after its restart");
+  }
+  route_to(number, true);
+}
+
+void site::stop_entry(int number) {
+  entry(number).process->send(SIGTERM);
+  await_entry_leave(number);
+}
+
+void site::begin_entry_leave(int number) {
+  entry(number).process->send(SIGTERM);
+  await_notice(number);
+}
+
+void site::await_notice(int number) {
+  const auto leaving = [&] {
+    const auto page = get_json(entry(number).operations, "/ready");
+    return !page.is_object() || !page.value("ready", false);
+  };
+  if (!wait_until(leaving, stop_limit)) {
+    faults_.push_back(entry(number).name + " was told to leave and stays ready");
+  }
+  route_to(number, false);
+}
+
+void site::await_entry_leave(int number) {
+  await_notice(number);
+  set_running(entry_running_, number, false);
+  if (!entry(number).process->wait(stop_limit)) {
+    faults_.push_back(entry(number).name + " did not stop");
+    entry(number).process->kill();
+    return;
+  }
+  check_exit(entry(number).name, *entry(number).process);
+}
+
+void site::kill_agent(int number) {
+  set_running(agent_running_, number, false);
+  if (agent(number).process->wait(milliseconds(0))) {
+    check_exit(agent(number).name, *agent(number).process);
+  }
+  agent(number).process->kill();
+}
+
+void site::restart_agent(int number) {
+  start_agent(number);
+}
+
+void site::stop_agent(int number) {
+  agent(number).process->send(SIGTERM);
+  await_agent_leave(number);
+}
+
+void site::await_agent_leave(int number) {
+  set_running(agent_running_, number, false);
+  if (!agent(number).process->wait(stop_limit)) {
+    faults_.push_back(agent(number).name + " did not stop");
+    agent(number).process->kill();
+    return;
+  }
+  check_exit(agent(number).name, *agent(number).process);
+}
+
+int site::add_agent() {
+  const int number = agents() + 1;
+  make_agent(number);
+  start_agent(number);
+  start_upstream(number);
+  return number;
+}
+
+void site::kill_upstream(int number) {
+  agent(number).upstream->kill();
+}
+
+void site::restart_upstream(int number) {
+  start_upstream(number);
+}
+
+void site::leave_upstream(int number) {
+  control_upstream(number, R"({"leave":true})");
+  // The DELETE goes out with the next heartbeat, at most 1 s later.
+  std::this_thread::sleep_for(milliseconds(1100));
+  agent(number).left = wall_now();
+}
+
+void site::control_log(const std::string& command) const {
+  post_control(log_address_, json::parse(command));
+}
+
+void site::control_upstream(int number, const std::string& command) const {
+  post_control(agents_[static_cast<std::size_t>(number - 1)].upstream_address,
+               json::parse(command));
+}
+
+// End.
+
+void site::check_exit(const std::string& name, child_process& process) {
+  const auto fault = process.fault();
+  if (!fault.empty()) {
+    faults_.push_back(name + " ended with " + fault);
+  }
+}
+
+void site::find_aborts() {
+  for (const auto& file : std::filesystem::directory_iterator(options_.folder)) {
+    if (file.path().extension() != ".log") {
+      continue;
+    }
+    std::ifstream text(file.path());
+    for (std::string line; std::getline(text, line);) {
+      for (const char* mark : {"nvariant violated", "terminate called", "Sanitizer"}) {
+        if (line.find(mark) != std::string::npos) {
+          faults_.push_back(file.path().filename().string() + ": " + line.substr(0, 200));
+        }
+      }
+    }
+  }
+}
+
+std::vector<std::string> site::finish() {
+  for (int i = 1; i <= entries(); ++i) {
+    if (entry_runs(i)) {
+      stop_entry(i);
+    }
+  }
+  for (int i = 1; i <= agents(); ++i) {
+    if (agent_runs(i)) {
+      stop_agent(i);
+    }
+  }
+  find_aborts();
+  return faults_;
+}
+
+} // namespace parsleylead::faults
