Find entries in the log when no configured one is left

Change: module members; entries append their address at start and each hour; an agent with log_address reads it every 5 s while it has no session.

--- a/include/parsleylead/settings/agent_settings.hpp
+++ b/include/parsleylead/settings/agent_settings.hpp
@@ -37,6 +37,8 @@
   endpoint operations_address;
   /// RPC addresses of entries.
   std::vector<endpoint> seeds;
+  /// The platform's log. Read for the addresses of entries while no entry can be reached.
+  std::optional<endpoint> log_address;
   std::chrono::milliseconds announce_interval{1000};
   std::chrono::milliseconds max_announce_interval{10'000};
   /// How long the state of an entry without a session is kept.
--- a/src/agent/agent_core.hpp
+++ b/src/agent/agent_core.hpp
@@ -104,6 +104,10 @@
   /// Begins a graceful shutdown unless one has begun; for entries that follow the catalogue.
   void drain();
 
+  std::size_t session_count() const { return sessions_.size(); }
+  /// Adds an entry that was found in the log.
+  void add_entry(const endpoint& address) { announcements_.add(address); }
+
   bool ready() const { return upstream_.has_value() && !draining_; }
   bool abandoned_tasks() const { return abandoned_; }
   agent_account account() const;
--- a/src/agent/agent_process.cpp
+++ b/src/agent/agent_process.cpp
@@ -1,6 +1,7 @@
 #include "parsleylead/agent/agent_process.hpp"
 
 #include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
 #include <atomic>
 #include <chrono>
 #include <future>
@@ -12,7 +13,9 @@
 #include "agent_rpc.hpp"
 #include "parsleylead/base/uuid.hpp"
 #include "parsleylead/http/http_server.hpp"
+#include "parsleylead/members/member_directory.hpp"
 #include "parsleylead/observe/make_logger.hpp"
+#include "parsleylead/platform_log/http_log_service.hpp"
 #include "parsleylead/transport/rpc_server.hpp"
 #include "upstream_announcement.hpp"
 
@@ -25,6 +28,7 @@
 constexpr std::size_t max_announcement_bytes = 64UL * 1024;
 // Short, because a stop waits for open connections.
 constexpr milliseconds keep_alive{1000};
+constexpr milliseconds search_interval{5000};
 constexpr milliseconds control_timeout{2000};
 constexpr milliseconds control_poll{20};
 
@@ -72,12 +76,20 @@
       return status;
     }
     core_->set_rpc_address(settings_.advertised_rpc_address.value_or(rpc_->local_endpoint()));
-    return announcements_.start(settings_.upstream.announce_address);
+    if (auto status = announcements_.start(settings_.upstream.announce_address); !status.ok()) {
+      return status;
+    }
+    schedule_search();
+    return absl::OkStatus();
   }
 
   agent_exit run() {
     loop_.run();
     stop_listeners();
+    if (log_client_.has_value()) {
+      log_client_->close();
+    }
+    directory_.reset();
     return core_->abandoned_tasks() ? agent_exit::abandoned_tasks : agent_exit::drained;
   }
 
@@ -112,6 +124,41 @@
     return unavailable();
   }
 
+  // Looks for entries in the log while none has a session: all configured ones may be gone.
+  void schedule_search() {
+    if (!settings_.log_address.has_value()) {
+      return;
+    }
+    search_timer_.expires_after(search_interval);
+    search_timer_.async_wait([this](const asio::error_code& error) {
+      if (error) {
+        return;
+      }
+      if (core_->session_count() == 0) {
+        search_log();
+      }
+      schedule_search();
+    });
+  }
+
+  void search_log() {
+    if (directory_.has_value()) {
+      directory_->refresh();
+      return;
+    }
+    log_service_settings log;
+    log.address = *settings_.log_address;
+    log_client_.emplace(log);
+    directory_.emplace(*log_client_, member_directory_options{},
+                       [this](std::vector<member_record> members) {
+                         asio::post(loop_.io(), [this, members = std::move(members)] {
+                           for (const auto& member : members) {
+                             core_->add_entry(member.address);
+                           }
+                         });
+                       });
+  }
+
   static http_server_options http_options() {
     return {http_threads, max_announcement_bytes, keep_alive};
   }
@@ -175,6 +222,9 @@
   // Destroyed after the RPC server, whose connections hold sessions that refer to it.
   std::optional<agent_core> core_;
   std::optional<rpc_server> rpc_;
+  asio::steady_timer search_timer_{loop_.io()};
+  std::optional<http_log_service> log_client_;
+  std::optional<member_directory> directory_;
   http_server announcements_;
   http_server operations_;
 };
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -19,6 +19,7 @@
 #include "parsleylead/entry/caller_request.hpp"
 #include "parsleylead/entry/dispatcher.hpp"
 #include "parsleylead/http/http_server.hpp"
+#include "parsleylead/members/member_directory.hpp"
 #include "parsleylead/observe/make_logger.hpp"
 #include "parsleylead/observe/metrics_registry.hpp"
 #include "parsleylead/observe/span_writer.hpp"
@@ -133,6 +134,7 @@
   void apply_change(const subject_change& change, monotonic_time now);
   void apply_drain(const std::string& process);
 
+  void start_directory();
   void schedule_tick();
   void schedule_links();
   void begin_drain();
@@ -161,6 +163,7 @@
   rpc_server rpc_;
   http_server callers_;
   http_server operations_;
+  std::optional<member_directory> directory_;
   asio::steady_timer tick_timer_;
   asio::steady_timer link_timer_;
   asio::steady_timer drain_timer_;
@@ -202,6 +205,7 @@
     decisions_.on_claim(decision, now_on_loop());
   });
   catalogue_.start([this](const auto& changes) { on_catalogue_changes(changes); });
+  start_directory();
   schedule_tick();
   schedule_links();
   logger_->info("Serving callers at {}, operators at {}, peers at {}.",
@@ -214,6 +218,7 @@
   loop_.run();
   // No handler runs any more; the threads end first, then the connections.
   log_.close();
+  directory_.reset();
   claims_.stop();
   catalogue_.stop();
   members_.stop();
@@ -528,6 +533,19 @@
           }};
 }
 
+// The log names entries to processes whose configured addresses are all out of date.
+void entry_process::state::start_directory() {
+  member_directory_options options;
+  options.self = member_record{settings_.name, *parse_endpoint(members_.self().address)};
+  directory_.emplace(log_, options, [this](std::vector<member_record> members) {
+    asio::post(loop_.io(), [this, members = std::move(members)] {
+      for (const auto& member : members) {
+        members_.add_candidate(member.address);
+      }
+    });
+  });
+}
+
 // Timers.
 
 void entry_process::state::schedule_tick() {
--- /dev/null
+++ b/src/members/member_directory.cpp
@@ -0,0 +1,97 @@
+#include "parsleylead/members/member_directory.hpp"
+
+#include <map>
+#include <utility>
+
+#include "parsleylead/platform_log/find_offset.hpp"
+
+namespace parsleylead {
+namespace {
+
+constexpr std::size_t records_per_read = 500;
+
+} // namespace
+
+member_directory::member_directory(log_service& log, member_directory_options options,
+                                   member_callback on_members)
+    : log_(log), options_(std::move(options)), on_members_(std::move(on_members)),
+      thread_([this] { run(); }) {}
+
+member_directory::~member_directory() {
+  {
+    const std::lock_guard lock(mutex_);
+    stop_ = true;
+  }
+  changed_.notify_all();
+  thread_.join();
+}
+
+void member_directory::refresh() {
+  {
+    const std::lock_guard lock(mutex_);
+    refresh_ = true;
+  }
+  changed_.notify_all();
+}
+
+void member_directory::run() {
+  std::unique_lock lock(mutex_);
+  while (!stop_) {
+    refresh_ = false;
+    lock.unlock();
+    const bool done = exchange();
+    lock.lock();
+    // A refresh right after a failure must not turn into a busy loop.
+    const auto wait = done ? options_.interval : options_.retry_interval;
+    changed_.wait_for(lock, wait, [this, done] { return stop_ || (done && refresh_); });
+  }
+}
+
+bool member_directory::exchange() {
+  if (!read_members()) {
+    return false;
+  }
+  const auto now = std::chrono::steady_clock::now();
+  if (!options_.self || now < next_append_) {
+    return true;
+  }
+  // A repeated record after a lost reply does no harm.
+  if (!log_.append(member_stream, encode_member(*options_.self)).ok()) {
+    return false;
+  }
+  next_append_ = now + options_.interval;
+  return true;
+}
+
+bool member_directory::read_members() {
+  const auto oldest = wall_now() - 2 * options_.interval;
+  auto offset = find_offset(log_, member_stream, oldest);
+  if (!offset.ok()) {
+    return false;
+  }
+  std::map<std::string, member_record> newest;
+  while (true) {
+    const auto batch =
+        log_.read(member_stream, *offset, records_per_read, std::chrono::milliseconds(0));
+    if (!batch.ok()) {
+      return false;
+    }
+    for (const auto& record : batch->records) {
+      if (auto member = decode_member(record.payload)) {
+        newest[member->name] = *std::move(member);
+      }
+    }
+    if (batch->records.empty()) {
+      break;
+    }
+    offset = batch->next;
+  }
+  std::vector<member_record> members;
+  for (auto& [name, member] : newest) {
+    members.push_back(std::move(member));
+  }
+  on_members_(std::move(members));
+  return true;
+}
+
+} // namespace parsleylead
--- a/src/settings/parse_agent_settings.cpp
+++ b/src/settings/parse_agent_settings.cpp
@@ -27,6 +27,7 @@
 
 void read_announcing(object_reader& reader, agent_settings& target) {
   reader.addresses("seeds", target.seeds, presence::required);
+  reader.optional_address("log_address", target.log_address);
   reader.duration("announce_interval_ms", target.announce_interval, {1, minute_ms});
   reader.duration("max_announce_interval_ms", target.max_announce_interval, {1, hour_ms});
   if (target.announce_interval > target.max_announce_interval) {
