Share the start-up code of the two daemons

Cause: both binaries repeated settings errors, port files and signals, in two different ways. Change: tool/daemon.hpp; both take signals on their control loop.

--- a/cmd/parsleylead-entry/main.cpp
+++ b/cmd/parsleylead-entry/main.cpp
@@ -4,13 +4,12 @@
 
 #include <csignal>
 #include <cstdio>
-#include <fstream>
-#include <thread>
 
 #include "parsleylead/base/error.hpp"
 #include "parsleylead/entry/entry_process.hpp"
 #include "parsleylead/platform_log/http_log_service.hpp"
 #include "parsleylead/settings/parse_entry_settings.hpp"
+#include "parsleylead/tool/daemon.hpp"
 
 DEFINE_string(settings, "", "Settings file, JSON with comments.");
 DEFINE_bool(check_settings, false, "Check the settings, print every fault and exit.");
@@ -18,63 +17,29 @@
 
 namespace {
 
-constexpr int exit_usage = 2;
-constexpr int exit_port_in_use = 3;
-
-sigset_t stop_signals() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  return signals;
-}
-
-// Waits for signals on a thread of its own; SIGUSR1 from `run` ends it.
-void forward_signals(parsleylead::entry_process& process) {
-  auto signals = stop_signals();
-  sigaddset(&signals, SIGUSR1);
-  int received = 0;
-  while (sigwait(&signals, &received) == 0 && received != SIGUSR1) {
-    process.request_stop();
-  }
-}
-
-void write_ports(const parsleylead::entry_process& process) {
-  if (FLAGS_port_file.empty()) {
-    return;
-  }
-  std::ofstream(FLAGS_port_file) << process.caller_endpoint().port << ' '
-                                 << process.operations_endpoint().port << ' '
-                                 << process.rpc_endpoint().port << '\n';
-}
-
 int run() {
   const auto parsed = parsleylead::load_entry_settings(FLAGS_settings);
-  if (!parsed.ok()) {
-    for (const auto& error : parsed.errors) {
-      std::fprintf(stderr, "entry: settings: %s\n", to_string(error).c_str());
-    }
-    return exit_usage;
+  if (!parsleylead::report_setting_errors("entry", parsed)) {
+    return parsleylead::daemon_exit_bad_settings;
   }
   if (FLAGS_check_settings) {
     std::puts("entry: the settings are valid.");
     return 0;
   }
-  auto blocked = stop_signals();
-  sigaddset(&blocked, SIGUSR1);
-  pthread_sigmask(SIG_BLOCK, &blocked, nullptr);
+  // A peer that closes its connection must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
   parsleylead::http_log_service log(parsed.settings->log);
   parsleylead::entry_process process(*parsed.settings, log);
   if (const auto status = process.start(); !status.ok()) {
     std::fprintf(stderr, "entry: %s\n", parsleylead::describe(status).c_str());
-    return exit_port_in_use;
+    return parsleylead::daemon_exit_cannot_listen;
   }
-  write_ports(process);
-  std::thread signals([&process] { forward_signals(process); });
+  parsleylead::write_port_file(FLAGS_port_file,
+                               {process.caller_endpoint().port, process.operations_endpoint().port,
+                                process.rpc_endpoint().port});
+  asio::signal_set signals(process.io(), SIGTERM, SIGINT);
+  parsleylead::forward_stop_signals(signals, process);
   process.run();
-  pthread_kill(signals.native_handle(), SIGUSR1);
-  signals.join();
   return 0;
 }
 
--- a/include/parsleylead/entry/entry_process.hpp
+++ b/include/parsleylead/entry/entry_process.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <asio/io_context.hpp>
 #include <memory>
 
 #include "absl/status/status.h"
@@ -35,6 +36,9 @@
   /// callers still open get a truthful failure. Thread-safe.
   void request_stop();
 
+  /// For the signal handlers of the binary.
+  asio::io_context& io();
+
   /// Addresses in use. Precondition: `start` succeeded.
   endpoint caller_endpoint() const;
   endpoint operations_endpoint() const;
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -99,6 +99,7 @@
   void run();
   void request_stop();
 
+  asio::io_context& io() { return loop_.io(); }
   endpoint caller_endpoint() const { return callers_.local_endpoint(); }
   endpoint operations_endpoint() const { return operations_.local_endpoint(); }
   endpoint rpc_endpoint() const { return rpc_.local_endpoint(); }
@@ -590,6 +591,10 @@
   state_->request_stop();
 }
 
+asio::io_context& entry_process::io() {
+  return state_->io();
+}
+
 endpoint entry_process::caller_endpoint() const {
   return state_->caller_endpoint();
 }
--- a/src/members/member_directory.cpp
+++ b/src/members/member_directory.cpp
@@ -77,8 +77,8 @@
       return false;
     }
     for (const auto& record : batch->records) {
-      if (auto member = decode_member(record.payload)) {
-        newest[member->name] = *std::move(member);
+      if (const auto member = decode_member(record.payload)) {
+        newest[member->name] = *member;
       }
     }
     if (batch->records.empty()) {
@@ -87,6 +87,7 @@
     offset = batch->next;
   }
   std::vector<member_record> members;
+  members.reserve(newest.size());
   for (auto& [name, member] : newest) {
     members.push_back(std::move(member));
   }
