Keep the failure handler of a reopened session alive

Ruled out: a blocked control loop; the core dump shows weak_ptr::lock on a stale frame. Change: move the handler into the promise.

--- a/src/entry/agent_link.cpp
+++ b/src/entry/agent_link.cpp
@@ -271,7 +271,7 @@
                 });
           });
   const auto limit = context_.settings.connect_timeout + context_.settings.probe_timeout;
-  opening_ = context_.loop.with_timeout(kj::mv(attempt), limit).eagerlyEvaluate(fail);
+  opening_ = context_.loop.with_timeout(kj::mv(attempt), limit).eagerlyEvaluate(kj::mv(fail));
 }
 
 void agent_link::on_reply(std::uint64_t counter, wire::SessionReply::Reader reply,
