Judge what entries show of the catalogue against the log

Cause: an entry that accepted a conflicting change passed, because only accepted changes were looked up. Change: every revision that an entry shows must be a change that the log accepted.

--- a/tests/faults/catalogue_desk.cpp
+++ b/tests/faults/catalogue_desk.cpp
@@ -1,5 +1,6 @@
 #include "catalogue_desk.hpp"
 
+#include <algorithm>
 #include <stdexcept>
 
 #include "parsleylead/catalogue/catalogue_codec.hpp"
@@ -63,6 +64,14 @@
   return accepted_;
 }
 
+bool catalogue_desk::is_accepted(std::uint64_t offset) const {
+  const std::lock_guard lock(mutex_);
+  const auto& history = replica_.history();
+  return std::any_of(history.begin(), history.end(), [offset](const applied_change& change) {
+    return change.offset == offset && change.result == change_result::accepted;
+  });
+}
+
 void catalogue_desk::adopt(const accepted_change& change) {
   const std::lock_guard lock(mutex_);
   accepted_.push_back(change);
--- a/tests/faults/catalogue_desk.hpp
+++ b/tests/faults/catalogue_desk.hpp
@@ -38,6 +38,8 @@
   /// Reads the log up to its end.
   absl::Status refresh();
 
+  /// Whether the log, judged by a replica of the desk's own, accepted the change at the offset.
+  bool is_accepted(std::uint64_t offset) const;
   std::vector<accepted_change> accepted() const;
   /// Takes over the accepted change of another desk, so that it is judged, too.
   void adopt(const accepted_change& change);
--- a/tests/faults/catalogue_watch.cpp
+++ b/tests/faults/catalogue_watch.cpp
@@ -150,8 +150,11 @@
   sights.push_back(seen);
 }
 
-std::vector<std::string> catalogue_watch::judge(monotonic_time reachable) const {
+std::vector<std::string> catalogue_watch::judge(monotonic_time reachable) {
   auto faults = faults_;
+  if (desk_.refresh().ok()) {
+    check_sights(faults);
+  }
   for (const auto* desk : {&desk_, &racer_}) {
     for (const auto& change : desk->accepted()) {
       if (change.subject.type == subject_type::owner) {
@@ -162,6 +165,20 @@
   return faults;
 }
 
+// What an entry shows must be a change that the log accepted.
+void catalogue_watch::check_sights(std::vector<std::string>& faults) const {
+  for (const auto& [entry, history] : histories_) {
+    for (const auto& [team, sights] : history.teams) {
+      for (const auto& one : sights) {
+        if (!desk_.is_accepted(one.revision)) {
+          faults.push_back("P8: " + entry + " shows " + team + " at revision " +
+                           std::to_string(one.revision) + ", which the log did not accept");
+        }
+      }
+    }
+  }
+}
+
 void catalogue_watch::check_change(const accepted_change& change, monotonic_time reachable,
                                    std::vector<std::string>& faults) const {
   for (const auto& [entry, operations] : place_.running_entries()) {
--- a/tests/faults/catalogue_watch.hpp
+++ b/tests/faults/catalogue_watch.hpp
@@ -28,7 +28,7 @@
 
   /// Faults seen by the polls, and accepted changes that were not in force at a running entry
   /// within the bound after the later of the acceptance and `reachable`. Call after `stop`.
-  std::vector<std::string> judge(monotonic_time reachable) const;
+  std::vector<std::string> judge(monotonic_time reachable);
   std::size_t changes() const { return desk_.accepted().size() + racer_.accepted().size(); }
 
 private:
@@ -49,6 +49,7 @@
   void poll(const std::string& name, const endpoint& operations);
   void note(const std::string& entry, entry_history& history, const std::string& team,
             const sight& seen);
+  void check_sights(std::vector<std::string>& faults) const;
   void check_change(const accepted_change& change, monotonic_time reachable,
                     std::vector<std::string>& faults) const;
 
