--- a/cmd/parsleyload/main.cpp
+++ b/cmd/parsleyload/main.cpp
@@ -38,6 +38,7 @@
 DEFINE_uint32(max_open, 256, "Most open jobs; further jobs count as not sent");
 DEFINE_uint32(slots, 8, "Slots of all workers together, for the ideal response time");
 DEFINE_double(mean_speed, 1, "Mean speed of the workers, for the ideal response time");
+DEFINE_double(best_speed, 0, "Speed of the fastest worker, for the ideal; 0: the mean speed");
 DEFINE_string(csv, "", "Append a row to this file");
 
 namespace parsleylead {
@@ -56,7 +57,7 @@
       --rate JOBS_PER_S (--duration_s S | --jobs N) [--seed N] [--sizes uniform:N|heavy:N]
       [--median_ms --min_ms --max_ms --long_share --long_min_ms --long_max_ms] [--budget_ms MS]
       [--cancel_share P] [--burst FACTOR@START+DURATION] [--resubmit] [--max_open N]
-      [--slots N --mean_speed X] [--operations ip:port,...] [--json] [--csv FILE]
+      [--slots N --mean_speed X --best_speed X] [--operations ip:port,...] [--json] [--csv FILE]
       Open-loop load: arrivals do not wait for answers. Every answer is checked.
   parsleyload direct --upstream ip:port --kinds a --rate JOBS_PER_S (--duration_s S | --jobs N)
       The same load with one task per job straight at an upstream, for comparison.
@@ -147,7 +148,7 @@
 
 exit_code run_load(job_sender send, const load_profile& profile,
                    const std::vector<endpoint>& processes) {
-  load_report report({FLAGS_slots, FLAGS_mean_speed});
+  load_report report({FLAGS_slots, FLAGS_mean_speed, FLAGS_best_speed});
   const auto before = read_all(processes);
   job_generator jobs(profile);
   open_loop(std::move(send), FLAGS_max_open).run([&] { return jobs.next(); }, report);
--- a/include/parsleylead/account/account.hpp
+++ b/include/parsleylead/account/account.hpp
@@ -23,8 +23,9 @@
   announce,
   want_without_grant,
   duplicate_result,
+  unused_grant,
 };
-inline constexpr std::size_t waste_causes = 7;
+inline constexpr std::size_t waste_causes = 8;
 
 /// How an accepted job ended.
 enum class job_outcome : std::uint8_t { complete, failed, cancelled, refused_after_acceptance };
--- a/include/parsleylead/entry/dispatcher.hpp
+++ b/include/parsleylead/entry/dispatcher.hpp
@@ -46,6 +46,9 @@
   std::uint64_t memory_mb = 0;
 };
 
+/// The message that brought credits.
+enum class credit_origin { result, want_answer, grant };
+
 /// Decides everything about the submissions of one entry: admission, claims, the order of the
 /// backlog, placement, outcomes and replies. Performs no I/O; messages leave through the gateways.
 /// Not thread-safe: control thread only. `now` never decreases.
@@ -91,8 +94,9 @@
   void on_agent_lost(const std::string& agent);
   /// The agent is leaving: its credits are void.
   void on_agent_leaving(const std::string& agent, std::uint64_t session);
+  /// Credits came with the answer to a `want` or in a grant message.
   void on_credits(const std::string& agent, std::uint64_t session, std::uint32_t credits,
-                  monotonic_time now);
+                  credit_origin origin, monotonic_time now);
   /// Gives up unused credits and returns their number.
   std::uint32_t on_recall(const std::string& agent, std::uint64_t session, std::uint32_t credits);
   void on_outcome(const uuid& submission, task_attempt task, dispatch_outcome outcome,
@@ -154,6 +158,7 @@
   bool place_next(monotonic_time now);
   void dispatch(const uuid& submission, const std::string& agent, bool trial, monotonic_time now);
   void send_wants(monotonic_time now);
+  void count_wants();
 
   void record_outcome(job& target, submission_state& state, task_attempt task,
                       const dispatch_state& sent, dispatch_outcome& outcome, monotonic_time now);
--- a/include/parsleylead/load/load_report.hpp
+++ b/include/parsleylead/load/load_report.hpp
@@ -20,10 +20,13 @@
   std::uint32_t slots = 1;
   /// Mean of the workers' speeds; a worker of speed 2 needs half of a task's run time.
   double mean_speed = 1;
+  /// Speed of the fastest worker; 0 means the mean speed.
+  double best_speed = 0;
 };
 
-/// Least possible response time of a job that has all slots to itself: the longest task, or the
-/// total work divided by the slots, at mean worker speed.
+/// Least possible response time of a job that has all slots to itself: the longest task at the
+/// fastest worker, or the total work divided by the capacity (slots times mean speed).
+/// Defined in docs/measurements/README.md.
 std::chrono::nanoseconds ideal_response_time(const job_spec& job, const ideal_capacity& capacity);
 
 /// Totals of a run. Not thread-safe.
@@ -70,6 +73,10 @@
   std::uint64_t not_sent_ = 0;
   std::uint64_t resubmissions_ = 0;
   std::uint64_t complete_tasks_ = 0;
+  /// Tasks of jobs whose whole answer did not arrive within the time budget.
+  std::uint64_t late_tasks_ = 0;
+  /// Run time of all tasks sent, at speed 1.
+  std::chrono::duration<double> offered_work_{0};
   std::chrono::duration<double> elapsed_{0};
   latency_histogram response_times_;
   value_histogram slowdowns_{1e-3, 1e6};
--- a/include/parsleylead/placement/demand_tracker.hpp
+++ b/include/parsleylead/placement/demand_tracker.hpp
@@ -39,6 +39,16 @@
   /// A dispatch that carried this demand was sent to the worker.
   void dispatched(const std::string& worker, const demand& carried);
 
+  /// The following calls tell which `want` messages were wasted: those after which no credit of
+  /// the worker's answer or of a grant message was spent while the demand lasted.
+  void wanted(const std::string& worker) { ++open_wants_[worker].sent; }
+  /// The answer to a `want`, or a grant message, brought credits.
+  void granted(const std::string& worker);
+  /// A credit of the worker was spent.
+  void spent(const std::string& worker);
+  /// Wasted `want` messages since the last call. The open ones are wasted when no demand is left.
+  std::uint64_t take_wasted_wants();
+
 private:
   struct worker_state {
     /// Rise of the demand that the worker was told; 0 for none.
@@ -46,6 +56,13 @@
     std::optional<monotonic_time> last_want;
   };
 
+  /// `want` messages to a worker whose use is not decided yet, and how many were granted.
+  struct want_use {
+    std::uint64_t sent = 0;
+    std::uint64_t granted = 0;
+  };
+
+  std::map<std::string, want_use> open_wants_;
   std::map<std::string, worker_state> workers_;
   /// Workers without the demand of rise `untold_rise_`, so that a call with nothing to do is cheap.
   std::set<std::string> untold_;
--- a/include/parsleylead/slot/credit_book.hpp
+++ b/include/parsleylead/slot/credit_book.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 
@@ -32,7 +33,9 @@
   void void_credits(const std::string& worker, std::uint64_t session);
 
   /// False if the session is not current; the credits are then ignored.
-  bool grant(const std::string& worker, std::uint64_t session, std::uint32_t credits);
+  /// `own_message`: they came in a message that carried nothing else.
+  bool grant(const std::string& worker, std::uint64_t session, std::uint32_t credits,
+             bool own_message = false);
   /// Spends one credit. False if there is none.
   bool spend(const std::string& worker);
   /// Gives up at most `asked` unused credits of the session and returns their number.
@@ -42,17 +45,28 @@
   /// Current session of the worker, 0 for none.
   std::uint64_t session(const std::string& worker) const;
   const credit_totals& totals() const { return totals_; }
+  /// Grant messages none of whose credits was spent before all were given up or voided. Each is
+  /// returned once.
+  std::uint64_t take_unused_grants();
 
 private:
   struct worker_state {
     std::uint64_t session = 0;
     std::uint32_t unused = 0;
+    /// For each unused credit the number of the grant message that brought it, 0 for none. The
+    /// oldest credit is spent first, the newest is given up first.
+    std::deque<std::uint64_t> origins;
+    std::uint64_t last_spent = 0;
   };
   worker_state* current(const std::string& worker, std::uint64_t session);
   void void_unused(worker_state& state);
+  /// Drops the newest `count` credits.
+  void drop_newest(worker_state& state, std::uint32_t count);
 
   std::map<std::string, worker_state> workers_;
   credit_totals totals_;
+  std::uint64_t grant_messages_ = 0;
+  std::uint64_t unused_grants_ = 0;
 };
 
 } // namespace parsleylead
--- /dev/null
+++ b/include/parsleylead/transport/rpc_traffic.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <cstdint>
+
+namespace parsleylead {
+
+/// Bytes that all RPC connections of this process have carried since its start.
+struct rpc_traffic {
+  std::uint64_t sent = 0;
+  std::uint64_t received = 0;
+};
+
+/// Thread-safe.
+rpc_traffic total_rpc_traffic();
+
+} // namespace parsleylead
--- a/src/account/account.cpp
+++ b/src/account/account.cpp
@@ -23,6 +23,8 @@
     return "want_without_grant";
   case waste_cause::duplicate_result:
     return "duplicate_result";
+  case waste_cause::unused_grant:
+    return "unused_grant";
   }
   return "invalid";
 }
--- a/src/agent/agent_account.cpp
+++ b/src/agent/agent_account.cpp
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <string_view>
 
+#include "parsleylead/transport/rpc_traffic.hpp"
+
 namespace parsleylead {
 namespace {
 
@@ -81,6 +83,21 @@
                   std::to_string(count) + '\n';
         }
       });
+  const auto labelled = [&text](const char* name, const char* label, const char* key,
+                                std::uint64_t value) {
+    text += std::string(name) + '{' + label + "=\"" + key + "\"} " + std::to_string(value) + '\n';
+  };
+  head("parsleylead_messages_total", "counter");
+  labelled("parsleylead_messages_total", "process", "agent", account.messages);
+  head("parsleylead_wasted_messages_total", "counter");
+  // A call and its return.
+  labelled("parsleylead_wasted_messages_total", "cause", "announce", 2 * account.announces);
+  labelled("parsleylead_wasted_messages_total", "cause", "duplicate_result",
+           account.duplicate_results);
+  const auto traffic = total_rpc_traffic();
+  head("parsleylead_rpc_bytes_total", "counter");
+  labelled("parsleylead_rpc_bytes_total", "direction", "sent", traffic.sent);
+  labelled("parsleylead_rpc_bytes_total", "direction", "received", traffic.received);
   visit_gauges(account, [&](const char* name, std::uint64_t value) {
     const auto full = "parsleylead_agent_" + std::string(name);
     head(full, "gauge");
--- a/src/agent/agent_account.hpp
+++ b/src/agent/agent_account.hpp
@@ -37,6 +37,8 @@
   std::uint64_t wants = 0;
   std::uint64_t wants_without_grant = 0;
   std::uint64_t probes = 0;
+  /// RPC calls and returns sent.
+  std::uint64_t messages = 0;
 
   // Gauges.
   std::uint32_t slots = 0;
--- a/src/agent/agent_core.cpp
+++ b/src/agent/agent_core.cpp
@@ -100,6 +100,7 @@
 session_answer agent_core::open_session(const session_request& request,
                                         wire::SessionReceiver::Client receiver) {
   const auto now = steady_clock::now();
+  ++account_.messages;
   session_answer answer;
   const auto opening = commits_.open_session(request.key, request.previous_agent,
                                              request.outstanding, request.acknowledged, now);
@@ -204,6 +205,7 @@
 
 kj::Promise<dispatch_reply> agent_core::dispatch(slot_session session, received_dispatch request) {
   ++account_.dispatches;
+  ++account_.messages;
   auto* state = find_session(session);
   if (state == nullptr || !commits_.is_current(state->key)) {
     return refuse(session, request, reason::stale_session, "a later session was opened");
@@ -294,6 +296,7 @@
   if (state == nullptr || !commits_.is_current(state->key)) {
     return KJ_EXCEPTION(DISCONNECTED, "stale_session: a later session was opened");
   }
+  ++account_.messages;
   state->heard = steady_clock::now();
   const auto position = tickets_.find({state->key.entry, sequence});
   if (position != tickets_.end()) {
@@ -455,6 +458,7 @@
   if (state == nullptr) {
     return;
   }
+  ++account_.messages;
   state->heard = steady_clock::now();
   const auto key = state->key;
   for (const auto sequence : sequences) {
@@ -490,6 +494,7 @@
   }
   state->heard = steady_clock::now();
   ++account_.wants;
+  ++account_.messages;
   const auto actions = slots_.want(session, demand);
   if (actions.own_credits == 0) {
     ++account_.wants_without_grant;
@@ -504,6 +509,7 @@
     return;
   }
   state->heard = steady_clock::now();
+  ++account_.messages;
   account_.credits_returned += credits;
   apply(slots_.give_back(session, credits));
 }
@@ -528,6 +534,7 @@
     return;
   }
   ++account_.grants;
+  ++account_.messages;
   auto request = state->receiver.grantRequest();
   request.setCredits(credits);
   background_->add(request.send().ignoreResult());
@@ -539,6 +546,7 @@
     return;
   }
   ++account_.recalls;
+  ++account_.messages;
   auto request = state->receiver.recallRequest();
   request.setCredits(credits);
   auto returned = request.send().then([](auto&& response) { return response.getReturned(); });
@@ -561,6 +569,7 @@
 
 void agent_core::probe(slot_session session) {
   ++account_.probes;
+  ++account_.messages;
   if (auto* state = find_session(session); state != nullptr) {
     state->heard = steady_clock::now();
   }
@@ -617,6 +626,7 @@
   auto request = session.receiver.leavingRequest();
   describe(request.initAgent());
   session.leaving_sent = true;
+  ++account_.messages;
   background_->add(request.send().then(
       [this, id = session.id, all_ended](auto&& /*response*/) {
         auto* state = find_session(id);
@@ -640,6 +650,7 @@
   for (auto& [id, session] : sessions_) {
     auto request = session.receiver.updateRequest();
     describe(request.initAgent());
+    ++account_.messages;
     background_->add(request.send().ignoreResult());
   }
 }
@@ -655,6 +666,7 @@
   }
   for (const auto& address : announcements_.due(connected, now)) {
     ++account_.announces;
+    ++account_.messages;
     background_->add(announce_to(address));
   }
 }
--- a/src/entry/agent_link.cpp
+++ b/src/entry/agent_link.cpp
@@ -119,7 +119,8 @@
   kj::Promise<void> grant(GrantContext context) override {
     if (const auto link = current()) {
       link->context_.decisions.on_credits(link->address_.name, counter_,
-                                          context.getParams().getCredits(), now_on_loop());
+                                          context.getParams().getCredits(), credit_origin::grant,
+                                          now_on_loop());
     }
     return kj::READY_NOW;
   }
@@ -201,7 +202,7 @@
     const auto acknowledged = ledger_.take_acknowledgements();
     fill_numbers(request.initAcknowledged(acknowledged.size()), acknowledged);
     context_.decisions.accounts().messages();
-    context_.decisions.accounts().wasted(waste_cause::probe);
+    context_.decisions.accounts().wasted(waste_cause::probe, 2);
     watch_call(request.send().ignoreResult());
     return true;
   }
@@ -398,7 +399,7 @@
   } else {
     context_.decisions.accounts().wasted(waste_cause::duplicate_result);
   }
-  context_.decisions.on_credits(address_.name, counter, credits, now);
+  context_.decisions.on_credits(address_.name, counter, credits, credit_origin::result, now);
 }
 
 void agent_link::on_call_failed(std::uint64_t sequence, const kj::Exception& error) {
@@ -457,11 +458,8 @@
           return;
         }
         link->ledger_.on_frame_received(now_on_loop());
-        if (response.getCredits() == 0) {
-          link->context_.decisions.accounts().wasted(waste_cause::want_without_grant);
-        }
         link->context_.decisions.on_credits(link->address_.name, counter, response.getCredits(),
-                                            now_on_loop());
+                                            credit_origin::want_answer, now_on_loop());
       }));
 }
 
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -197,6 +197,7 @@
   }
   for (const auto& [agent, count] : reservations) {
     agents_.want(agent, {0, count});
+    demands_.wanted(agent);
   }
 }
 
@@ -387,10 +388,14 @@
 }
 
 void dispatcher::on_credits(const std::string& agent, std::uint64_t session, std::uint32_t credits,
-                            monotonic_time now) {
-  if (credits == 0 || !credits_.grant(agent, session, credits)) {
+                            credit_origin origin, monotonic_time now) {
+  if (credits == 0 ||
+      !credits_.grant(agent, session, credits, origin == credit_origin::grant)) {
     return;
   }
+  if (origin != credit_origin::result) {
+    demands_.granted(agent);
+  }
   sync_credits(agent);
   place(now);
 }
@@ -399,14 +404,13 @@
                                     std::uint32_t credits) {
   const auto given = credits_.give_up(agent, session, credits);
   sync_credits(agent);
-  if (given > 0) {
-    account_.wasted(waste_cause::recalled_credit);
-  }
+  account_.wasted(waste_cause::recalled_credit, messages_per_call);
   return given;
 }
 
 void dispatcher::sync_credits(const std::string& agent) {
   pool_.set_credits(agent, credits_.unused(agent));
+  account_.wasted(waste_cause::unused_grant, messages_per_call * credits_.take_unused_grants());
 }
 
 void dispatcher::update_usable(const std::string& agent) {
@@ -432,7 +436,7 @@
     credits_.give_up(agent, credits_.session(agent), unused);
     sync_credits(agent);
     agents_.give_back(agent, unused);
-    account_.wasted(waste_cause::returned_credit);
+    account_.wasted(waste_cause::returned_credit, messages_per_call);
   }
 }
 
@@ -456,6 +460,7 @@
   while (place_trials(now) || place_next(now)) {
   }
   send_wants(now);
+  count_wants();
   placing_ = false;
 }
 
@@ -530,6 +535,7 @@
   if (policy_.spends_credits() && !trial) {
     const bool spent = credits_.spend(agent);
     check_invariant(spent, "a dispatch spends a credit");
+    demands_.spent(agent);
     sync_credits(agent);
   }
   const auto& kind = target->kind();
@@ -570,9 +576,16 @@
   };
   for (const auto& agent : demands_.wants_due(credit_unused_, now, serves_waiting)) {
     agents_.want(agent, backlog_.waiting_demand(pool_.find(agent)->kinds));
+    demands_.wanted(agent);
   }
 }
 
+void dispatcher::count_wants() {
+  demands_.set_demand(backlog_.waiting_demand());
+  account_.wasted(waste_cause::want_without_grant,
+                  messages_per_call * demands_.take_wasted_wants());
+}
+
 // Outcomes.
 
 void dispatcher::on_outcome(const uuid& submission, task_attempt task, dispatch_outcome outcome,
--- a/src/entry/entry_reports.cpp
+++ b/src/entry/entry_reports.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "parsleylead/catalogue/catalogue_codec.hpp"
+#include "parsleylead/transport/rpc_traffic.hpp"
 
 namespace parsleylead {
 namespace {
@@ -44,6 +45,11 @@
 
 json wasted_json(const account_snapshot& snapshot) {
   json wasted = json::object();
+  const auto traffic = total_rpc_traffic();
+  metrics.set("parsleylead_rpc_bytes_total", {{"direction", "sent"}},
+              static_cast<double>(traffic.sent));
+  metrics.set("parsleylead_rpc_bytes_total", {{"direction", "received"}},
+              static_cast<double>(traffic.received));
   for (std::size_t i = 0; i < waste_causes; ++i) {
     wasted[std::string(to_string(static_cast<waste_cause>(i)))] = snapshot.wasted[i];
   }
--- a/src/load/load_report.cpp
+++ b/src/load/load_report.cpp
@@ -5,6 +5,8 @@
 #include <numeric>
 #include <spdlog/fmt/fmt.h>
 
+#include "parsleylead/base/reason.hpp"
+
 namespace parsleylead {
 namespace {
 
@@ -35,6 +37,16 @@
           {"max", values.max()}};
 }
 
+/// Whether the deadline passed before the whole answer arrived. A job that was refused because it
+/// would be late is not late, but refused.
+bool is_late(const job_spec& job, const job_outcome& outcome) {
+  if (outcome.end == job_end::complete) {
+    return outcome.response_time > job.budget;
+  }
+  return outcome.reason == to_string(reason::deadline_exceeded) ||
+         outcome.reason == to_string(reason::budget_exhausted);
+}
+
 std::string reasons_text(const std::map<std::string, std::uint64_t>& reasons) {
   std::string text;
   for (const auto& [reason, count] : reasons) {
@@ -72,13 +84,18 @@
     longest = std::max(longest, std::chrono::duration<double>(task.run_time));
     total += task.run_time;
   }
-  const auto ideal = std::max(longest, total / std::max(1U, capacity.slots));
-  return std::chrono::round<std::chrono::nanoseconds>(ideal / capacity.mean_speed);
+  const double best_speed = capacity.best_speed > 0 ? capacity.best_speed : capacity.mean_speed;
+  const double all_slots = std::max(1U, capacity.slots) * capacity.mean_speed;
+  const auto ideal = std::max(longest / best_speed, total / all_slots);
+  return std::chrono::round<std::chrono::nanoseconds>(ideal);
 }
 
 void load_report::add(const job_spec& job, const job_outcome& outcome) {
   ++ends_.at(static_cast<std::size_t>(outcome.end));
   resubmissions_ += outcome.resubmissions;
+  for (const auto& task : job.tasks) {
+    offered_work_ += task.run_time;
+  }
   if (outcome.end == job_end::refused) {
     ++refused_[outcome.reason];
   }
@@ -88,6 +105,9 @@
   if (outcome.end == job_end::wrong) {
     ++wrong_[outcome.reason];
   }
+  if (is_late(job, outcome)) {
+    late_tasks_ += job.tasks.size();
+  }
   if (outcome.end != job_end::complete) {
     return;
   }
@@ -135,6 +155,8 @@
                  {"wrong_by_reason", wrong_},
                  {"resubmissions", resubmissions_},
                  {"complete_tasks", complete_tasks_},
+                 {"late_tasks", late_tasks_},
+                 {"offered_work_s", offered_work_.count()},
                  {"elapsed_s", elapsed_.count()},
                  {"response_time", response_json(response_times_)},
                  {"slowdown", slowdown_json(slowdowns_)}};
@@ -205,6 +227,8 @@
   }
   all.emplace_back("resubmissions", static_cast<double>(resubmissions_));
   all.emplace_back("complete_tasks", static_cast<double>(complete_tasks_));
+  all.emplace_back("late_tasks", static_cast<double>(late_tasks_));
+  all.emplace_back("offered_work_s", offered_work_.count());
   all.emplace_back("elapsed_s", elapsed_.count());
   all.emplace_back("response_mean_ms", to_ms(response_times_.mean()));
   all.emplace_back("response_p50_ms", to_ms(response_times_.quantile(0.5)));
--- a/src/load/load_test.cpp
+++ b/src/load/load_test.cpp
@@ -138,10 +138,12 @@
 
 TEST_CASE("load: report") {
   auto job = two_tasks();
-  // Two slots of speed 1: the longest task bounds; one slot: the total does.
+  // Two slots of speed 1: the longest task bounds; one slot: the total does. With a faster worker
+  // the longest task bounds less.
   CHECK(ideal_response_time(job, {2, 1}) == 20ms);
   CHECK(ideal_response_time(job, {1, 1}) == 30ms);
   CHECK(ideal_response_time(job, {1, 2}) == 15ms);
+  CHECK(ideal_response_time(job, {4, 1, 4}) == 7500us);
   load_report report({2, 1});
   report.add(job, {job_end::complete, "", 40ms, 0});
   report.add(job, {job_end::refused, "queue_full", 1ms, 0});
--- a/src/placement/demand_tracker.cpp
+++ b/src/placement/demand_tracker.cpp
@@ -73,6 +73,34 @@
   }
 }
 
+void demand_tracker::granted(const std::string& worker) {
+  const auto found = open_wants_.find(worker);
+  if (found != open_wants_.end()) {
+    found->second.granted = std::min(found->second.granted + 1, found->second.sent);
+  }
+}
+
+void demand_tracker::spent(const std::string& worker) {
+  const auto found = open_wants_.find(worker);
+  if (found == open_wants_.end() || found->second.granted == 0) {
+    return;
+  }
+  --found->second.granted;
+  --found->second.sent;
+}
+
+std::uint64_t demand_tracker::take_wasted_wants() {
+  if (waiting_) {
+    return 0;
+  }
+  std::uint64_t wasted = 0;
+  for (const auto& [worker, use] : open_wants_) {
+    wasted += use.sent;
+  }
+  open_wants_.clear();
+  return wasted;
+}
+
 std::uint32_t credits_to_give_back(const worker_view& worker, bool entry_leaving) {
   return worker.ejected || entry_leaving ? worker.credits : 0;
 }
--- a/src/slot/credit_book.cpp
+++ b/src/slot/credit_book.cpp
@@ -1,6 +1,7 @@
 #include "parsleylead/slot/credit_book.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace parsleylead {
 
@@ -25,11 +26,14 @@
   }
 }
 
-bool credit_book::grant(const std::string& worker, std::uint64_t session, std::uint32_t credits) {
+bool credit_book::grant(const std::string& worker, std::uint64_t session, std::uint32_t credits,
+                        bool own_message) {
   auto* state = current(worker, session);
   if (state == nullptr) {
     return false;
   }
+  const auto origin = own_message ? ++grant_messages_ : 0;
+  state->origins.insert(state->origins.end(), credits, origin);
   state->unused += credits;
   totals_.granted += credits;
   totals_.unused += credits;
@@ -41,7 +45,10 @@
   if (found == workers_.end() || found->second.unused == 0) {
     return false;
   }
-  --found->second.unused;
+  auto& state = found->second;
+  state.last_spent = std::max(state.last_spent, state.origins.front());
+  state.origins.pop_front();
+  --state.unused;
   --totals_.unused;
   ++totals_.spent;
   return true;
@@ -54,7 +61,7 @@
     return 0;
   }
   const auto given = std::min(asked, state->unused);
-  state->unused -= given;
+  drop_newest(*state, given);
   totals_.unused -= given;
   totals_.returned += given;
   return given;
@@ -81,7 +88,23 @@
 void credit_book::void_unused(worker_state& state) {
   totals_.voided += state.unused;
   totals_.unused -= state.unused;
-  state.unused = 0;
+  drop_newest(state, state.unused);
+}
+
+void credit_book::drop_newest(worker_state& state, std::uint32_t count) {
+  for (std::uint32_t i = 0; i < count; ++i) {
+    const auto origin = state.origins.back();
+    state.origins.pop_back();
+    const bool last_of_message = state.origins.empty() || state.origins.back() != origin;
+    if (origin > state.last_spent && last_of_message) {
+      ++unused_grants_;
+    }
+  }
+  state.unused -= count;
+}
+
+std::uint64_t credit_book::take_unused_grants() {
+  return std::exchange(unused_grants_, 0);
 }
 
 } // namespace parsleylead
--- a/src/transport/rpc_connection.cpp
+++ b/src/transport/rpc_connection.cpp
@@ -2,16 +2,22 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <asio/connect.hpp>
 #include <asio/write.hpp>
 #include <memory>
 #include <vector>
 
+#include "parsleylead/transport/rpc_traffic.hpp"
+
 namespace parsleylead {
 namespace {
 
 using asio::ip::tcp;
 
+std::atomic<std::uint64_t> bytes_sent{0};
+std::atomic<std::uint64_t> bytes_received{0};
+
 capnp::ReaderOptions reader_options() {
   capnp::ReaderOptions options;
   options.traversalLimitInWords = max_message_bytes / sizeof(capnp::word);
@@ -105,6 +111,7 @@
         return socket_failure("read failed", error);
       }
       done += count;
+      bytes_received.fetch_add(count, std::memory_order_relaxed);
     }
     return done;
   }
@@ -122,6 +129,7 @@
         return socket_failure("write failed", error);
       }
       consume(buffers, count);
+      bytes_sent.fetch_add(count, std::memory_order_relaxed);
     }
     return kj::READY_NOW;
   }
@@ -192,6 +200,11 @@
 
 } // namespace
 
+rpc_traffic total_rpc_traffic() {
+  return {bytes_sent.load(std::memory_order_relaxed),
+          bytes_received.load(std::memory_order_relaxed)};
+}
+
 kj::Own<kj::AsyncIoStream> make_stream(tcp::socket socket) {
   return kj::heap<socket_stream>(std::move(socket));
 }
