--- a/src/entry/entry_reports.cpp
+++ b/src/entry/entry_reports.cpp
@@ -45,11 +45,6 @@
 
 json wasted_json(const account_snapshot& snapshot) {
   json wasted = json::object();
-  const auto traffic = total_rpc_traffic();
-  metrics.set("parsleylead_rpc_bytes_total", {{"direction", "sent"}},
-              static_cast<double>(traffic.sent));
-  metrics.set("parsleylead_rpc_bytes_total", {{"direction", "received"}},
-              static_cast<double>(traffic.received));
   for (std::size_t i = 0; i < waste_causes; ++i) {
     wasted[std::string(to_string(static_cast<waste_cause>(i)))] = snapshot.wasted[i];
   }
@@ -154,6 +149,11 @@
               static_cast<double>(snapshot.messages));
   metrics.set("parsleylead_control_messages_total", {{"process", "entry"}},
               static_cast<double>(snapshot.control_messages));
+  const auto traffic = total_rpc_traffic();
+  metrics.set("parsleylead_rpc_bytes_total", {{"direction", "sent"}},
+              static_cast<double>(traffic.sent));
+  metrics.set("parsleylead_rpc_bytes_total", {{"direction", "received"}},
+              static_cast<double>(traffic.received));
   for (std::size_t i = 0; i < waste_causes; ++i) {
     metrics.set("parsleylead_wasted_messages_total",
                 {{"cause", std::string(to_string(static_cast<waste_cause>(i)))}},
--- a/src/load/job_spec.cpp
+++ b/src/load/job_spec.cpp
@@ -22,7 +22,7 @@
   }
   auto& tasks = body["tasks"] = nlohmann::json::array();
   for (const auto& task : job.tasks) {
-    tasks.push_back(task_json(task));
+    tasks.push_back(task_payload(task));
   }
   return body.dump();
 }
