Ask fewer agents, state shares of the demand, book credits before placing

Cause: an entry that ran out of credits asked all agents and told each its whole backlog, so that most answers could not be used; a result's credits were booked only after its outcome had been placed. Change: at most two wants per waiting task at once, further ones after 20 ms; each agent is told twice its share of the backlog; credits of a result are booked first.

--- a/include/parsleylead/entry/dispatcher.hpp
+++ b/include/parsleylead/entry/dispatcher.hpp
@@ -94,7 +94,7 @@
   void on_agent_lost(const std::string& agent);
   /// The agent is leaving: its credits are void.
   void on_agent_leaving(const std::string& agent, std::uint64_t session);
-  /// Credits came with the answer to a `want` or in a grant message.
+  /// Credits came. Those of a result are only booked: its outcome follows and places.
   void on_credits(const std::string& agent, std::uint64_t session, std::uint32_t credits,
                   credit_origin origin, monotonic_time now);
   /// Gives up unused credits and returns their number.
@@ -157,6 +157,8 @@
   bool place_trials(monotonic_time now);
   bool place_next(monotonic_time now);
   void dispatch(const uuid& submission, const std::string& agent, bool trial, monotonic_time now);
+  /// The demand that an agent is told.
+  demand demand_at(const std::string& agent) const;
   void send_wants(monotonic_time now);
   void count_wants();
 
--- a/include/parsleylead/placement/demand_tracker.hpp
+++ b/include/parsleylead/placement/demand_tracker.hpp
@@ -22,6 +22,11 @@
 public:
   /// At most one `want` to a worker in this time.
   static constexpr std::chrono::milliseconds min_want_interval{100};
+  /// Workers asked at once for each waiting task. One task that asked all workers would be granted
+  /// credits by most of them and use one.
+  static constexpr std::size_t wants_per_task = 2;
+  /// Further workers are asked after this time, about ten round trips.
+  static constexpr std::chrono::milliseconds batch_interval{20};
 
   /// A session to the worker was opened: its agent knows no demand of this entry.
   void add_worker(const std::string& worker);
@@ -71,6 +76,13 @@
   std::uint64_t rise_ = 0;
   bool waiting_ = false;
   std::optional<monotonic_time> next_due_;
+  std::size_t waiting_tasks_ = 0;
+  /// `want` messages since `batch_at_`, for the rise `batch_rise_`.
+  std::size_t asked_ = 0;
+  std::uint64_t batch_rise_ = 0;
+  monotonic_time batch_at_;
+  /// The search for untold workers starts after this one, so that all are asked in turn.
+  std::string last_asked_;
 };
 
 /// Unused credits to give back without being asked: all of an ejected worker or of an entry that
--- a/src/entry/agent_link.cpp
+++ b/src/entry/agent_link.cpp
@@ -394,12 +394,14 @@
   const bool held = result.getState() == wire::TaskState::FINISHED ||
                     result.getState() == wire::TaskState::FAILED;
   const auto dispatch = ledger_.finish(sequence, held);
+  // Booked before the outcome is applied: placing without them would send needless wants.
+  context_.decisions.on_credits(address_.name, counter, credits, credit_origin::result, now);
   if (dispatch) {
     apply(*dispatch, to_outcome(result, address_.name));
-  } else {
-    context_.decisions.accounts().wasted(waste_cause::duplicate_result);
+    return;
   }
-  context_.decisions.on_credits(address_.name, counter, credits, credit_origin::result, now);
+  context_.decisions.accounts().wasted(waste_cause::duplicate_result);
+  context_.decisions.tick(now);
 }
 
 void agent_link::on_call_failed(std::uint64_t sequence, const kj::Exception& error) {
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -394,10 +394,11 @@
       !credits_.grant(agent, session, credits, origin == credit_origin::grant)) {
     return;
   }
-  if (origin != credit_origin::result) {
-    demands_.granted(agent);
-  }
   sync_credits(agent);
+  if (origin == credit_origin::result) {
+    return;
+  }
+  demands_.granted(agent);
   place(now);
 }
 
@@ -553,7 +554,7 @@
   request.budget = std::chrono::floor<std::chrono::milliseconds>(target->deadline() - now);
   request.payload = &target->payload(task->index);
   request.traceparent = state.traceparent;
-  request.waiting = backlog_.waiting_demand(pool_.find(agent)->kinds);
+  request.waiting = demand_at(agent);
   request.queue_if_busy = !policy_.spends_credits();
   if (!agents_.dispatch(request)) {
     dispatch_outcome refused;
@@ -566,6 +567,18 @@
   account_.task_started();
 }
 
+demand dispatcher::demand_at(const std::string& agent) const {
+  auto waiting = backlog_.waiting_demand(pool_.find(agent)->kinds);
+  if (!policy_.spends_credits() || open_sessions_.empty()) {
+    return waiting;
+  }
+  // Each agent hears its share, doubled because agents differ in speed. Told the whole backlog,
+  // all of them together would grant and recall many times what the entry can use.
+  const auto agents = static_cast<std::uint32_t>(open_sessions_.size());
+  waiting.waiting = std::min(waiting.waiting, (2 * waiting.waiting + agents - 1) / agents);
+  return waiting;
+}
+
 void dispatcher::send_wants(monotonic_time now) {
   if (!policy_.spends_credits()) {
     return;
@@ -576,7 +589,7 @@
     return view != nullptr && !view->ejected && !backlog_.waiting_demand(view->kinds).none();
   };
   for (const auto& agent : demands_.wants_due(credit_unused_, now, serves_waiting)) {
-    agents_.want(agent, backlog_.waiting_demand(pool_.find(agent)->kinds));
+    agents_.want(agent, demand_at(agent));
     demands_.wanted(agent);
   }
 }
--- a/src/placement/demand_tracker.cpp
+++ b/src/placement/demand_tracker.cpp
@@ -20,6 +20,7 @@
     ++rise_;
   }
   waiting_ = !current.none();
+  waiting_tasks_ = current.waiting;
 }
 
 std::vector<std::string>
@@ -39,7 +40,19 @@
       }
     }
   }
-  for (const auto& name : untold_) {
+  if (batch_rise_ != rise_ || now >= batch_at_ + batch_interval) {
+    batch_rise_ = rise_;
+    batch_at_ = now;
+    asked_ = 0;
+  }
+  std::vector<std::string> candidates(untold_.upper_bound(last_asked_), untold_.end());
+  candidates.insert(candidates.end(), untold_.begin(), untold_.upper_bound(last_asked_));
+  for (const auto& name : candidates) {
+    if (asked_ >= waiting_tasks_ * wants_per_task) {
+      const auto next_batch = batch_at_ + batch_interval;
+      next_due_ = std::min(next_due_.value_or(next_batch), next_batch);
+      break;
+    }
     if (!serves_waiting(name)) {
       continue;
     }
@@ -51,6 +64,8 @@
     }
     state.told = rise_;
     state.last_want = now;
+    ++asked_;
+    last_asked_ = name;
     due.push_back(name);
   }
   for (const auto& name : due) {
