--- a/include/parsleylead/settings/agent_settings.hpp
+++ b/include/parsleylead/settings/agent_settings.hpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,9 +31,14 @@
   std::string region;
   std::string availability_zone;
   endpoint rpc_address;
+  /// The address that peers are told to connect to; by default the RPC address in use. For hosts
+  /// behind an address translation or a proxy.
+  std::optional<endpoint> advertised_rpc_address;
   endpoint operations_address;
   /// RPC addresses of entries.
   std::vector<endpoint> seeds;
+  /// The platform's log. Read for the addresses of entries while no entry can be reached.
+  std::optional<endpoint> log_address;
   std::chrono::milliseconds announce_interval{1000};
   std::chrono::milliseconds max_announce_interval{10'000};
   /// How long the state of an entry without a session is kept.
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -19,6 +19,7 @@
 #include "parsleylead/entry/caller_request.hpp"
 #include "parsleylead/entry/dispatcher.hpp"
 #include "parsleylead/http/http_server.hpp"
+#include "parsleylead/members/member_directory.hpp"
 #include "parsleylead/observe/make_logger.hpp"
 #include "parsleylead/observe/metrics_registry.hpp"
 #include "parsleylead/observe/span_writer.hpp"
@@ -108,6 +109,10 @@
 private:
   enum class phase { serving, notifying, finishing, stopped };
 
+  // The address that peers are told to connect to.
+  endpoint advertised_endpoint() const {
+    return settings_.advertised_rpc_address.value_or(rpc_endpoint());
+  }
   link_context make_link_context();
   member_service::callbacks make_member_callbacks();
   entry_member describe_self() const;
@@ -129,6 +134,7 @@
   void apply_change(const subject_change& change, monotonic_time now);
   void apply_drain(const std::string& process);
 
+  void start_directory();
   void schedule_tick();
   void schedule_links();
   void begin_drain();
@@ -157,6 +163,7 @@
   rpc_server rpc_;
   http_server callers_;
   http_server operations_;
+  std::optional<member_directory> directory_;
   asio::steady_timer tick_timer_;
   asio::steady_timer link_timer_;
   asio::steady_timer drain_timer_;
@@ -194,10 +201,11 @@
     return status;
   }
   members_.start(describe_self());
-  claims_.start(to_string(rpc_endpoint()), [this](const claim_decision& decision) {
+  claims_.start(to_string(advertised_endpoint()), [this](const claim_decision& decision) {
     decisions_.on_claim(decision, now_on_loop());
   });
   catalogue_.start([this](const auto& changes) { on_catalogue_changes(changes); });
+  start_directory();
   schedule_tick();
   schedule_links();
   logger_->info("Serving callers at {}, operators at {}, peers at {}.",
@@ -210,6 +218,7 @@
   loop_.run();
   // No handler runs any more; the threads end first, then the connections.
   log_.close();
+  directory_.reset();
   claims_.stop();
   catalogue_.stop();
   members_.stop();
@@ -490,7 +499,7 @@
   entry_member self;
   self.name = settings_.name;
   self.incarnation = incarnation_;
-  self.address = to_string(rpc_endpoint());
+  self.address = to_string(advertised_endpoint());
   self.operations_address = to_string(operations_endpoint());
   self.availability_zone = settings_.availability_zone;
   return self;
@@ -524,6 +533,19 @@
           }};
 }
 
+// The log names entries to processes whose configured addresses are all out of date.
+void entry_process::state::start_directory() {
+  member_directory_options options;
+  options.self = member_record{settings_.name, *parse_endpoint(members_.self().address)};
+  directory_.emplace(log_, options, [this](std::vector<member_record> members) {
+    asio::post(loop_.io(), [this, members = std::move(members)] {
+      for (const auto& member : members) {
+        members_.add_candidate(member.address);
+      }
+    });
+  });
+}
+
 // Timers.
 
 void entry_process::state::schedule_tick() {
