--- a/src/placement/placement_test.cpp
+++ b/src/placement/placement_test.cpp
@@ -192,6 +192,40 @@
   CHECK(tracker.wants_due(false, at_ms(999), all).empty());
 }
 
+TEST_CASE("one waiting task asks few workers, the others after an interval and in turn") {
+  // Guards against most answers to a want being of no use.
+  demand_tracker tracker;
+  const auto all = [](const std::string&) { return true; };
+  using names = std::vector<std::string>;
+  for (const auto* name : {"a", "b", "c", "d", "e"}) {
+    tracker.add_worker(name);
+  }
+  tracker.set_demand({100, 1});
+  CHECK(tracker.wants_due(false, at_ms(0), all) == names{"a", "b"});
+  CHECK(tracker.wants_due(false, at_ms(10), all).empty());
+  CHECK(tracker.next_due() == at_ms(20));
+  tracker.set_demand({100, 2});
+  CHECK(tracker.wants_due(false, at_ms(10), all) == names{"c", "d"});
+  CHECK(tracker.wants_due(false, at_ms(20), all) == names{"e"});
+}
+
+TEST_CASE("a want is wasted unless a credit granted after it is spent while work waits") {
+  // Guards the measure: a late grant that is used must not count, an unused answer must.
+  demand_tracker tracker;
+  tracker.set_demand({100, 2});
+  tracker.wanted("a");
+  tracker.wanted("b");
+  tracker.wanted("c");
+  tracker.granted("a");
+  tracker.spent("a");
+  tracker.granted("b");
+  tracker.spent("c");
+  CHECK(tracker.take_wasted_wants() == 0);
+  tracker.set_demand({});
+  CHECK(tracker.take_wasted_wants() == 2);
+  CHECK(tracker.take_wasted_wants() == 0);
+}
+
 TEST_CASE("idle credits are kept unless the worker is ejected or the entry leaves") {
   auto view = worker("a", 3);
   CHECK(credits_to_give_back(view, false) == 0);
--- a/src/slot/credit_book_test.cpp
+++ b/src/slot/credit_book_test.cpp
@@ -56,5 +56,22 @@
   }));
 }
 
+TEST_CASE("a grant message is unused if none of its credits was spent") {
+  // Guards the measure of wasted messages: each such message counts once, others never.
+  credit_book book;
+  book.open("w", 1);
+  book.grant("w", 1, 1);
+  book.grant("w", 1, 2, true);
+  book.grant("w", 1, 1, true);
+  CHECK(book.spend("w"));
+  CHECK(book.spend("w"));
+  CHECK(book.give_up("w", 1, 2) == 2);
+  CHECK(book.take_unused_grants() == 1);
+  CHECK(book.take_unused_grants() == 0);
+  book.grant("w", 1, 3, true);
+  book.close("w");
+  CHECK(book.take_unused_grants() == 1);
+}
+
 } // namespace
 } // namespace parsleylead
