--- a/include/parsleylead/placement/demand_tracker.hpp
+++ b/include/parsleylead/placement/demand_tracker.hpp
@@ -22,6 +22,11 @@
 public:
   /// At most one `want` to a worker in this time.
   static constexpr std::chrono::milliseconds min_want_interval{100};
+  /// Workers asked at once for each waiting task. One task that asked all workers would be granted
+  /// credits by most of them and use one.
+  static constexpr std::size_t wants_per_task = 2;
+  /// Further workers are asked after this time, about ten round trips.
+  static constexpr std::chrono::milliseconds batch_interval{20};
 
   /// A session to the worker was opened: its agent knows no demand of this entry.
   void add_worker(const std::string& worker);
@@ -39,6 +44,16 @@
   /// A dispatch that carried this demand was sent to the worker.
   void dispatched(const std::string& worker, const demand& carried);
 
+  /// The following calls tell which `want` messages were wasted: those after which no credit of
+  /// the worker's answer or of a grant message was spent while the demand lasted.
+  void wanted(const std::string& worker) { ++open_wants_[worker].sent; }
+  /// The answer to a `want`, or a grant message, brought credits.
+  void granted(const std::string& worker);
+  /// A credit of the worker was spent.
+  void spent(const std::string& worker);
+  /// Wasted `want` messages since the last call. The open ones are wasted when no demand is left.
+  std::uint64_t take_wasted_wants();
+
 private:
   struct worker_state {
     /// Rise of the demand that the worker was told; 0 for none.
@@ -46,6 +61,13 @@
     std::optional<monotonic_time> last_want;
   };
 
+  /// `want` messages to a worker whose use is not decided yet, and how many were granted.
+  struct want_use {
+    std::uint64_t sent = 0;
+    std::uint64_t granted = 0;
+  };
+
+  std::map<std::string, want_use> open_wants_;
   std::map<std::string, worker_state> workers_;
   /// Workers without the demand of rise `untold_rise_`, so that a call with nothing to do is cheap.
   std::set<std::string> untold_;
@@ -54,6 +76,13 @@
   std::uint64_t rise_ = 0;
   bool waiting_ = false;
   std::optional<monotonic_time> next_due_;
+  std::size_t waiting_tasks_ = 0;
+  /// `want` messages since `batch_at_`, for the rise `batch_rise_`.
+  std::size_t asked_ = 0;
+  std::uint64_t batch_rise_ = 0;
+  monotonic_time batch_at_;
+  /// The search for untold workers starts after this one, so that all are asked in turn.
+  std::string last_asked_;
 };
 
 /// Unused credits to give back without being asked: all of an ejected worker or of an entry that
--- a/src/entry/entry_reports.cpp
+++ b/src/entry/entry_reports.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "parsleylead/catalogue/catalogue_codec.hpp"
+#include "parsleylead/transport/rpc_traffic.hpp"
 
 namespace parsleylead {
 namespace {
@@ -148,6 +149,11 @@
               static_cast<double>(snapshot.messages));
   metrics.set("parsleylead_control_messages_total", {{"process", "entry"}},
               static_cast<double>(snapshot.control_messages));
+  const auto traffic = total_rpc_traffic();
+  metrics.set("parsleylead_rpc_bytes_total", {{"direction", "sent"}},
+              static_cast<double>(traffic.sent));
+  metrics.set("parsleylead_rpc_bytes_total", {{"direction", "received"}},
+              static_cast<double>(traffic.received));
   for (std::size_t i = 0; i < waste_causes; ++i) {
     metrics.set("parsleylead_wasted_messages_total",
                 {{"cause", std::string(to_string(static_cast<waste_cause>(i)))}},
