--- a/src/agent/agent_core.cpp
+++ b/src/agent/agent_core.cpp
@@ -29,6 +29,9 @@
 // During a drain, longer than an entry tries to resume a session (3 s).
 constexpr milliseconds resume_grace{5000};
 constexpr milliseconds leaving_interval{200};
+// Longer than an answer takes over a slow path; a silent connection must not hold up a planned
+// stop.
+constexpr milliseconds leaving_timeout{1000};
 // Time for outcomes to reach the entries after running tasks were ended early.
 constexpr milliseconds flush_time{300};
 
@@ -100,6 +103,7 @@
 session_answer agent_core::open_session(const session_request& request,
                                         wire::SessionReceiver::Client receiver) {
   const auto now = steady_clock::now();
+  ++account_.messages;
   session_answer answer;
   const auto opening = commits_.open_session(request.key, request.previous_agent,
                                              request.outstanding, request.acknowledged, now);
@@ -118,11 +122,17 @@
   }
   if (request.entry_address.has_value()) {
     announcements_.add(*request.entry_address);
+    silent_.erase(*request.entry_address);
   }
   answer.session = next_session_++;
-  sessions_.emplace(answer.session,
-                    open_session_state{answer.session, request.key, request.entry_address,
-                                       kj::mv(receiver), now, false, false});
+  sessions_.emplace(answer.session, open_session_state{answer.session,
+                                                       request.key,
+                                                       request.entry_address,
+                                                       kj::mv(receiver),
+                                                       now,
+                                                       false,
+                                                       {},
+                                                       false});
   const auto actions = slots_.open(answer.session, expected_sessions());
   answer.credits = actions.own_credits;
   for (const auto& task : opening.tasks) {
@@ -204,6 +214,7 @@
 
 kj::Promise<dispatch_reply> agent_core::dispatch(slot_session session, received_dispatch request) {
   ++account_.dispatches;
+  ++account_.messages;
   auto* state = find_session(session);
   if (state == nullptr || !commits_.is_current(state->key)) {
     return refuse(session, request, reason::stale_session, "a later session was opened");
@@ -294,6 +305,7 @@
   if (state == nullptr || !commits_.is_current(state->key)) {
     return KJ_EXCEPTION(DISCONNECTED, "stale_session: a later session was opened");
   }
+  ++account_.messages;
   state->heard = steady_clock::now();
   const auto position = tickets_.find({state->key.entry, sequence});
   if (position != tickets_.end()) {
@@ -455,6 +467,7 @@
   if (state == nullptr) {
     return;
   }
+  ++account_.messages;
   state->heard = steady_clock::now();
   const auto key = state->key;
   for (const auto sequence : sequences) {
@@ -490,6 +503,7 @@
   }
   state->heard = steady_clock::now();
   ++account_.wants;
+  ++account_.messages;
   const auto actions = slots_.want(session, demand);
   if (actions.own_credits == 0) {
     ++account_.wants_without_grant;
@@ -504,6 +518,7 @@
     return;
   }
   state->heard = steady_clock::now();
+  ++account_.messages;
   account_.credits_returned += credits;
   apply(slots_.give_back(session, credits));
 }
@@ -528,6 +543,7 @@
     return;
   }
   ++account_.grants;
+  ++account_.messages;
   auto request = state->receiver.grantRequest();
   request.setCredits(credits);
   background_->add(request.send().ignoreResult());
@@ -539,6 +555,7 @@
     return;
   }
   ++account_.recalls;
+  ++account_.messages;
   auto request = state->receiver.recallRequest();
   request.setCredits(credits);
   auto returned = request.send().then([](auto&& response) { return response.getReturned(); });
@@ -561,6 +578,7 @@
 
 void agent_core::probe(slot_session session) {
   ++account_.probes;
+  ++account_.messages;
   if (auto* state = find_session(session); state != nullptr) {
     state->heard = steady_clock::now();
   }
@@ -616,7 +634,11 @@
   const bool all_ended = tasks_.empty();
   auto request = session.receiver.leavingRequest();
   describe(request.initAgent());
+  if (!session.leaving_sent) {
+    session.leaving_sent_at = steady_clock::now();
+  }
   session.leaving_sent = true;
+  ++account_.messages;
   background_->add(request.send().then(
       [this, id = session.id, all_ended](auto&& /*response*/) {
         auto* state = find_session(id);
@@ -640,6 +662,7 @@
   for (auto& [id, session] : sessions_) {
     auto request = session.receiver.updateRequest();
     describe(request.initAgent());
+    ++account_.messages;
     background_->add(request.send().ignoreResult());
   }
 }
@@ -655,6 +678,7 @@
   }
   for (const auto& address : announcements_.due(connected, now)) {
     ++account_.announces;
+    ++account_.messages;
     background_->add(announce_to(address));
   }
 }
@@ -810,8 +834,10 @@
     return;
   }
   // An entry without a session has given up resuming it after this time.
+  replace_silent_sessions(now);
   account_.expired_results += commits_.expire(now, resume_grace);
-  bool waiting = commits_.unacknowledged() > 0;
+  bool waiting =
+      commits_.unacknowledged() > 0 || (!silent_.empty() && now - drain_started_ <= resume_grace);
   const bool resend = now >= next_leaving_;
   for (auto& [id, session] : sessions_) {
     const bool informed = session.left || now - drain_started_ > resume_grace;
@@ -830,6 +856,31 @@
   }
 }
 
+// An entry does not notice a silent idle connection, so it is asked to open a new one; otherwise
+// its next dispatch would end as unknown after this process has stopped.
+void agent_core::replace_silent_sessions(monotonic_time now) {
+  std::vector<slot_session> unanswered;
+  for (const auto& [id, session] : sessions_) {
+    if (session.leaving_sent && now - session.leaving_sent_at >= leaving_timeout) {
+      unanswered.push_back(id);
+      if (session.address.has_value()) {
+        silent_.insert(*session.address);
+      }
+    }
+  }
+  for (const auto id : unanswered) {
+    release_session(id);
+  }
+  if (now < next_call_back_) {
+    return;
+  }
+  next_call_back_ = now + leaving_timeout;
+  for (const auto& address : silent_) {
+    ++account_.announces;
+    background_->add(announce_to(address));
+  }
+}
+
 // Descriptions
 
 agent_account agent_core::account() const {
--- a/src/agent/agent_core.hpp
+++ b/src/agent/agent_core.hpp
@@ -104,6 +104,10 @@
   /// Begins a graceful shutdown unless one has begun; for entries that follow the catalogue.
   void drain();
 
+  std::size_t session_count() const { return sessions_.size(); }
+  /// Adds an entry that was found in the log.
+  void add_entry(const endpoint& address) { announcements_.add(address); }
+
   bool ready() const { return upstream_.has_value() && !draining_; }
   bool abandoned_tasks() const { return abandoned_; }
   agent_account account() const;
@@ -126,6 +130,7 @@
     monotonic_time heard{};
     /// A `leaving` call is on its way.
     bool leaving_sent = false;
+    monotonic_time leaving_sent_at{};
     /// The entry has answered `leaving`.
     bool left = false;
   };
@@ -177,6 +182,7 @@
   void check_deadlines(monotonic_time now);
   void check_sessions(monotonic_time now);
   void check_drain(monotonic_time now);
+  void replace_silent_sessions(monotonic_time now);
   void abandon_running();
   std::size_t expected_sessions() const;
 
@@ -206,6 +212,9 @@
   slot_session next_session_ = 1;
   std::uint64_t next_ticket_ = 1;
   bool draining_ = false;
+  /// Entries whose session gave no answer during the drain and that have no new one yet.
+  std::set<endpoint> silent_;
+  monotonic_time next_call_back_{};
   bool drained_ = false;
   bool abandoned_ = false;
   monotonic_time drain_started_{};
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -199,16 +199,17 @@
   }
   for (const auto& [agent, count] : reservations) {
     agents_.want(agent, {0, count});
+    demands_.wanted(agent);
   }
 }
 
-bool dispatcher::fetch(const uuid& submission, bool wait, reply_callback reply) {
+bool dispatcher::fetch(const uuid& submission, bool wait, const reply_callback& reply) {
   const job* target = jobs_.find(submission);
   if (target == nullptr) {
     return false;
   }
   if (wait && !target->ended()) {
-    submissions_.at(submission).waiters.push_back(std::move(reply));
+    submissions_.at(submission).waiters.push_back(reply);
     return true;
   }
   reply(reply_of(*target));
@@ -323,8 +324,8 @@
   auto waiters = std::exchange(submissions_.at(duplicate.id()).waiters, {});
   end_job(duplicate, now, unknown);
   if (jobs_.find(holder.submission) != nullptr) {
-    for (auto& waiter : waiters) {
-      fetch(holder.submission, true, std::move(waiter));
+    for (const auto& waiter : waiters) {
+      fetch(holder.submission, true, waiter);
     }
     return;
   }
@@ -390,11 +391,16 @@
 }
 
 void dispatcher::on_credits(const std::string& agent, std::uint64_t session, std::uint32_t credits,
-                            monotonic_time now) {
-  if (credits == 0 || !credits_.grant(agent, session, credits)) {
+                            credit_origin origin, monotonic_time now) {
+  if (credits == 0 ||
+      !credits_.grant(agent, session, credits, origin == credit_origin::grant)) {
     return;
   }
   sync_credits(agent);
+  if (origin == credit_origin::result) {
+    return;
+  }
+  demands_.granted(agent);
   place(now);
 }
 
@@ -402,14 +408,13 @@
                                     std::uint32_t credits) {
   const auto given = credits_.give_up(agent, session, credits);
   sync_credits(agent);
-  if (given > 0) {
-    account_.wasted(waste_cause::recalled_credit);
-  }
+  account_.wasted(waste_cause::recalled_credit, messages_per_call);
   return given;
 }
 
 void dispatcher::sync_credits(const std::string& agent) {
   pool_.set_credits(agent, credits_.unused(agent));
+  account_.wasted(waste_cause::unused_grant, messages_per_call * credits_.take_unused_grants());
 }
 
 void dispatcher::update_usable(const std::string& agent) {
@@ -435,7 +440,7 @@
     credits_.give_up(agent, credits_.session(agent), unused);
     sync_credits(agent);
     agents_.give_back(agent, unused);
-    account_.wasted(waste_cause::returned_credit);
+    account_.wasted(waste_cause::returned_credit, messages_per_call);
   }
 }
 
@@ -459,6 +464,7 @@
   while (place_trials(now) || place_next(now)) {
   }
   send_wants(now);
+  count_wants();
   placing_ = false;
 }
 
@@ -533,6 +539,7 @@
   if (policy_.spends_credits() && !trial) {
     const bool spent = credits_.spend(agent);
     check_invariant(spent, "a dispatch spends a credit");
+    demands_.spent(agent);
     sync_credits(agent);
   }
   const auto& kind = target->kind();
@@ -549,7 +556,7 @@
   request.budget = std::chrono::floor<std::chrono::milliseconds>(target->deadline() - now);
   request.payload = &target->payload(task->index);
   request.traceparent = state.traceparent;
-  request.waiting = backlog_.waiting_demand(pool_.find(agent)->kinds);
+  request.waiting = demand_at(agent);
   request.queue_if_busy = !policy_.spends_credits();
   if (!agents_.dispatch(request)) {
     dispatch_outcome refused;
@@ -562,6 +569,18 @@
   account_.task_started();
 }
 
+demand dispatcher::demand_at(const std::string& agent) const {
+  auto waiting = backlog_.waiting_demand(pool_.find(agent)->kinds);
+  if (!policy_.spends_credits() || open_sessions_.empty()) {
+    return waiting;
+  }
+  // Each agent hears its share, doubled because agents differ in speed. Told the whole backlog,
+  // all of them together would grant and recall many times what the entry can use.
+  const auto agents = static_cast<std::uint32_t>(open_sessions_.size());
+  waiting.waiting = std::min(waiting.waiting, (2 * waiting.waiting + agents - 1) / agents);
+  return waiting;
+}
+
 void dispatcher::send_wants(monotonic_time now) {
   if (!policy_.spends_credits()) {
     return;
@@ -572,10 +591,17 @@
     return view != nullptr && !view->ejected && !backlog_.waiting_demand(view->kinds).none();
   };
   for (const auto& agent : demands_.wants_due(credit_unused_, now, serves_waiting)) {
-    agents_.want(agent, backlog_.waiting_demand(pool_.find(agent)->kinds));
+    agents_.want(agent, demand_at(agent));
+    demands_.wanted(agent);
   }
 }
 
+void dispatcher::count_wants() {
+  demands_.set_demand(backlog_.waiting_demand());
+  account_.wasted(waste_cause::want_without_grant,
+                  messages_per_call * demands_.take_wasted_wants());
+}
+
 // Outcomes.
 
 void dispatcher::on_outcome(const uuid& submission, task_attempt task, dispatch_outcome outcome,
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -19,6 +19,7 @@
 #include "parsleylead/entry/caller_request.hpp"
 #include "parsleylead/entry/dispatcher.hpp"
 #include "parsleylead/http/http_server.hpp"
+#include "parsleylead/members/member_directory.hpp"
 #include "parsleylead/observe/make_logger.hpp"
 #include "parsleylead/observe/metrics_registry.hpp"
 #include "parsleylead/observe/span_writer.hpp"
@@ -63,17 +64,16 @@
   return *std::move(policy);
 }
 
-// Waits on a traffic thread for the reply that the control thread gives.
-class pending_reply {
-public:
-  dispatcher::reply_callback callback() {
-    return [promise = promise_](job_reply reply) { promise->set_value(std::move(reply)); };
-  }
-  job_reply wait() { return promise_->get_future().get(); }
+// The reply that the control thread gives to a waiting traffic thread.
+using reply_promise = std::shared_ptr<std::promise<job_reply>>;
 
-private:
-  std::shared_ptr<std::promise<job_reply>> promise_ = std::make_shared<std::promise<job_reply>>();
-};
+reply_promise make_reply_promise() {
+  return std::make_shared<std::promise<job_reply>>();
+}
+
+dispatcher::reply_callback deliver_to(const reply_promise& promise) {
+  return [promise](job_reply reply) { promise->set_value(std::move(reply)); };
+}
 
 http_response to_response(job_reply reply) {
   return {reply.status, std::move(reply.body), "application/json", {}};
@@ -99,6 +99,7 @@
   void run();
   void request_stop();
 
+  asio::io_context& io() { return loop_.io(); }
   endpoint caller_endpoint() const { return callers_.local_endpoint(); }
   endpoint operations_endpoint() const { return operations_.local_endpoint(); }
   endpoint rpc_endpoint() const { return rpc_.local_endpoint(); }
@@ -109,6 +110,10 @@
 private:
   enum class phase { serving, notifying, finishing, stopped };
 
+  // The address that peers are told to connect to.
+  endpoint advertised_endpoint() const {
+    return settings_.advertised_rpc_address.value_or(rpc_endpoint());
+  }
   link_context make_link_context();
   member_service::callbacks make_member_callbacks();
   entry_member describe_self() const;
@@ -130,6 +135,7 @@
   void apply_change(const subject_change& change, monotonic_time now);
   void apply_drain(const std::string& process);
 
+  void start_directory();
   void schedule_tick();
   void schedule_links();
   void begin_drain();
@@ -158,6 +164,7 @@
   rpc_server rpc_;
   http_server callers_;
   http_server operations_;
+  std::optional<member_directory> directory_;
   asio::steady_timer tick_timer_;
   asio::steady_timer link_timer_;
   asio::steady_timer drain_timer_;
@@ -195,10 +202,11 @@
     return status;
   }
   members_.start(describe_self());
-  claims_.start(to_string(rpc_endpoint()), [this](const claim_decision& decision) {
+  claims_.start(to_string(advertised_endpoint()), [this](const claim_decision& decision) {
     decisions_.on_claim(decision, now_on_loop());
   });
   catalogue_.start([this](const auto& changes) { on_catalogue_changes(changes); });
+  start_directory();
   schedule_tick();
   schedule_links();
   logger_->info("Serving callers at {}, operators at {}, peers at {}.",
@@ -211,6 +219,7 @@
   loop_.run();
   // No handler runs any more; the threads end first, then the connections.
   log_.close();
+  directory_.reset();
   claims_.stop();
   catalogue_.stop();
   members_.stop();
@@ -301,11 +310,11 @@
   auto& job = std::get<caller_request>(parsed);
   const auto context = trace_context::continue_from(request.traceparent);
   job.traceparent = context.traceparent();
-  pending_reply pending;
-  asio::post(loop_.io(), [this, job, callback = pending.callback()]() mutable {
-    decisions_.submit(std::move(job), now_on_loop(), std::move(callback));
+  const auto promise = make_reply_promise();
+  asio::post(loop_.io(), [this, job, promise]() mutable {
+    decisions_.submit(std::move(job), now_on_loop(), deliver_to(promise));
   });
-  auto reply = pending.wait();
+  auto reply = promise->get_future().get();
   observe_reply(job, context, received, reply);
   return to_response(std::move(reply));
 }
@@ -341,13 +350,14 @@
   const long wait_ms = wanted == request.query.end() ? 0 : std::atol(wanted->second.c_str());
   const auto wait =
       std::clamp(std::chrono::milliseconds(wait_ms), std::chrono::milliseconds(0), max_fetch_wait);
-  pending_reply pending;
-  asio::post(loop_.io(), [this, id, submission = *submission, wait, callback = pending.callback()] {
+  const auto promise = make_reply_promise();
+  asio::post(loop_.io(), [this, id, submission = *submission, wait, promise] {
+    const auto callback = deliver_to(promise);
     if (!decisions_.fetch(submission, wait.count() > 0, callback)) {
       find_elsewhere(id, wait, callback);
     }
   });
-  return to_response(pending.wait());
+  return to_response(promise->get_future().get());
 }
 
 void entry_process::state::find_elsewhere(const std::string& id, std::chrono::milliseconds wait,
@@ -363,8 +373,9 @@
   if (!submission) {
     return to_response(unknown_submission(id));
   }
-  pending_reply pending;
-  asio::post(loop_.io(), [this, id, submission = *submission, callback = pending.callback()] {
+  const auto promise = make_reply_promise();
+  asio::post(loop_.io(), [this, id, submission = *submission, promise] {
+    const auto callback = deliver_to(promise);
     if (decisions_.cancel(submission, now_on_loop(), callback)) {
       return;
     }
@@ -372,7 +383,7 @@
       callback(found ? *std::move(found) : unknown_submission(id));
     });
   });
-  return to_response(pending.wait());
+  return to_response(promise->get_future().get());
 }
 
 void entry_process::state::fetch_job(const claim_holder& holder, std::chrono::milliseconds wait,
@@ -489,7 +500,7 @@
   entry_member self;
   self.name = settings_.name;
   self.incarnation = incarnation_;
-  self.address = to_string(rpc_endpoint());
+  self.address = to_string(advertised_endpoint());
   self.operations_address = to_string(operations_endpoint());
   self.availability_zone = settings_.availability_zone;
   return self;
@@ -523,6 +534,19 @@
           }};
 }
 
+// The log names entries to processes whose configured addresses are all out of date.
+void entry_process::state::start_directory() {
+  member_directory_options options;
+  options.self = member_record{settings_.name, *parse_endpoint(members_.self().address)};
+  directory_.emplace(log_, options, [this](std::vector<member_record> members) {
+    asio::post(loop_.io(), [this, members = std::move(members)] {
+      for (const auto& member : members) {
+        members_.add_candidate(member.address);
+      }
+    });
+  });
+}
+
 // Timers.
 
 void entry_process::state::schedule_tick() {
@@ -567,6 +591,10 @@
   state_->request_stop();
 }
 
+asio::io_context& entry_process::io() {
+  return state_->io();
+}
+
 endpoint entry_process::caller_endpoint() const {
   return state_->caller_endpoint();
 }
--- a/src/placement/demand_tracker.cpp
+++ b/src/placement/demand_tracker.cpp
@@ -20,6 +20,7 @@
     ++rise_;
   }
   waiting_ = !current.none();
+  waiting_tasks_ = current.waiting;
 }
 
 std::vector<std::string>
@@ -39,7 +40,19 @@
       }
     }
   }
-  for (const auto& name : untold_) {
+  if (batch_rise_ != rise_ || now >= batch_at_ + batch_interval) {
+    batch_rise_ = rise_;
+    batch_at_ = now;
+    asked_ = 0;
+  }
+  std::vector<std::string> candidates(untold_.upper_bound(last_asked_), untold_.end());
+  candidates.insert(candidates.end(), untold_.begin(), untold_.upper_bound(last_asked_));
+  for (const auto& name : candidates) {
+    if (asked_ >= waiting_tasks_ * wants_per_task) {
+      const auto next_batch = batch_at_ + batch_interval;
+      next_due_ = std::min(next_due_.value_or(next_batch), next_batch);
+      break;
+    }
     if (!serves_waiting(name)) {
       continue;
     }
@@ -51,6 +64,8 @@
     }
     state.told = rise_;
     state.last_want = now;
+    ++asked_;
+    last_asked_ = name;
     due.push_back(name);
   }
   for (const auto& name : due) {
@@ -73,6 +88,34 @@
   }
 }
 
+void demand_tracker::granted(const std::string& worker) {
+  const auto found = open_wants_.find(worker);
+  if (found != open_wants_.end()) {
+    found->second.granted = std::min(found->second.granted + 1, found->second.sent);
+  }
+}
+
+void demand_tracker::spent(const std::string& worker) {
+  const auto found = open_wants_.find(worker);
+  if (found == open_wants_.end() || found->second.granted == 0) {
+    return;
+  }
+  --found->second.granted;
+  --found->second.sent;
+}
+
+std::uint64_t demand_tracker::take_wasted_wants() {
+  if (waiting_) {
+    return 0;
+  }
+  std::uint64_t wasted = 0;
+  for (const auto& [worker, use] : open_wants_) {
+    wasted += use.sent;
+  }
+  open_wants_.clear();
+  return wasted;
+}
+
 std::uint32_t credits_to_give_back(const worker_view& worker, bool entry_leaving) {
   return worker.ejected || entry_leaving ? worker.credits : 0;
 }
