--- a/include/parsleylead/entry/dispatcher.hpp
+++ b/include/parsleylead/entry/dispatcher.hpp
@@ -98,7 +98,7 @@
   void on_agent_leaving(const std::string& agent, std::uint64_t session);
   /// Credits came. Those of a result are only booked: its outcome follows and places.
   void on_credits(const std::string& agent, std::uint64_t session, std::uint32_t credits,
-                  credit_origin origin, monotonic_time now);
+                  monotonic_time now, credit_origin origin = credit_origin::grant);
   /// Gives up unused credits and returns their number.
   std::uint32_t on_recall(const std::string& agent, std::uint64_t session, std::uint32_t credits);
   void on_outcome(const uuid& submission, task_attempt task, dispatch_outcome outcome,
--- a/src/entry/agent_link.cpp
+++ b/src/entry/agent_link.cpp
@@ -119,8 +119,7 @@
   kj::Promise<void> grant(GrantContext context) override {
     if (const auto link = current()) {
       link->context_.decisions.on_credits(link->address_.name, counter_,
-                                          context.getParams().getCredits(), credit_origin::grant,
-                                          now_on_loop());
+                                          context.getParams().getCredits(), now_on_loop());
     }
     return kj::READY_NOW;
   }
@@ -395,7 +394,7 @@
                     result.getState() == wire::TaskState::FAILED;
   const auto dispatch = ledger_.finish(sequence, held);
   // Booked before the outcome is applied: placing without them would send needless wants.
-  context_.decisions.on_credits(address_.name, counter, credits, credit_origin::result, now);
+  context_.decisions.on_credits(address_.name, counter, credits, now, credit_origin::result);
   if (dispatch) {
     apply(*dispatch, to_outcome(result, address_.name));
     return;
@@ -461,7 +460,7 @@
         }
         link->ledger_.on_frame_received(now_on_loop());
         link->context_.decisions.on_credits(link->address_.name, counter, response.getCredits(),
-                                            credit_origin::want_answer, now_on_loop());
+                                            now_on_loop(), credit_origin::want_answer);
       }));
 }
 
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -391,7 +391,7 @@
 }
 
 void dispatcher::on_credits(const std::string& agent, std::uint64_t session, std::uint32_t credits,
-                            credit_origin origin, monotonic_time now) {
+                            monotonic_time now, credit_origin origin) {
   if (credits == 0 ||
       !credits_.grant(agent, session, credits, origin == credit_origin::grant)) {
     return;
