Keep sites of the fault matrix apart

Change: names and kinds of a site are its own, and a relay leads nowhere when its process has ended.

--- a/tests/faults/caller_load.cpp
+++ b/tests/faults/caller_load.cpp
@@ -17,13 +17,13 @@
 constexpr milliseconds no_entry_pause{100};
 constexpr int max_attempts = 3;
 
-std::string body_of(const attempt& one, int sleep_ms, milliseconds budget) {
+std::string body_of(const site& place, const attempt& one, int sleep_ms, milliseconds budget) {
   json tasks = json::array();
   for (int i = 0; i < one.tasks; ++i) {
     tasks.push_back(json{{"sleep_ms", sleep_ms}, {"echo", one.echo(i)}}.dump());
   }
   const char* idempotent_kind = one.job % 2 == 0 ? "check" : "index";
-  json body = {{"kind", one.key.empty() ? idempotent_kind : "letter"},
+  json body = {{"kind", place.kind(one.key.empty() ? idempotent_kind : "letter")},
                {"budget_ms", budget.count()},
                {"tasks", std::move(tasks)},
                {"wait", true}};
@@ -103,7 +103,7 @@
   http_client client(one.target.address, {connect_limit, profile_.budget + reply_slack});
   const auto begun = std::chrono::steady_clock::now();
   const auto response =
-      client.send({"POST", "/v1/jobs", body_of(one, sleep_ms, profile_.budget), {}});
+      client.send({"POST", "/v1/jobs", body_of(place_, one, sleep_ms, profile_.budget), {}});
   one.duration = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - begun);
   one.routed_at_end = place_.is_routed(one.target);
   one.status = 0;
--- a/tests/faults/catalogue_desk.cpp
+++ b/tests/faults/catalogue_desk.cpp
@@ -27,7 +27,7 @@
 void catalogue_desk::publish_kind(const std::string& kind, bool idempotent) {
   kind_definition value;
   value.owner = "desk";
-  value.urgency = kind == "index" ? kind_class::batch : kind_class::urgent;
+  value.urgency = kind.starts_with("index") ? kind_class::batch : kind_class::urgent;
   value.idempotent = idempotent;
   value.limits = {ample, ample, ample, 370, milliseconds(30'000)};
   const std::lock_guard lock(mutex_);
--- a/tests/faults/fault_list.cpp
+++ b/tests/faults/fault_list.cpp
@@ -154,7 +154,7 @@
 }
 
 void drain_entry(cell_context& cell) {
-  const auto name = cell.place.entry(cell.entry).name;
+  const auto name = cell.place.entry(cell.entry).identity;
   cell.catalogue.desk().publish_drain(name, true);
   cell.place.await_entry_leave(cell.entry);
   cell.catalogue.desk().publish_drain(name, false);
@@ -162,7 +162,7 @@
 }
 
 void drain_agent(cell_context& cell) {
-  const auto name = cell.place.agent(cell.agent).name;
+  const auto name = cell.place.agent(cell.agent).identity;
   cell.catalogue.desk().publish_drain(name, true);
   cell.place.await_agent_leave(cell.agent);
   cell.catalogue.desk().publish_drain(name, false);
--- a/tests/faults/site.cpp
+++ b/tests/faults/site.cpp
@@ -1,5 +1,7 @@
 #include "site.hpp"
 
+#include <unistd.h>
+
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -20,6 +22,13 @@
 constexpr milliseconds start_limit{15'000};
 constexpr milliseconds stop_limit{30'000};
 constexpr milliseconds drain_notice{500};
+// A reserved port at which nothing listens.
+const endpoint nowhere{"127.0.0.1", 1};
+
+std::string next_tag() {
+  static std::atomic<int> count{0};
+  return "-" + std::to_string(getpid()) + "-" + std::to_string(++count);
+}
 
 endpoint local(int port) {
   return {"127.0.0.1", static_cast<std::uint16_t>(port)};
@@ -33,7 +42,7 @@
       others.push_back(seed);
     }
   }
-  return {{"name", node.name},
+  return {{"name", node.identity},
           {"region", "faults"},
           {"availability_zone", "zone-" + std::to_string(number)},
           {"rpc_address", "127.0.0.1:0"},
@@ -50,7 +59,7 @@
 
 json agent_document(const agent_node& node, int number, const site_options& options,
                     const std::vector<std::string>& seeds) {
-  return {{"name", node.name},
+  return {{"name", node.identity},
           {"region", "faults"},
           {"availability_zone", "zone-" + std::to_string(number)},
           {"rpc_address", "127.0.0.1:0"},
@@ -75,7 +84,18 @@
   post_control(control, {{"target", to_string(target)}});
 }
 
-site::site(site_options options) : options_(std::move(options)) {}
+site::site(site_options options) : options_(std::move(options)), tag_(next_tag()) {}
+
+// A relay must not lead to another site's process that was given the same port.
+void site::close_paths(const entry_node& node) const {
+  node.rpc.aim(nowhere);
+  node.front.aim(nowhere);
+}
+
+void site::close_paths(const agent_node& node) const {
+  node.rpc.aim(nowhere);
+  node.announce.aim(nowhere);
+}
 
 // Processes.
 
@@ -128,9 +148,9 @@
 void site::make_entry(int number) {
   entry_node node;
   node.name = "entry-" + std::to_string(number);
-  const endpoint later{"127.0.0.1", 1};
-  node.rpc = start_relay(node.name + "-rpc", later);
-  node.front = start_relay(node.name + "-front", later);
+  node.identity = node.name + tag_;
+  node.rpc = start_relay(node.name + "-rpc", nowhere);
+  node.front = start_relay(node.name + "-front", nowhere);
   node.log = start_relay(node.name + "-log", log_address_);
   seeds_.push_back(to_string(node.rpc.address));
   entries_.push_back(std::move(node));
@@ -142,9 +162,9 @@
 void site::make_agent(int number) {
   agent_node node;
   node.name = "agent-" + std::to_string(number);
-  const endpoint later{"127.0.0.1", 1};
-  node.rpc = start_relay(node.name + "-rpc", later);
-  node.announce = start_relay(node.name + "-announce", later);
+  node.identity = node.name + tag_;
+  node.rpc = start_relay(node.name + "-rpc", nowhere);
+  node.announce = start_relay(node.name + "-announce", nowhere);
   agents_.push_back(std::move(node));
   const std::lock_guard lock(mutex_);
   agent_running_.push_back(false);
@@ -220,9 +240,9 @@
 
 void site::publish_catalogue() {
   catalogue_desk desk(log_address_, "setup");
-  desk.publish_kind("check", true);
-  desk.publish_kind("index", true);
-  desk.publish_kind("letter", false);
+  desk.publish_kind(kind("check"), true);
+  desk.publish_kind(kind("index"), true);
+  desk.publish_kind(kind("letter"), false);
 }
 
 void site::wait_for_sessions() {
@@ -306,6 +326,7 @@
     check_exit(entry(number).name, *entry(number).process);
   }
   entry(number).process->kill();
+  close_paths(entry(number));
 }
 
 void site::restart_entry(int number) {
@@ -347,8 +368,8 @@
   if (!entry(number).process->wait(stop_limit)) {
     faults_.push_back(entry(number).name + " did not stop");
     entry(number).process->kill();
-    return;
   }
+  close_paths(entry(number));
   check_exit(entry(number).name, *entry(number).process);
 }
 
@@ -358,6 +379,7 @@
     check_exit(agent(number).name, *agent(number).process);
   }
   agent(number).process->kill();
+  close_paths(agent(number));
 }
 
 void site::restart_agent(int number) {
@@ -374,8 +396,8 @@
   if (!agent(number).process->wait(stop_limit)) {
     faults_.push_back(agent(number).name + " did not stop");
     agent(number).process->kill();
-    return;
   }
+  close_paths(agent(number));
   check_exit(agent(number).name, *agent(number).process);
 }
 
--- a/tests/faults/site.hpp
+++ b/tests/faults/site.hpp
@@ -38,6 +38,9 @@
 
 struct entry_node {
   std::string name;
+  /// The name in its settings. Differs from that of any other site: a port that one site gives back
+  /// may be used by another one at once.
+  std::string identity;
   std::unique_ptr<child_process> process;
   endpoint operations;
   endpoint callers;
@@ -51,6 +54,7 @@
 
 struct agent_node {
   std::string name;
+  std::string identity;
   std::unique_ptr<child_process> process;
   std::unique_ptr<child_process> upstream;
   endpoint operations;
@@ -84,6 +88,8 @@
   int agents() const { return static_cast<int>(agents_.size()); }
   const endpoint& log() const { return log_address_; }
   const site_options& options() const { return options_; }
+  /// The site's own name of a kind.
+  std::string kind(const std::string& name) const { return name + tag_; }
 
   /// Ends the entry by SIGKILL; callers are no longer sent to it.
   void kill_entry(int number);
@@ -153,7 +159,11 @@
   void check_exit(const std::string& name, child_process& process);
   void find_aborts();
 
+  void close_paths(const entry_node& node) const;
+  void close_paths(const agent_node& node) const;
+
   site_options options_;
+  std::string tag_;
   std::unique_ptr<child_process> log_;
   endpoint log_address_;
   std::vector<entry_node> entries_;
