--- a/tests/faults/steps.cpp
+++ b/tests/faults/steps.cpp
@@ -172,7 +172,9 @@
          pause(400ms);
        },
        [](cell_context& cell) { each_agent_path(cell, 0ms); }},
-      {"after the start", with_tasks(300, 600), 21'600,
+      // Longer than the detection of a silent connection (750 ms), so that a resume meets running
+      // tasks.
+      {"after the start", with_tasks(600, 1200), 21'600,
        [](cell_context& cell) { await_running(cell, 2); }, do_nothing},
       result_step(),
       answer_step(),
