--- a/tests/faults/site.cpp
+++ b/tests/faults/site.cpp
@@ -206,10 +206,11 @@
   const auto name = "upstream-" + std::to_string(number);
   auto& node = agent(number);
   std::filesystem::remove(path(name + ".ports"));
-  node.upstream = run(name, {binary("standin-upstream"), "--name", name, "--kinds",
-                             "check,index,letter", "--slots", std::to_string(options_.slots),
-                             "--announce", to_string(node.announce.address), "--starts_file",
-                             starts_file(number), "--port_file", path(name + ".ports")});
+  node.upstream =
+      run(name, {binary("standin-upstream"), "--name", name, "--kinds",
+                 kind("check") + "," + kind("index") + "," + kind("letter"), "--slots",
+                 std::to_string(options_.slots), "--announce", to_string(node.announce.address),
+                 "--starts_file", starts_file(number), "--port_file", path(name + ".ports")});
   node.upstream_address = local(read_ports(name, 1, *node.upstream)[0]);
 }
 
