Add a placement policy that shares slots without credits

Change: results carry the number of tasks at the agent; policy "shared" places by it and by the learned speed, and holds tasks while all workers seem full. Result: unit test only; measured next. The default stays "credits".

--- a/include/parsleylead/entry/dispatcher.hpp
+++ b/include/parsleylead/entry/dispatcher.hpp
@@ -99,6 +99,9 @@
   /// Credits came. Those of a result are only booked: its outcome follows and places.
   void on_credits(const std::string& agent, std::uint64_t session, std::uint32_t credits,
                   monotonic_time now, credit_origin origin = credit_origin::grant);
+  /// A result told how many tasks of all entries run or wait at the agent. Call it before
+  /// `on_outcome` of that result.
+  void on_report(const std::string& agent, std::uint32_t occupied, monotonic_time now);
   /// Gives up unused credits and returns their number.
   std::uint32_t on_recall(const std::string& agent, std::uint64_t session, std::uint32_t credits);
   void on_outcome(const uuid& submission, task_attempt task, dispatch_outcome outcome,
--- a/include/parsleylead/placement/placement_policy.hpp
+++ b/include/parsleylead/placement/placement_policy.hpp
@@ -64,6 +64,21 @@
   std::map<uuid, hold> holds_;
 };
 
+/// Places without credits where the expected completion is earliest, by this entry's tasks in
+/// flight and the other entries' tasks that the last result reported. Tasks wait at the entry while
+/// every worker seems full; a wrong guess costs a short wait at the agent, but no message.
+class shared_policy {
+public:
+  static constexpr bool spends_credits = false;
+  /// Tasks that may be sent ahead to a fast worker although all its slots seem taken.
+  static constexpr double max_ahead = 1;
+  /// Reports lose weight with this time constant: an idle entry would otherwise never try again.
+  static constexpr std::chrono::milliseconds report_decay{2000};
+
+  std::optional<std::string> choose(const task_request& task, const worker_pool& workers,
+                                    monotonic_time now);
+};
+
 /// Baseline: a random usable worker.
 class random_policy {
 public:
@@ -117,6 +132,7 @@
 };
 
 static_assert(placement_policy<credit_policy>);
+static_assert(placement_policy<shared_policy>);
 static_assert(placement_policy<random_policy>);
 static_assert(placement_policy<round_robin_policy>);
 static_assert(placement_policy<two_choices_policy>);
@@ -125,8 +141,8 @@
 /// The policy selected by name at the start of an entry. Not thread-safe.
 class selected_policy {
 public:
-  /// Names: "credits", "random", "round_robin", "two_choices", "probing" (`policy_settings`).
-  /// Errors: kInvalidArgument for another name.
+  /// Names: "credits", "shared", "random", "round_robin", "two_choices", "probing"
+  /// (`policy_settings`). Errors: kInvalidArgument for another name.
   static absl::StatusOr<selected_policy> make(std::string_view name, std::uint64_t seed);
 
   std::optional<std::string> choose(const task_request& task, const worker_pool& workers,
@@ -136,7 +152,7 @@
   std::vector<std::string> probes(const task_request& task, const worker_pool& workers);
 
 private:
-  using any_policy = std::variant<credit_policy, random_policy, round_robin_policy,
+  using any_policy = std::variant<credit_policy, shared_policy, random_policy, round_robin_policy,
                                   two_choices_policy, probing_policy>;
   explicit selected_policy(any_policy policy) : policy_(std::move(policy)) {}
 
--- a/include/parsleylead/placement/worker_pool.hpp
+++ b/include/parsleylead/placement/worker_pool.hpp
@@ -39,6 +39,8 @@
 
   // Frequent changes of one worker; nothing happens if the id is unknown.
   void set_credits(const std::string& id, std::uint32_t credits);
+  /// Tasks of other entries at the worker, as a result reported.
+  void set_others(const std::string& id, std::uint32_t others, monotonic_time now);
   void set_speed(const std::string& id, double speed);
   void set_ejected(const std::string& id, bool ejected);
   /// A task was dispatched to the worker and is expected to end at this time.
--- a/include/parsleylead/placement/worker_view.hpp
+++ b/include/parsleylead/placement/worker_view.hpp
@@ -24,6 +24,9 @@
   std::uint32_t credits = 0;
   /// Expected ends of this entry's tasks in flight at the worker.
   std::multiset<monotonic_time> expected_ends;
+  /// Tasks of other entries at the worker, as of the last result, and when that was.
+  std::uint32_t others = 0;
+  monotonic_time others_at;
   /// Relative run time: below 1 is faster (`run_time_estimator::speed_factor`).
   double speed = 1;
   /// Takes no work: ejected by `worker_health`, or without a usable session.
--- a/include/parsleylead/settings/entry_settings.hpp
+++ b/include/parsleylead/settings/entry_settings.hpp
@@ -54,7 +54,8 @@
 
 /// Placement policy.
 struct policy_settings {
-  /// "credits", or a baseline for measurements: "random", "round_robin", "two_choices", "probing".
+  /// "credits" or "shared", or a baseline for measurements: "random", "round_robin", "two_choices",
+  /// "probing".
   std::string name = "credits";
   /// Order of the backlog: "smallest_first" or "first_come".
   std::string order = "smallest_first";
--- a/schema/parsleylead.capnp
+++ b/schema/parsleylead.capnp
@@ -86,6 +86,7 @@
   runTimeUs @4 :UInt64;        # time at the upstream
   credits @5 :UInt32;          # credits granted to this session with the result
   newerRevision @6 :UInt64;    # with reason stale_revision: the revision the agent knows
+  occupied @7 :UInt32;         # tasks that run or wait at the agent, of all entries
 }
 
 struct SessionHello {
--- a/src/agent/agent_core.hpp
+++ b/src/agent/agent_core.hpp
@@ -104,6 +104,8 @@
   /// Begins a graceful shutdown unless one has begun; for entries that follow the catalogue.
   void drain();
 
+  /// Tasks that run or wait for a slot.
+  std::size_t occupied() const { return slots_.running() + slots_.queued(); }
   std::size_t session_count() const { return sessions_.size(); }
   /// Adds an entry that was found in the log.
   void add_entry(const endpoint& address) { announcements_.add(address); }
--- a/src/agent/agent_rpc.cpp
+++ b/src/agent/agent_rpc.cpp
@@ -27,7 +27,8 @@
   target.setDetail(value.detail);
 }
 
-void write_result(const dispatch_reply& reply, wire::TaskResult::Builder target) {
+void write_result(const dispatch_reply& reply, std::size_t occupied,
+                  wire::TaskResult::Builder target) {
   target.setSequence(reply.sequence);
   target.setState(reply.state);
   const auto& answer = reply.outcome.answer;
@@ -41,6 +42,7 @@
   target.setRunTimeUs(static_cast<std::uint64_t>(reply.outcome.run_time.count()));
   target.setCredits(reply.credits);
   target.setNewerRevision(reply.newer_revision);
+  target.setOccupied(static_cast<std::uint32_t>(occupied));
 }
 
 received_dispatch read_dispatch(wire::Dispatch::Reader task) {
@@ -98,16 +100,16 @@
     // A broken connection ends the call, not the task; the entry resumes it.
     context.allowCancellation();
     return core_.dispatch(session_, std::move(request))
-        .then([context](dispatch_reply&& reply) mutable {
-          write_result(reply, context.getResults().initResult());
+        .then([this, context](dispatch_reply&& reply) mutable {
+          write_result(reply, core_.occupied(), context.getResults().initResult());
         });
   }
 
   kj::Promise<void> collect(CollectContext context) override {
     context.allowCancellation();
     return core_.collect(session_, context.getParams().getSequence())
-        .then([context](dispatch_reply&& reply) mutable {
-          write_result(reply, context.getResults().initResult());
+        .then([this, context](dispatch_reply&& reply) mutable {
+          write_result(reply, core_.occupied(), context.getResults().initResult());
         });
   }
 
@@ -175,7 +177,7 @@
     reply.setCredits(answer.credits);
     auto resumed = reply.initResumed(static_cast<unsigned>(answer.resumed.size()));
     for (unsigned i = 0; i < resumed.size(); ++i) {
-      write_result(answer.resumed[i], resumed[i]);
+      write_result(answer.resumed[i], core_.occupied(), resumed[i]);
     }
     context.getResults().setSession(kj::heap<session_server>(core_, answer.session));
     return kj::READY_NOW;
--- a/src/entry/agent_link.cpp
+++ b/src/entry/agent_link.cpp
@@ -396,6 +396,7 @@
   // Booked before the outcome is applied: placing without them would send needless wants.
   context_.decisions.on_credits(address_.name, counter, credits, now, credit_origin::result);
   if (dispatch) {
+    context_.decisions.on_report(address_.name, result.getOccupied(), now);
     apply(*dispatch, to_outcome(result, address_.name));
     return;
   }
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -392,8 +392,7 @@
 
 void dispatcher::on_credits(const std::string& agent, std::uint64_t session, std::uint32_t credits,
                             monotonic_time now, credit_origin origin) {
-  if (credits == 0 ||
-      !credits_.grant(agent, session, credits, origin == credit_origin::grant)) {
+  if (credits == 0 || !credits_.grant(agent, session, credits, origin == credit_origin::grant)) {
     return;
   }
   sync_credits(agent);
@@ -404,6 +403,17 @@
   place(now);
 }
 
+void dispatcher::on_report(const std::string& agent, std::uint32_t occupied, monotonic_time now) {
+  const auto* view = pool_.find(agent);
+  if (view == nullptr) {
+    return;
+  }
+  // The reported task itself is still among those in flight, but no longer at the agent.
+  const auto own =
+      static_cast<std::uint32_t>(view->in_flight() - std::min<std::size_t>(1, view->in_flight()));
+  pool_.set_others(agent, occupied - std::min(occupied, own), now);
+}
+
 std::uint32_t dispatcher::on_recall(const std::string& agent, std::uint64_t session,
                                     std::uint32_t credits) {
   const auto given = credits_.give_up(agent, session, credits);
@@ -771,7 +781,8 @@
   };
   include(health_.next_trial());
   include(demands_.next_due());
-  if (credit_unused_) {
+  const bool guesses = !policy_.spends_credits() && backlog_.waiting() > 0;
+  if (credit_unused_ || guesses) {
     include(now + hold_interval);
   }
   return next;
--- a/src/placement/placement_policy.cpp
+++ b/src/placement/placement_policy.cpp
@@ -1,6 +1,7 @@
 #include "parsleylead/placement/placement_policy.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <string>
 #include <utility>
 
@@ -78,6 +79,25 @@
   return count;
 }
 
+/// This entry's tasks in flight plus the reported ones of others, which lose weight with time.
+double expected_occupancy(const worker_view& worker, monotonic_time now) {
+  using seconds = std::chrono::duration<double>;
+  const seconds age = now - worker.others_at;
+  const seconds decay = shared_policy::report_decay;
+  const double others = worker.others * std::exp(-std::max(age.count(), 0.0) / decay.count());
+  return static_cast<double>(worker.in_flight()) + others;
+}
+
+/// Expected completion of one more task in run times of an average worker. The wait grows before
+/// the slots are full, because the report is old and other entries choose by the same rule.
+double relative_completion(const worker_view& worker, double occupied) {
+  const double slots = std::max(worker.slots, 1U);
+  const double load = (occupied + 1) / slots;
+  const double queue_wait = std::max(0.0, occupied + 1 - slots) / slots;
+  const double collision_wait = load * load * load * load / slots;
+  return worker.speed * (1 + queue_wait + collision_wait);
+}
+
 } // namespace
 
 std::optional<std::string> credit_policy::choose(const task_request& task,
@@ -119,6 +139,27 @@
   return true;
 }
 
+std::optional<std::string> shared_policy::choose(const task_request& task,
+                                                 const worker_pool& workers, monotonic_time now) {
+  const worker_view* best = nullptr;
+  double best_time = 0;
+  bool slot_seems_free = false;
+  for (const auto* worker : workers.usable(task.kind)) {
+    const double occupied = expected_occupancy(*worker, now);
+    const double slots = worker->slots;
+    if (!worker->holds(task.needs) || occupied >= slots + max_ahead) {
+      continue;
+    }
+    slot_seems_free = slot_seems_free || occupied < slots;
+    const double time = relative_completion(*worker, occupied);
+    if (best == nullptr || time < best_time) {
+      best = worker;
+      best_time = time;
+    }
+  }
+  return slot_seems_free ? id_of(best) : std::nullopt;
+}
+
 std::optional<std::string> random_policy::choose(const task_request& task,
                                                  const worker_pool& workers,
                                                  monotonic_time /*now*/) {
@@ -175,6 +216,9 @@
   if (name == "credits") {
     return selected_policy(credit_policy());
   }
+  if (name == "shared") {
+    return selected_policy(shared_policy());
+  }
   if (name == "random") {
     return selected_policy(random_policy(seed));
   }
--- a/src/placement/placement_test.cpp
+++ b/src/placement/placement_test.cpp
@@ -127,6 +127,25 @@
   CHECK(policy.choose(task(1), pool, at_ms(0)) == "slow");
 }
 
+TEST_CASE("the shared policy fills fast workers first and holds tasks while all seem full") {
+  // Guards against queues at the agents, where a task cannot go to another worker any more.
+  worker_pool pool("z1");
+  pool.put(worker("fast", 0, 0.5));
+  pool.put(worker("slow", 0, 1));
+  shared_policy policy;
+  CHECK(policy.choose(task(), pool, at_ms(0)) == "fast");
+  pool.set_others("fast", 8, at_ms(0));
+  CHECK(policy.choose(task(), pool, at_ms(0)) == "slow");
+  pool.set_others("slow", 8, at_ms(0));
+  CHECK_FALSE(policy.choose(task(), pool, at_ms(0)).has_value());
+  // An old report must not keep an idle entry from trying for ever.
+  CHECK(policy.choose(task(), pool, at_ms(1000)) == "fast");
+  for (int i = 0; i < 9; ++i) {
+    pool.task_sent("fast", at_ms(5000));
+  }
+  CHECK(policy.choose(task(), pool, at_ms(60'000)) == "slow");
+}
+
 TEST_CASE("baseline policies are selected by name") {
   worker_pool pool("z1");
   pool.put(worker("a", 0));
--- a/src/placement/worker_pool.cpp
+++ b/src/placement/worker_pool.cpp
@@ -50,6 +50,13 @@
   link(*view);
 }
 
+void worker_pool::set_others(const std::string& id, std::uint32_t others, monotonic_time now) {
+  if (auto* view = known(id); view != nullptr) {
+    view->others = others;
+    view->others_at = now;
+  }
+}
+
 void worker_pool::set_speed(const std::string& id, double speed) {
   auto* view = known(id);
   if (view == nullptr || view->speed == speed) {
--- a/src/settings/parse_entry_settings.cpp
+++ b/src/settings/parse_entry_settings.cpp
@@ -67,7 +67,7 @@
 
 void read_policy(object_reader reader, policy_settings& target) {
   reader.choice("name", target.name,
-                {"credits", "random", "round_robin", "two_choices", "probing"});
+                {"credits", "shared", "random", "round_robin", "two_choices", "probing"});
   reader.choice("order", target.order, {"smallest_first", "first_come"});
   reader.ratio("aging_share", target.aging_share);
   reader.finish();
