Answer a duplicate within its own time budget

Cause: a duplicate whose holder is open at the same entry waited for the holder's end, however much later its own deadline was; one at another entry was already bounded by fetch_job. Ruled out: the holder's outcome itself, which does not change. Before: answered with the holder, up to the kind's longest budget. After: at its deadline (dispatcher test).

--- a/include/parsleylead/entry/dispatcher.hpp
+++ b/include/parsleylead/entry/dispatcher.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -145,6 +146,12 @@
     bool trial = false;
   };
 
+  /// A duplicate that waits for the end of its holder at this entry, within its own budget.
+  struct waiting_duplicate {
+    std::shared_ptr<reply_callback> reply;
+    job_reply if_late;
+  };
+
   std::optional<failure> check_request(const caller_request& request,
                                        std::optional<uuid>& key) const;
   void refuse(const caller_request& request, const failure& why, const reply_callback& reply);
@@ -174,6 +181,8 @@
   void end_job(job& ended, monotonic_time now, const job_reply& reply);
   void settle_claim(const job& ended, const submission_state& state, const job_reply& reply,
                     monotonic_time now);
+  void await_holder(const uuid& holder, const reply_callback& reply, const job_reply& if_late,
+                    monotonic_time deadline);
   void expire(monotonic_time now);
   job_reply reply_of(const job& target) const;
   task_request request_of(const backlog_candidate& candidate) const;
@@ -189,6 +198,7 @@
   std::map<std::string, kind_state> kinds_;
   job_table jobs_;
   std::map<uuid, submission_state> submissions_;
+  std::multimap<monotonic_time, waiting_duplicate> duplicates_;
   std::map<dispatch_key, dispatch_state> in_flight_;
   admission_control admission_;
   run_time_estimator run_times_;
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -325,7 +325,7 @@
   end_job(duplicate, now, unknown);
   if (jobs_.find(holder.submission) != nullptr) {
     for (const auto& waiter : waiters) {
-      fetch(holder.submission, true, waiter);
+      await_holder(holder.submission, waiter, unknown, duplicate.deadline());
     }
     return;
   }
@@ -337,6 +337,17 @@
                    });
 }
 
+void dispatcher::await_holder(const uuid& holder, const reply_callback& reply,
+                              const job_reply& if_late, monotonic_time deadline) {
+  auto shared = std::make_shared<reply_callback>(reply);
+  duplicates_.emplace(deadline, waiting_duplicate{shared, if_late});
+  fetch(holder, true, [shared](job_reply ended) {
+    if (const auto waiter = std::exchange(*shared, nullptr)) {
+      waiter(std::move(ended));
+    }
+  });
+}
+
 // Agents.
 
 void dispatcher::on_session_opened(const agent_description& agent, std::uint64_t session,
@@ -392,8 +403,7 @@
 
 void dispatcher::on_credits(const std::string& agent, std::uint64_t session, std::uint32_t credits,
                             credit_origin origin, monotonic_time now) {
-  if (credits == 0 ||
-      !credits_.grant(agent, session, credits, origin == credit_origin::grant)) {
+  if (credits == 0 || !credits_.grant(agent, session, credits, origin == credit_origin::grant)) {
     return;
   }
   sync_credits(agent);
@@ -739,6 +749,12 @@
   for (job* expired : jobs_.expire(now)) {
     end_job(*expired, now);
   }
+  while (!duplicates_.empty() && duplicates_.begin()->first <= now) {
+    const auto late = std::move(duplicates_.extract(duplicates_.begin()).mapped());
+    if (const auto waiter = std::exchange(*late.reply, nullptr)) {
+      waiter(late.if_late);
+    }
+  }
 }
 
 job_reply dispatcher::reply_of(const job& target) const {
@@ -769,6 +785,9 @@
       next = time;
     }
   };
+  if (!duplicates_.empty()) {
+    include(duplicates_.begin()->first);
+  }
   include(health_.next_trial());
   include(demands_.next_due());
   if (credit_unused_) {
--- a/src/entry/dispatcher_histories_test.cpp
+++ b/src/entry/dispatcher_histories_test.cpp
@@ -484,10 +484,13 @@
   target->ledger.on_frame_received(now_);
   const bool held =
       received.state == resumed_state::finished || received.state == resumed_state::failed;
-  if (const auto sent = target->ledger.finish(received.sequence, held)) {
+  const auto sent = target->ledger.finish(received.sequence, held);
+  entry.decisions->on_credits(name, counter, received.credits, credit_origin::result, now_);
+  if (sent) {
     give_outcome(entry, name, *sent, &received);
+  } else {
+    entry.decisions->tick(now_);
   }
-  entry.decisions->on_credits(name, counter, received.credits, now_);
 }
 
 void history::give_outcome(entry_model& entry, const std::string& name,
@@ -580,7 +583,7 @@
          send(wire, 1, entry, [this, &entry, name, counter, credits = actions.own_credits] {
            if (auto* alive = current_link(entry, name, counter)) {
              alive->ledger.on_frame_received(now_);
-             entry.decisions->on_credits(name, counter, credits, now_);
+             entry.decisions->on_credits(name, counter, credits, credit_origin::want_answer, now_);
            }
          });
        });
@@ -908,7 +911,7 @@
     send(session.wire, 1, entry,
          [this, &entry, name = agent.name, counter = session.key.counter, n = change.credits] {
            if (current_link(entry, name, counter) != nullptr) {
-             entry.decisions->on_credits(name, counter, n, now_);
+             entry.decisions->on_credits(name, counter, n, credit_origin::grant, now_);
            }
          });
   }
--- a/src/entry/dispatcher_test.cpp
+++ b/src/entry/dispatcher_test.cpp
@@ -83,10 +83,12 @@
   }
   // The replies to this request, as they arrive.
   std::vector<job_reply>& submit(const std::string& kind, std::size_t tasks,
-                                 std::optional<std::string> key = std::nullopt) {
+                                 std::optional<std::string> key = std::nullopt,
+                                 std::optional<milliseconds> budget = std::nullopt) {
     caller_request request;
     request.kind = kind;
     request.key = std::move(key);
+    request.budget = budget;
     request.tasks.assign(tasks, "payload");
     auto& target = replies.emplace_back();
     decisions.submit(std::move(request), now,
@@ -182,6 +184,23 @@
   CHECK(site.gateways.outcomes == std::vector<std::string>{"complete"});
 }
 
+TEST_CASE("a duplicate waits for its holder no longer than its own budget") {
+  // Guards against a caller that gets its answer after its time budget.
+  bench site;
+  site.open("a", 4);
+  site.submit_draft();
+  site.decide(claim_verdict::granted);
+  const auto holder = site.gateways.sent.at(0).submission;
+  auto& replies = site.submit("draft", 1, test_id(1).to_string(), milliseconds(100));
+  site.decide(claim_verdict::duplicate, claim_holder{holder, "me", "", std::nullopt, std::nullopt});
+  CHECK(site.decisions.next_event(site.now) == site.now + milliseconds(100));
+  site.now += milliseconds(100);
+  site.decisions.tick(site.now);
+  CHECK(says(replies, 409, "\"run\":\"may_have_run\""));
+  site.end(site.gateways.sent[0], outcome_state::finished);
+  CHECK(replies.size() == 1);
+}
+
 TEST_CASE("refusals name their reason and are not run") {
   // Guards against refusals without a reason code and against hidden starts.
   bench site;
@@ -248,7 +267,7 @@
   auto& replies = site.submit("check", 2);
   site.decisions.remove_kind("check", 2);
   site.end(site.gateways.sent.at(0), outcome_state::finished);
-  site.decisions.on_credits("a", 1, 1, site.now);
+  site.decisions.on_credits("a", 1, 1, credit_origin::grant, site.now);
   REQUIRE(site.gateways.sent.size() == 2);
   CHECK(site.gateways.sent[1].revision == 2);
   site.end(site.gateways.sent[1], outcome_state::finished);
@@ -263,7 +282,7 @@
   site.open("a", 0);
   auto& replies = site.submit("check", 1);
   for (std::size_t i = 1; i <= 4; ++i) {
-    site.decisions.on_credits("a", 1, 1, site.now);
+    site.decisions.on_credits("a", 1, 1, credit_origin::grant, site.now);
     REQUIRE(site.gateways.sent.size() == i);
     site.end(site.gateways.sent.back(), outcome_state::not_run, reason::no_free_slot);
   }
@@ -284,7 +303,7 @@
   }
   const auto run = [&site](const std::string& name, outcome_state state) {
     site.submit("check", 1);
-    site.decisions.on_credits(name, 1, 1, site.now);
+    site.decisions.on_credits(name, 1, 1, credit_origin::grant, site.now);
     REQUIRE(site.gateways.sent.back().agent == name);
     site.end(site.gateways.sent.back(), state, reason::task_failed);
   };
@@ -296,7 +315,7 @@
   }
   REQUIRE(site.decisions.is_ejected("a"));
   const auto before = site.gateways.sent.size();
-  site.decisions.on_credits("a", 1, 2, site.now);
+  site.decisions.on_credits("a", 1, 2, credit_origin::grant, site.now);
   site.submit("check", 2);
   CHECK(site.gateways.sent.size() == before);
   site.now += milliseconds(1000);
@@ -359,7 +378,7 @@
   CHECK(site.gateways.released == std::vector<uuid>{id});
   site.submit_draft();
   site.decide(claim_verdict::granted);
-  site.decisions.on_credits("a", 1, 1, site.now);
+  site.decisions.on_credits("a", 1, 1, credit_origin::grant, site.now);
   REQUIRE(site.gateways.sent.size() == 1);
   site.decisions.cancel(site.gateways.asked.at(1).submission, site.now, [](const job_reply&) {});
   CHECK(site.gateways.released.size() == 1);
