--- a/include/parsleylead/entry/dispatcher.hpp
+++ b/include/parsleylead/entry/dispatcher.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -98,7 +99,7 @@
   void on_agent_leaving(const std::string& agent, std::uint64_t session);
   /// Credits came. Those of a result are only booked: its outcome follows and places.
   void on_credits(const std::string& agent, std::uint64_t session, std::uint32_t credits,
-                  monotonic_time now, credit_origin origin = credit_origin::grant);
+                  credit_origin origin, monotonic_time now);
   /// A result told how many tasks of all entries run or wait at the agent. Call it before
   /// `on_outcome` of that result.
   void on_report(const std::string& agent, std::uint32_t occupied, monotonic_time now);
@@ -148,6 +149,12 @@
     bool trial = false;
   };
 
+  /// A duplicate that waits for the end of its holder at this entry, within its own budget.
+  struct waiting_duplicate {
+    std::shared_ptr<reply_callback> reply;
+    job_reply if_late;
+  };
+
   std::optional<failure> check_request(const caller_request& request,
                                        std::optional<uuid>& key) const;
   void refuse(const caller_request& request, const failure& why, const reply_callback& reply);
@@ -177,6 +184,8 @@
   void end_job(job& ended, monotonic_time now, const job_reply& reply);
   void settle_claim(const job& ended, const submission_state& state, const job_reply& reply,
                     monotonic_time now);
+  void await_holder(const uuid& holder, const reply_callback& reply, const job_reply& if_late,
+                    monotonic_time deadline);
   void expire(monotonic_time now);
   job_reply reply_of(const job& target) const;
   task_request request_of(const backlog_candidate& candidate) const;
@@ -192,6 +201,7 @@
   std::map<std::string, kind_state> kinds_;
   job_table jobs_;
   std::map<uuid, submission_state> submissions_;
+  std::multimap<monotonic_time, waiting_duplicate> duplicates_;
   std::map<dispatch_key, dispatch_state> in_flight_;
   admission_control admission_;
   run_time_estimator run_times_;
