--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -392,8 +392,7 @@
 
 void dispatcher::on_credits(const std::string& agent, std::uint64_t session, std::uint32_t credits,
                             monotonic_time now, credit_origin origin) {
-  if (credits == 0 ||
-      !credits_.grant(agent, session, credits, origin == credit_origin::grant)) {
+  if (credits == 0 || !credits_.grant(agent, session, credits, origin == credit_origin::grant)) {
     return;
   }
   sync_credits(agent);
--- a/src/transport/rpc_connection.cpp
+++ b/src/transport/rpc_connection.cpp
@@ -2,9 +2,9 @@
 
 #include <algorithm>
 #include <array>
-#include <atomic>
 #include <asio/connect.hpp>
 #include <asio/write.hpp>
+#include <atomic>
 #include <memory>
 #include <vector>
 
