--- a/tests/faults/run_random.cpp
+++ b/tests/faults/run_random.cpp
@@ -11,13 +11,14 @@
 
 load_profile short_tasks(std::uint64_t tasks) {
   load_profile profile;
-  profile.callers = 24;
+  profile.callers = 32;
   profile.min_tasks = 1;
-  profile.max_tasks = 60;
+  profile.max_tasks = 20;
   profile.min_sleep_ms = 1;
   profile.max_sleep_ms = 5;
   profile.keyed_share = 0.2;
-  profile.pause = 0ms;
+  // About 400 tasks a second: many faults happen before the last task.
+  profile.pause = 800ms;
   profile.max_tasks_in_all = tasks;
   return profile;
 }
