--- a/tests/faults/catalogue_watch.cpp
+++ b/tests/faults/catalogue_watch.cpp
@@ -71,7 +71,7 @@
 }
 
 std::vector<std::string> catalogue_watch::race(int rounds) {
-  constexpr std::uint32_t race_rates = 1'000'000;
+  constexpr std::uint32_t race_rates = 500'000;
   catalogue_desk other(place_.log(), "other");
   std::vector<std::string> faults;
   for (int i = 0; i < rounds; ++i) {
@@ -84,6 +84,8 @@
     const auto second = other.publish_quota(team, rate + 1);
     const auto one = first.get();
     if (!one.ok() || !second.ok()) {
+      const auto& status = one.ok() ? second.status() : one.status();
+      faults.push_back("race for " + team + ": " + std::string(status.message()));
       continue;
     }
     const int accepted =
