--- a/tests/faults/child_process.cpp
+++ b/tests/faults/child_process.cpp
@@ -18,6 +18,9 @@
 // Runs between fork and exec: only async-signal-safe calls.
 [[noreturn]] void become(char* const* arguments, int output) {
   prctl(PR_SET_PDEATHSIG, SIGKILL);
+  // In the tool's session, the kernel would send SIGHUP to a stopped process when the shell that
+  // started the tool ends.
+  setsid();
   sigset_t none;
   sigemptyset(&none);
   sigprocmask(SIG_SETMASK, &none, nullptr);
