Confirm refusals sent while an agent leaves before it stops

Cause: an agent that was told to stop refused dispatches that were still on their way, took the answer to an earlier 'leaving' for the end, and stopped before the refusals had arrived; the entries then met a new agent and failed those jobs as 'may have run'. Change: an answer to 'leaving' counts only if no dispatch was refused after the call was sent.

--- a/src/agent/agent_core.cpp
+++ b/src/agent/agent_core.cpp
@@ -286,6 +286,10 @@
 dispatch_reply agent_core::refuse(slot_session session, const received_dispatch& request,
                                   reason why, std::string detail) {
   ++account_.refused[why];
+  if (auto* state = find_session(session); state != nullptr) {
+    ++state->refusals;
+    state->left = false;
+  }
   dispatch_reply reply;
   reply.sequence = request.sequence;
   reply.state = wire::TaskState::NOT_RUN;
@@ -623,6 +627,7 @@
 // the order of messages.
 void agent_core::send_leaving_to(open_session_state& session) {
   const bool all_ended = tasks_.empty();
+  const auto refusals = session.refusals;
   auto request = session.receiver.leavingRequest();
   describe(request.initAgent());
   if (!session.leaving_sent) {
@@ -630,13 +635,14 @@
   }
   session.leaving_sent = true;
   background_->add(request.send().then(
-      [this, id = session.id, all_ended](auto&& /*response*/) {
+      [this, id = session.id, all_ended, refusals](auto&& /*response*/) {
         auto* state = find_session(id);
         if (state == nullptr) {
           return;
         }
         state->leaving_sent = false;
-        state->left = draining_;
+        // Refusals sent after this call may still be on their way; another call confirms them.
+        state->left = draining_ && state->refusals == refusals;
         if (all_ended && draining_) {
           commits_.acknowledge_all(state->key.entry);
         }
--- a/src/agent/agent_core.hpp
+++ b/src/agent/agent_core.hpp
@@ -127,8 +127,10 @@
     /// A `leaving` call is on its way.
     bool leaving_sent = false;
     monotonic_time leaving_sent_at{};
-    /// The entry has answered `leaving`.
+    /// The entry has answered a `leaving` that was sent after the last refusal.
     bool left = false;
+    /// Dispatches refused in this session.
+    std::uint64_t refusals = 0;
   };
 
   struct task_state {
