Give no task to a session that is being probed

Change: the link reports the pause; the worker is not usable until the answer comes, its credits stay.

--- a/include/parsleylead/entry/agent_link.hpp
+++ b/include/parsleylead/entry/agent_link.hpp
@@ -74,6 +74,8 @@
   class receiver;
   struct session_connection;
 
+  /// A message of the current session arrived.
+  void on_frame(monotonic_time now);
   void open(monotonic_time now);
   void on_reply(std::uint64_t counter, wire::SessionReply::Reader reply, monotonic_time now);
   void on_result(std::uint64_t sequence, wire::TaskResult::Reader result);
--- a/include/parsleylead/entry/dispatcher.hpp
+++ b/include/parsleylead/entry/dispatcher.hpp
@@ -91,7 +91,11 @@
                          std::uint32_t credits, monotonic_time now);
   /// The description of the agent's upstream changed; without slots it takes no work.
   void on_agent_changed(const agent_description& agent, monotonic_time now);
-  /// The session takes no work for the moment.
+  /// A probe is unanswered: the agent gets no work, but the session keeps its credits.
+  void on_session_paused(const std::string& agent);
+  /// The probed session answered.
+  void on_session_usable(const std::string& agent, monotonic_time now);
+  /// The session ended: it takes no work, and its credits are void.
   void on_session_suspended(const std::string& agent);
   /// The agent is gone: outcomes of its dispatches follow, or came before.
   void on_agent_lost(const std::string& agent);
--- a/src/entry/agent_link.cpp
+++ b/src/entry/agent_link.cpp
@@ -157,7 +157,7 @@
     if (link == nullptr || !link->is_current(counter_)) {
       return nullptr;
     }
-    link->ledger_.on_frame_received(now_on_loop());
+    link->on_frame(now_on_loop());
     link->context_.decisions.accounts().messages();
     return link;
   }
@@ -171,6 +171,14 @@
 
 agent_link::~agent_link() = default;
 
+void agent_link::on_frame(monotonic_time now) {
+  const bool was_open = ledger_.can_dispatch();
+  ledger_.on_frame_received(now);
+  if (!was_open && ledger_.can_dispatch() && !leaving_) {
+    context_.decisions.on_session_usable(address_.name, now);
+  }
+}
+
 bool agent_link::is_current(std::uint64_t counter) const {
   return counter == counter_;
 }
@@ -198,6 +206,7 @@
   case session_action::none:
     return true;
   case session_action::probe: {
+    context_.decisions.on_session_paused(address_.name);
     auto request = session_->session.probeRequest();
     const auto acknowledged = ledger_.take_acknowledgements();
     fill_numbers(request.initAcknowledged(acknowledged.size()), acknowledged);
@@ -388,7 +397,7 @@
 
 void agent_link::on_result(std::uint64_t sequence, wire::TaskResult::Reader result) {
   const auto now = now_on_loop();
-  ledger_.on_frame_received(now);
+  on_frame(now);
   const auto credits = result.getCredits();
   const auto counter = counter_;
   const bool held = result.getState() == wire::TaskState::FINISHED ||
@@ -424,7 +433,7 @@
   auto self = weak_from_this();
   session_->tasks.add(call.then([self] {
     if (const auto link = self.lock()) {
-      link->ledger_.on_frame_received(now_on_loop());
+      link->on_frame(now_on_loop());
     }
   }));
 }
@@ -460,7 +469,7 @@
         if (link == nullptr) {
           return;
         }
-        link->ledger_.on_frame_received(now_on_loop());
+        link->on_frame(now_on_loop());
         link->context_.decisions.on_credits(link->address_.name, counter, response.getCredits(),
                                             credit_origin::want_answer, now_on_loop());
       }));
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -377,6 +377,17 @@
   place(now);
 }
 
+void dispatcher::on_session_paused(const std::string& agent) {
+  open_sessions_.erase(agent);
+  update_usable(agent);
+}
+
+void dispatcher::on_session_usable(const std::string& agent, monotonic_time now) {
+  open_sessions_.insert(agent);
+  update_usable(agent);
+  place(now);
+}
+
 void dispatcher::on_session_suspended(const std::string& agent) {
   open_sessions_.erase(agent);
   credits_.close(agent);
--- a/src/entry/dispatcher_test.cpp
+++ b/src/entry/dispatcher_test.cpp
@@ -294,6 +294,21 @@
   CHECK(site.balances());
 }
 
+TEST_CASE("a session that is being probed gets no task and keeps its credits") {
+  // Guards against tasks that use up their placements at a session whose probe is unanswered.
+  bench site;
+  site.open("a", 1);
+  site.decisions.on_session_paused("a");
+  auto& replies = site.submit("check", 1);
+  CHECK(site.gateways.sent.empty());
+  CHECK(site.decisions.credits().unused("a") == 1);
+  site.decisions.on_session_usable("a", site.now);
+  REQUIRE(site.gateways.sent.size() == 1);
+  site.end(site.gateways.sent[0], outcome_state::finished);
+  CHECK(says(replies, 200, "complete"));
+  CHECK(site.balances());
+}
+
 TEST_CASE("an ejected worker gets one trial and returns with its success") {
   // Guards against a failing worker that keeps taking tasks, and against one that never returns.
   bench site;
