--- a/tests/faults/catalogue_watch.cpp
+++ b/tests/faults/catalogue_watch.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <future>
 
+#include "absl/strings/str_cat.h"
 #include "http_calls.hpp"
 
 namespace parsleylead::faults {
@@ -173,8 +174,8 @@
     for (const auto& [team, sights] : history.teams) {
       for (const auto& one : sights) {
         if (!desk_.is_accepted(one.revision)) {
-          faults.push_back("P8: " + entry + " shows " + team + " at revision " +
-                           std::to_string(one.revision) + ", which the log did not accept");
+          faults.push_back(absl::StrCat("P8: ", entry, " shows ", team, " at revision ",
+                                        one.revision, ", which the log did not accept"));
         }
       }
     }
@@ -200,11 +201,11 @@
       }
     }
     if (seen == nullptr) {
-      faults.push_back(entry + " does not have " + label);
+      faults.push_back(absl::StrCat(entry, " does not have ", label));
     } else if (seen->first > limit) {
-      faults.push_back(entry + " had " + label + " later than the bound");
+      faults.push_back(absl::StrCat(entry, " had ", label, " later than the bound"));
     } else if (seen->revision == change.revision && seen->rate != change.rate) {
-      faults.push_back(entry + " has another value of " + label);
+      faults.push_back(absl::StrCat(entry, " has another value of ", label));
     }
   }
 }
--- a/tests/faults/child_process.cpp
+++ b/tests/faults/child_process.cpp
@@ -42,6 +42,7 @@
   }
   std::vector<std::string> copies = command;
   std::vector<char*> arguments;
+  arguments.reserve(copies.size() + 1);
   for (auto& text : copies) {
     arguments.push_back(text.data());
   }
--- a/tests/faults/main.cpp
+++ b/tests/faults/main.cpp
@@ -116,6 +116,7 @@
   const auto cells = plan(options);
   std::atomic<std::size_t> next{0};
   std::vector<std::thread> threads;
+  threads.reserve(static_cast<std::size_t>(options.parallel));
   for (int i = 0; i < options.parallel; ++i) {
     threads.emplace_back([&] {
       for (auto index = next++; index < cells.size(); index = next++) {
@@ -132,6 +133,7 @@
   constexpr int sites = 2;
   constexpr std::chrono::seconds limit{400};
   std::vector<std::thread> threads;
+  threads.reserve(sites);
   for (int i = 0; i < sites; ++i) {
     threads.emplace_back([&, i] {
       rows.print(run_random(options, options.seed + static_cast<std::uint64_t>(i),
