--- a/tests/faults/judge.cpp
+++ b/tests/faults/judge.cpp
@@ -6,6 +6,7 @@
 #include <set>
 #include <sstream>
 
+#include "absl/strings/str_cat.h"
 #include "http_calls.hpp"
 
 namespace parsleylead::faults {
@@ -41,7 +42,7 @@
   for (std::int64_t time = 0; file >> time >> submission >> task >> echo;) {
     ++result.total;
     ++result.by_echo[echo];
-    ++result.by_task[submission + " " + task];
+    ++result.by_task[absl::StrCat(submission, " ", task)];
     result.labels.insert(label_of(echo));
     if (left && wall_time(milliseconds(time)) > *left + leave_bound) {
       found.violations.push_back("P6: upstream " + std::to_string(agent) + " started " + echo +
