--- a/tests/faults/site.cpp
+++ b/tests/faults/site.cpp
@@ -100,7 +100,7 @@
 // Processes.
 
 std::unique_ptr<child_process> site::run(const std::string& name,
-                                         std::vector<std::string> command) {
+                                         const std::vector<std::string>& command) {
   return std::make_unique<child_process>(command, path(name + ".log"));
 }
 
--- a/tests/faults/site.hpp
+++ b/tests/faults/site.hpp
@@ -151,7 +151,8 @@
   std::vector<int> read_ports(const std::string& name, std::size_t count, child_process& process);
   std::string path(const std::string& file) const { return options_.folder + "/" + file; }
   std::string binary(const std::string& name) const { return options_.binaries + "/" + name; }
-  std::unique_ptr<child_process> run(const std::string& name, std::vector<std::string> command);
+  std::unique_ptr<child_process> run(const std::string& name,
+                                     const std::vector<std::string>& command);
   void write_file(const std::string& name, const std::string& text) const;
   void route_to(int number, bool on);
   void await_notice(int number);
