--- a/include/parsleylead/entry/dispatcher.hpp
+++ b/include/parsleylead/entry/dispatcher.hpp
@@ -22,6 +22,7 @@
 #include "parsleylead/placement/backlog.hpp"
 #include "parsleylead/placement/demand_tracker.hpp"
 #include "parsleylead/placement/placement_policy.hpp"
+#include "parsleylead/placement/refusal_backoff.hpp"
 #include "parsleylead/placement/worker_health.hpp"
 #include "parsleylead/placement/worker_pool.hpp"
 #include "parsleylead/slot/credit_book.hpp"
@@ -182,6 +183,9 @@
                       const dispatch_state& sent, dispatch_outcome& outcome, monotonic_time now);
   void learn(const dispatch_state& sent, const dispatch_outcome& outcome, monotonic_time now);
   void apply_health(const std::string& agent, worker_health::change change);
+  void note_refusal(const dispatch_state& sent, const dispatch_outcome& outcome,
+                    monotonic_time now);
+  void end_backoffs(monotonic_time now);
   void update_usable(const std::string& agent);
   void sync_credits(const std::string& agent);
   void end_job(job& ended, monotonic_time now);
@@ -212,6 +216,7 @@
   backlog backlog_;
   worker_pool pool_;
   worker_health health_;
+  refusal_backoff refusals_;
   credit_book credits_;
   demand_tracker demands_;
   account account_;
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -53,6 +53,12 @@
          why == reason::answer_too_large;
 }
 
+// Refusals that every task would meet at this worker, until its upstream is back.
+bool is_upstream_gone(reason why) {
+  return why == reason::connect_failed || why == reason::upstream_absent ||
+         why == reason::kind_not_served;
+}
+
 } // namespace
 
 dispatcher::dispatcher(const dispatcher_options& options, selected_policy policy,
@@ -400,6 +406,7 @@
   demands_.remove_worker(agent);
   pool_.remove(agent);
   run_times_.forget_worker(agent);
+  refusals_.forget(agent);
   for (const auto& readmitted : health_.remove_worker(agent)) {
     update_usable(readmitted);
   }
@@ -454,10 +461,29 @@
   if (view == nullptr) {
     return;
   }
-  const bool usable = open_sessions_.contains(agent) && view->slots > 0 && !health_.ejected(agent);
+  const bool usable = open_sessions_.contains(agent) && view->slots > 0 &&
+                      !health_.ejected(agent) && !refusals_.active(agent);
   pool_.set_ejected(agent, !usable);
 }
 
+void dispatcher::note_refusal(const dispatch_state& sent, const dispatch_outcome& outcome,
+                              monotonic_time now) {
+  if (outcome.state == outcome_state::finished) {
+    refusals_.ran(sent.agent);
+    return;
+  }
+  if (outcome.state == outcome_state::not_run && is_upstream_gone(outcome.why.why)) {
+    refusals_.refused(sent.agent, now);
+    update_usable(sent.agent);
+  }
+}
+
+void dispatcher::end_backoffs(monotonic_time now) {
+  for (const auto& agent : refusals_.take_ended(now)) {
+    update_usable(agent);
+  }
+}
+
 void dispatcher::apply_health(const std::string& agent, worker_health::change change) {
   if (change == worker_health::change::none) {
     return;
@@ -492,6 +518,7 @@
   placing_ = true;
   // A process that was paused must not start work past its deadline.
   expire(now);
+  end_backoffs(now);
   backlog_.age(now);
   while (place_trials(now) || place_next(now)) {
   }
@@ -647,6 +674,7 @@
   in_flight_.erase(found);
   pool_.task_ended(sent.agent, sent.expected_end);
   learn(sent, outcome, now);
+  note_refusal(sent, outcome, now);
   if (outcome.state == outcome_state::not_run) {
     account_.wasted(waste_cause::refused_dispatch, messages_per_call);
   } else {
@@ -811,6 +839,7 @@
     include(duplicates_.begin()->first);
   }
   include(health_.next_trial());
+  include(refusals_.next_end());
   include(demands_.next_due());
   const bool guesses = !policy_.spends_credits() && backlog_.waiting() > 0;
   if (credit_unused_ || guesses) {
--- a/src/entry/dispatcher_test.cpp
+++ b/src/entry/dispatcher_test.cpp
@@ -309,6 +309,26 @@
   CHECK(site.balances());
 }
 
+TEST_CASE("a worker whose upstream is gone is left alone for a while") {
+  // Guards against one dead upstream that uses up the placements of every waiting task.
+  bench site;
+  site.open("a", 1);
+  site.open("b", 0);
+  auto& replies = site.submit("check", 1);
+  site.end(site.gateways.sent.at(0), outcome_state::not_run, reason::connect_failed);
+  site.decisions.on_credits("a", 1, 1, credit_origin::grant, site.now);
+  CHECK(site.gateways.sent.size() == 1);
+  site.decisions.on_credits("b", 1, 1, credit_origin::grant, site.now);
+  REQUIRE(site.gateways.sent.size() == 2);
+  CHECK(site.gateways.sent[1].agent == "b");
+  site.end(site.gateways.sent[1], outcome_state::finished);
+  CHECK(says(replies, 200, "complete"));
+  site.now += refusal_backoff::min_backoff;
+  site.submit("check", 1);
+  REQUIRE(site.gateways.sent.size() == 3);
+  CHECK(site.gateways.sent[2].agent == "a");
+}
+
 TEST_CASE("an ejected worker gets one trial and returns with its success") {
   // Guards against a failing worker that keeps taking tasks, and against one that never returns.
   bench site;
