--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -59,6 +59,12 @@
          why == reason::kind_not_served;
 }
 
+failure answer_not_logged(const claim_holder& holder) {
+  return {reason::answer_expired, step::claim, holder.entry_name,
+          "submission " + holder.submission.to_string() + " ended as " + holder.outcome->state +
+              "; its answer is not in the log"};
+}
+
 } // namespace
 
 dispatcher::dispatcher(const dispatcher_options& options, selected_policy policy,
@@ -297,50 +303,33 @@
 }
 
 void dispatcher::answer_duplicate(job& duplicate, const claim_holder& holder, monotonic_time now) {
-  const failure why{reason::duplicate_key, step::claim, holder.entry_name,
-                    "submission " + holder.submission.to_string() + " holds the request key"};
-  const auto wait = std::chrono::ceil<std::chrono::milliseconds>(duplicate.deadline() - now);
-  duplicate.abandon(why);
-  // Until the holder's outcome is known, the request may have run, although this submission did
-  // not.
-  const auto unknown =
-      make_failure_reply(holder.submission.to_string(), run_truth::may_have_run, why);
+  const failure held{reason::duplicate_key, step::claim, holder.entry_name,
+                     "submission " + holder.submission.to_string() + " holds the request key"};
+  duplicate.abandon(held);
   if (holder.outcome && holder.outcome->answer) {
     const int status = holder.outcome->state == "complete" ? 200 : 409;
     end_job(duplicate, now, {status, *holder.outcome->answer});
     return;
   }
-  if (holder.outcome) {
-    const failure ended{reason::answer_expired, step::claim, holder.entry_name,
-                        "submission " + holder.submission.to_string() + " ended as " +
-                            holder.outcome->state + "; its answer is not in the log"};
-    const auto expired =
-        make_failure_reply(holder.submission.to_string(), run_truth::may_have_run, ended);
-    auto waiters = std::exchange(submissions_.at(duplicate.id()).waiters, {});
-    end_job(duplicate, now, expired);
-    peers_.fetch_job(
-        holder, std::chrono::milliseconds(0),
-        [waiters = std::move(waiters), expired](const std::optional<job_reply>& reply) {
-          for (const auto& waiter : waiters) {
-            waiter(reply.value_or(expired));
-          }
-        });
-    return;
-  }
-  auto waiters = std::exchange(submissions_.at(duplicate.id()).waiters, {});
-  end_job(duplicate, now, unknown);
+  // Until the holder's answer is known, the request may have run, although this submission did not.
+  const auto fallback = make_failure_reply(holder.submission.to_string(), run_truth::may_have_run,
+                                           holder.outcome ? answer_not_logged(holder) : held);
+  const auto waiters = std::exchange(submissions_.at(duplicate.id()).waiters, {});
+  const auto deadline = duplicate.deadline();
+  end_job(duplicate, now, fallback);
   if (jobs_.find(holder.submission) != nullptr) {
     for (const auto& waiter : waiters) {
-      await_holder(holder.submission, waiter, unknown, duplicate.deadline());
+      await_holder(holder.submission, waiter, fallback, deadline);
     }
     return;
   }
-  peers_.fetch_job(holder, wait,
-                   [waiters = std::move(waiters), unknown](const std::optional<job_reply>& reply) {
-                     for (const auto& waiter : waiters) {
-                       waiter(reply.value_or(unknown));
-                     }
-                   });
+  const auto left = std::chrono::ceil<std::chrono::milliseconds>(deadline - now);
+  const auto wait = holder.outcome ? std::chrono::milliseconds(0) : left;
+  peers_.fetch_job(holder, wait, [waiters, fallback](const std::optional<job_reply>& reply) {
+    for (const auto& waiter : waiters) {
+      waiter(reply.value_or(fallback));
+    }
+  });
 }
 
 void dispatcher::await_holder(const uuid& holder, const reply_callback& reply,
