Parse both settings files by one path; join the thread that stops the servers

Cause: both parsers repeated the same steps; the detached thread could still be inside the loop's post while the process was destroyed (found by reading). Change: parse_settings and load_settings templates; the thread is joined after the loop ends.

--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -168,6 +168,8 @@
   asio::steady_timer tick_timer_;
   asio::steady_timer link_timer_;
   asio::steady_timer drain_timer_;
+  /// Stops the HTTP servers while the control loop still runs.
+  std::thread closer_;
 };
 
 entry_process::state::state(const entry_settings& settings, log_service& log)
@@ -217,6 +219,9 @@
 
 void entry_process::state::run() {
   loop_.run();
+  if (closer_.joinable()) {
+    closer_.join();
+  }
   // No handler runs any more; the threads end first, then the connections.
   log_.close();
   directory_.reset();
@@ -284,11 +289,11 @@
   decisions_.refuse_new(leaving);
   decisions_.abandon_all(leaving, now_on_loop());
   // The HTTP servers wait for their handlers, which need the control thread until then.
-  std::thread([this] {
+  closer_ = std::thread([this] {
     callers_.stop();
     operations_.stop();
     loop_.stop();
-  }).detach();
+  });
 }
 
 // Callers.
--- a/src/settings/common_fields.hpp
+++ b/src/settings/common_fields.hpp
@@ -22,4 +22,34 @@
   reader.finish();
 }
 
+/// Parses a settings file's text with `read`, which fills in the settings and reports faults.
+template <class Settings>
+settings_result<Settings> parse_settings(std::string_view text,
+                                         void (*read)(object_reader&, Settings&)) {
+  settings_result<Settings> result;
+  const auto value = parse_settings_text(text, result.errors);
+  if (value.is_discarded()) {
+    return result;
+  }
+  Settings settings;
+  object_reader reader(&value, "", result.errors);
+  read(reader, settings);
+  if (result.errors.empty()) {
+    result.settings = std::move(settings);
+  }
+  return result;
+}
+
+/// Reads a file and parses it with `parse`.
+template <class Settings>
+settings_result<Settings> load_settings(const std::string& path,
+                                        settings_result<Settings> (*parse)(std::string_view)) {
+  settings_result<Settings> result;
+  std::string text;
+  if (!read_settings_file(path, text, result.errors)) {
+    return result;
+  }
+  return parse(text);
+}
+
 } // namespace parsleylead
--- a/src/settings/parse_agent_settings.cpp
+++ b/src/settings/parse_agent_settings.cpp
@@ -60,27 +60,11 @@
 } // namespace
 
 settings_result<agent_settings> parse_agent_settings(std::string_view text) {
-  settings_result<agent_settings> result;
-  const auto value = parse_settings_text(text, result.errors);
-  if (value.is_discarded()) {
-    return result;
-  }
-  agent_settings settings;
-  object_reader reader(&value, "", result.errors);
-  read_all(reader, settings);
-  if (result.errors.empty()) {
-    result.settings = std::move(settings);
-  }
-  return result;
+  return parse_settings<agent_settings>(text, read_all);
 }
 
 settings_result<agent_settings> load_agent_settings(const std::string& path) {
-  settings_result<agent_settings> result;
-  std::string text;
-  if (!read_settings_file(path, text, result.errors)) {
-    return result;
-  }
-  return parse_agent_settings(text);
+  return load_settings(path, parse_agent_settings);
 }
 
 } // namespace parsleylead
--- a/src/settings/parse_entry_settings.cpp
+++ b/src/settings/parse_entry_settings.cpp
@@ -115,27 +115,11 @@
 } // namespace
 
 settings_result<entry_settings> parse_entry_settings(std::string_view text) {
-  settings_result<entry_settings> result;
-  const auto value = parse_settings_text(text, result.errors);
-  if (value.is_discarded()) {
-    return result;
-  }
-  entry_settings settings;
-  object_reader reader(&value, "", result.errors);
-  read_all(reader, settings);
-  if (result.errors.empty()) {
-    result.settings = std::move(settings);
-  }
-  return result;
+  return parse_settings<entry_settings>(text, read_all);
 }
 
 settings_result<entry_settings> load_entry_settings(const std::string& path) {
-  settings_result<entry_settings> result;
-  std::string text;
-  if (!read_settings_file(path, text, result.errors)) {
-    return result;
-  }
-  return parse_entry_settings(text);
+  return load_settings(path, parse_entry_settings);
 }
 
 } // namespace parsleylead
