--- a/include/parsleylead/base/time.hpp
+++ b/include/parsleylead/base/time.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 
 namespace parsleylead {
 
@@ -10,6 +11,14 @@
 /// Wall-clock time, for records and keys only.
 using wall_time = std::chrono::sys_time<std::chrono::milliseconds>;
 
+/// Current time for leases and time-outs that must also count the time for which the host was
+/// suspended; `steady_clock` does not. Thread-safe.
+inline monotonic_time lease_now() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return monotonic_time(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
+}
+
 /// Current wall-clock time in milliseconds. Thread-safe.
 inline wall_time wall_now() {
   return std::chrono::floor<std::chrono::milliseconds>(std::chrono::system_clock::now());
--- /dev/null
+++ b/include/parsleylead/fleet/fleet_agent.hpp
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "parsleylead/base/time.hpp"
+#include "parsleylead/fleet/fleet_frame.hpp"
+#include "parsleylead/fleet/link_timing.hpp"
+#include "parsleylead/fleet/member_dialer.hpp"
+#include "parsleylead/fleet/worker_port.hpp"
+#include "parsleylead/link/frame_link.hpp"
+#include "parsleylead/observe/event_log.hpp"
+#include "parsleylead/observe/metrics_registry.hpp"
+#include "parsleylead/runs/run_table.hpp"
+
+namespace parsleylead {
+
+struct fleet_agent_settings {
+  std::string name;
+  std::string availability_zone;
+  std::uint64_t incarnation = 0;
+  link_timing timing;
+  /// Sessions to entries at most. Six keep an agent's frames and an entry's agents bounded on large
+  /// sites, and are more than the entries of a small one.
+  std::size_t max_sessions = 6;
+  /// The longest lease that a worker grants.
+  std::chrono::milliseconds worker_lease{1'000};
+  /// A list of runs is requested at least this often; a quarter of the lease.
+  std::chrono::milliseconds list_interval{250};
+};
+
+/// The process beside one worker: keeps sessions to entries, and runs their orders through a
+/// `run_table` on the worker. Used on the loop's thread only.
+class fleet_agent {
+public:
+  /// The references must outlive the agent.
+  fleet_agent(asio::io_context& io, fleet_agent_settings settings, worker_port& worker,
+              event_log& log, metrics_registry& metrics);
+  ~fleet_agent();
+  fleet_agent(const fleet_agent&) = delete;
+  fleet_agent& operator=(const fleet_agent&) = delete;
+
+  void start();
+  void add_members(const std::vector<fleet_member>& members);
+  /// The worker's newest announcement.
+  void worker_announced(const worker_announcement& announced);
+  /// The worker has left; everything on it has ended.
+  void worker_left(const std::string& id);
+
+  /// Takes no new orders; `done` is called when nothing runs or waits, or after `limit`.
+  void leave(std::chrono::milliseconds limit, std::function<void()> done);
+
+  std::size_t sessions() const;
+  bool has_worker() const { return worker_.has_value(); }
+
+private:
+  struct session;
+
+  void tick();
+  void dial(const std::string& address);
+  void opened(const std::string& address, std::shared_ptr<frame_link> link);
+  void received(session& from, std::string_view bytes);
+  void greeted(session& from, const session_hello& hello);
+  void closed(session& from, const std::string& cause);
+  void check_sessions(monotonic_time now);
+
+  void list_runs();
+  void listed(absl::StatusOr<run_lists> lists, bool extended, monotonic_time requested);
+  void list_failed(const absl::Status& status, monotonic_time now);
+  void suspect_worker(bool suspected, const std::string& cause);
+  void carry_out();
+  void send_reports();
+  worker_status status_for(const session& to) const;
+  void flush_soon();
+  void flush();
+  session* session_of(owner_id owner);
+
+  asio::io_context& io_;
+  fleet_agent_settings settings_;
+  worker_port& port_;
+  event_log& log_;
+  metrics_registry& metrics_;
+  asio::steady_timer tick_timer_;
+  member_dialer dialer_;
+  std::map<std::string, std::unique_ptr<session>> sessions_;
+  run_table table_;
+  std::optional<worker_announcement> worker_;
+  owner_id next_owner_ = 1;
+  bool listing_ = false;
+  bool suspected_ = false;
+  bool refused_once_ = false;
+  /// The last time for which a request that extends the lease was sent.
+  monotonic_time extended_{};
+  monotonic_time last_tick_{};
+  bool status_dirty_ = false;
+  bool flush_posted_ = false;
+  bool leaving_ = false;
+  monotonic_time leave_limit_{};
+  std::function<void()> left_;
+  std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+} // namespace parsleylead
--- /dev/null
+++ b/include/parsleylead/fleet/fleet_entry.hpp
@@ -0,0 +1,119 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "parsleylead/base/endpoint.hpp"
+#include "parsleylead/base/time.hpp"
+#include "parsleylead/fleet/fleet_frame.hpp"
+#include "parsleylead/fleet/fleet_scheduler.hpp"
+#include "parsleylead/fleet/link_timing.hpp"
+#include "parsleylead/fleet/member_dialer.hpp"
+#include "parsleylead/link/frame_link.hpp"
+#include "parsleylead/observe/event_log.hpp"
+#include "parsleylead/observe/metrics_registry.hpp"
+
+namespace parsleylead {
+
+struct fleet_entry_settings {
+  std::string name;
+  std::string availability_zone;
+  std::uint64_t incarnation = 0;
+  /// For frame links of agents and other entries.
+  endpoint listen;
+  link_timing timing;
+  fleet_policy policy;
+  /// Links to other entries at most; bounds the exchange on large sites.
+  std::size_t max_peers = 12;
+};
+
+/// The dispatching side of one entry process: sessions of agents, the exchange with other entries,
+/// and the jobs of a `fleet_scheduler`. Used on the loop's thread only.
+class fleet_entry {
+public:
+  /// Names one caller of a job.
+  using caller_ticket = std::uint64_t;
+  using result_handler = std::function<void(const job_result&)>;
+
+  /// `on_routes` is called when another entry has newer routes than `set_routes` was given. The
+  /// references must outlive the entry.
+  fleet_entry(asio::io_context& io, fleet_entry_settings settings, event_log& log,
+              metrics_registry& metrics, std::function<void(const route_update&)> on_routes);
+  ~fleet_entry();
+  fleet_entry(const fleet_entry&) = delete;
+  fleet_entry& operator=(const fleet_entry&) = delete;
+
+  /// Errors: kUnavailable if the address cannot be listened at.
+  absl::Status start();
+
+  void add_members(const std::vector<fleet_member>& members);
+  /// The routes in force, to be passed on to other entries. Older versions are ignored.
+  void set_routes(const route_update& routes);
+
+  /// Runs a job; `done` is called once with its result. A second submission of an open job is
+  /// joined to it: both are answered.
+  caller_ticket submit(fleet_job job, result_handler done);
+  /// One caller of the job has left; the job is stopped when the last one has.
+  void abandon(std::uint64_t id, caller_ticket caller);
+  /// Stops a job and answers all its callers. Returns whether it was open.
+  bool cancel(std::uint64_t id);
+
+  bool is_open(std::uint64_t id) const { return scheduler_.is_open(id); }
+  std::size_t open_jobs() const { return scheduler_.open_jobs(); }
+  std::size_t waiting_jobs(const std::string& service) const {
+    return scheduler_.waiting_jobs(service);
+  }
+  bool has_worker() const { return scheduler_.has_worker(); }
+  const fleet_member& self() const { return self_; }
+
+private:
+  struct session;
+
+  void tick();
+  void accepted(std::shared_ptr<frame_link> link);
+  void dial(const std::string& address);
+  void watch(const std::shared_ptr<session>& made);
+  void received(const std::shared_ptr<session>& from, std::string_view bytes);
+  void greeted(const std::shared_ptr<session>& from, const session_hello& hello);
+  void agent_greeted(const std::shared_ptr<session>& from, const session_hello& hello);
+  void routes_received(session& from, const fleet_frame& frame);
+  void closed(const std::shared_ptr<session>& from, const std::string& cause);
+  void check_sessions(monotonic_time now);
+  void gossip(monotonic_time now);
+  fleet_frame member_frame() const;
+  void run_soon();
+  void run();
+  void answer(const job_result& result);
+
+  asio::io_context& io_;
+  fleet_entry_settings settings_;
+  event_log& log_;
+  metrics_registry& metrics_;
+  std::function<void(const route_update&)> on_routes_;
+  fleet_member self_;
+  asio::steady_timer tick_timer_;
+  frame_acceptor acceptor_;
+  member_dialer dialer_;
+  fleet_scheduler scheduler_;
+  std::vector<std::shared_ptr<session>> sessions_;
+  std::map<worker_index, std::shared_ptr<session>> agents_;
+  std::map<worker_index, std::uint64_t> agent_incarnations_;
+  std::unordered_map<std::uint64_t, std::map<caller_ticket, result_handler>> callers_;
+  caller_ticket next_ticket_ = 1;
+  route_update routes_{-1, ""};
+  monotonic_time last_tick_{};
+  monotonic_time last_gossip_{};
+  bool members_changed_ = false;
+  bool run_posted_ = false;
+  std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+} // namespace parsleylead
--- /dev/null
+++ b/include/parsleylead/fleet/link_timing.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <chrono>
+
+namespace parsleylead {
+
+/// Time limits of the links between entries and agents. They depend on each other:
+/// `keepalive` x 3 <= `max_silence` < `owner_lease`, and an entry runs a lost task again only after
+/// `fleet_policy::lost_run_wait`, which exceeds `owner_lease` and a worker's lease.
+struct link_timing {
+  /// An idle link carries a small frame this often. At 540 agents with 6 sessions each this is
+  /// 40 frames a second at an agent and 3,600 over all entries for each ten of them.
+  std::chrono::milliseconds keepalive{150};
+  /// A link without a frame for this long is closed and opened again.
+  std::chrono::milliseconds max_silence{450};
+  /// An agent stops the runs of an entry that it has not heard for this long. With the time of a
+  /// stop it stays below the time after which a caller may send its job to another entry.
+  std::chrono::milliseconds owner_lease{700};
+  std::chrono::milliseconds connect_timeout{400};
+  /// Between two attempts to connect; doubles up to `max_redial`.
+  std::chrono::milliseconds redial{100};
+  std::chrono::milliseconds max_redial{1'600};
+  /// Entries exchange members and the version of the routes this often.
+  std::chrono::milliseconds gossip{250};
+  /// Leases, silences and time-outs are checked this often.
+  std::chrono::milliseconds tick{20};
+  /// Status reports of an agent to one entry, at most one in this time.
+  std::chrono::milliseconds status_interval{40};
+  /// An entry that could not be reached for this long is forgotten.
+  std::chrono::milliseconds forget_member{30'000};
+};
+
+} // namespace parsleylead
--- /dev/null
+++ b/include/parsleylead/runs/pace_estimate.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <chrono>
+
+#include "parsleylead/base/time.hpp"
+
+namespace parsleylead {
+
+/// Learns how long a worker takes for its tasks, compared with the callers' estimates, from the
+/// progress of all its runs. Old observations fade. A worker that stands still shows within a few
+/// reports, before any of its runs has ended. Not thread-safe.
+class pace_estimate {
+public:
+  /// `spent` time brought `achieved` of estimated work.
+  void record(std::chrono::duration<double> spent, std::chrono::duration<double> achieved,
+              monotonic_time now);
+
+  /// Time spent for each unit of estimated time; 1 while nothing is known.
+  double slowdown() const;
+
+private:
+  double spent_s_ = 0;
+  double achieved_s_ = 0;
+  monotonic_time last_{};
+};
+
+} // namespace parsleylead
--- /dev/null
+++ b/include/parsleylead/runs/run_table.hpp
@@ -0,0 +1,168 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+#include "parsleylead/base/time.hpp"
+#include "parsleylead/fleet/run_types.hpp"
+#include "parsleylead/runs/pace_estimate.hpp"
+
+namespace parsleylead {
+
+/// Number of a session's owner at the agent: one for each incarnation of an entry.
+using owner_id = std::uint32_t;
+
+/// How a worker answered an order to start a run.
+enum class start_answer : std::uint8_t {
+  started,
+  /// The worker has no room.
+  no_room,
+  /// The worker has seen a higher attempt of this task.
+  stale_attempt,
+  /// The worker refused for another reason and did nothing.
+  refused,
+  /// No answer: the order may be carried out at any later moment.
+  unknown,
+};
+
+/// A run that the worker lists as active.
+struct active_run {
+  run_id run;
+  std::uint32_t percent = 0;
+};
+
+/// A run that the worker lists as ended.
+struct finished_run {
+  run_id run;
+  run_outcome outcome = run_outcome::done;
+};
+
+/// Calls that the agent has to make to its worker.
+struct worker_call {
+  enum class kind : std::uint8_t { start, stop };
+  kind what = kind::start;
+  run_id run;
+};
+
+/// A report for one owner.
+struct owned_end {
+  owner_id owner = 0;
+  run_end end;
+};
+
+/// Everything that one agent runs or is asked to run on its worker: guards the worker's capacity,
+/// orders the waiting starts, resolves starts without an answer, and keeps the results until they
+/// are certain to have been received. Pure: time is passed in, calls are returned. Not thread-safe.
+///
+/// A start without an answer may be carried out seconds later. It keeps its room until the worker
+/// lists the run, or until the worker has confirmed a stop of it, which makes the worker reject the
+/// run from then on, and a list taken after that confirmation does not show it.
+class run_table {
+public:
+  /// A worker (again) without runs: its first announcement, or a new life of it. Every run ends as
+  /// lost.
+  void worker_began(const resource_needs& capacity, monotonic_time now);
+  void set_capacity(const resource_needs& capacity) { capacity_ = capacity; }
+  /// The worker crashed or cannot be reached, and all leases on it have ended.
+  void worker_lost(monotonic_time now);
+  /// While false, no run is started; waiting orders are returned at the next `pump`.
+  void set_accepting(bool accepting) { accepting_ = accepting; }
+  /// While true, no run is started, but orders stay: the worker's state is not known.
+  void set_suspended(bool suspended) { suspended_ = suspended; }
+
+  void add(owner_id owner, start_order order, monotonic_time now);
+  /// Drops a waiting order or stops a run. Without `report_end` its end is not reported.
+  void stop(owner_id owner, const run_id& run, bool report_end, monotonic_time now);
+  /// Stops everything of the owner.
+  void stop_owner(owner_id owner, monotonic_time now);
+  /// The owner's list of the runs that it still waits for, after its session was opened again:
+  /// stops what is not listed and reports again what ended or never arrived.
+  void reconcile(owner_id owner, const std::vector<run_id>& outstanding, monotonic_time now);
+
+  void start_answered(const run_id& run, start_answer answer, monotonic_time now);
+  /// `confirmed`: the worker will never start this run, or is stopping it.
+  void stop_answered(const run_id& run, bool confirmed, monotonic_time now);
+  /// The worker's lists, requested at `requested`. `complete`: no ends were left out.
+  void observe(const std::vector<active_run>& active, const std::vector<finished_run>& finished,
+               bool complete, monotonic_time requested, monotonic_time now);
+
+  /// Starts what fits and returns what has waited too long.
+  void pump(monotonic_time now);
+  /// Next moment at which `pump` has something to do without another event.
+  monotonic_time next_deadline() const;
+
+  std::vector<worker_call> take_calls() { return std::exchange(calls_, {}); }
+  std::vector<owned_end> take_ends() { return std::exchange(ends_, {}); }
+
+  const start_order* find_order(const run_id& id) const;
+  owner_id owner_of(const run_id& id) const;
+  /// Runs that take over `slow_factor` times as long as expected.
+  std::vector<std::pair<owner_id, slow_run>> slow_runs(monotonic_time now) const;
+  std::uint32_t owner_cpu_millis(owner_id owner) const;
+  const resource_needs& committed() const { return committed_; }
+  const resource_needs& capacity() const { return capacity_; }
+  std::uint32_t queued_cpu_millis() const { return queued_cpu_millis_; }
+  std::size_t running() const { return runs_.size() - waiting_.size(); }
+  std::size_t waiting() const { return waiting_.size(); }
+  const pace_estimate& pace() const { return pace_; }
+  double failure_share() const { return failures_ / (ends_seen_ + 1.0); }
+
+private:
+  enum class state : std::uint8_t { waiting, starting, running, sealing, stopping };
+  struct run {
+    owner_id owner = 0;
+    start_order order;
+    state at = state::waiting;
+    /// No end is reported: the owner stopped it or is gone.
+    bool abandoned = false;
+    bool stop_confirmed = false;
+    std::uint32_t percent = 0;
+    monotonic_time added;
+    monotonic_time began;
+    monotonic_time due;
+    monotonic_time give_up;
+    /// When the worker confirmed the start, or the stop.
+    monotonic_time confirmed;
+    monotonic_time stop_retry;
+  };
+  struct past_end {
+    owned_end end;
+    monotonic_time at;
+  };
+  using run_map = std::unordered_map<task_key, run, task_key_hash>;
+
+  run* find(const run_id& id);
+  const run* find(const run_id& id) const;
+  void finish(run_map::iterator at, run_outcome outcome, monotonic_time now);
+  void remember(const owned_end& end, monotonic_time now);
+  void order_stop(run& each, monotonic_time now);
+  void end_all(run_outcome outcome, monotonic_time now);
+  void count_end(run_outcome outcome, monotonic_time now);
+  void remove_waiting(const task_key& key);
+
+  run_map runs_;
+  std::vector<task_key> waiting_;
+  std::deque<past_end> past_;
+  /// Active runs that this agent did not start: left by an earlier agent on this host.
+  std::unordered_map<task_key, monotonic_time, task_key_hash> foreign_;
+  std::vector<worker_call> calls_;
+  std::vector<owned_end> ends_;
+  resource_needs capacity_;
+  resource_needs committed_;
+  std::uint32_t queued_cpu_millis_ = 0;
+  bool accepting_ = false;
+  bool suspended_ = false;
+  pace_estimate pace_;
+  double failures_ = 0;
+  double ends_seen_ = 0;
+  monotonic_time counted_{};
+  monotonic_time observed_{};
+};
+
+} // namespace parsleylead
--- /dev/null
+++ b/include/parsleylead/web/web_client.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+
+#include "absl/status/statusor.h"
+#include "parsleylead/base/endpoint.hpp"
+#include "parsleylead/web/web_message.hpp"
+
+namespace parsleylead {
+
+/// Calls one HTTP/1.1 server over kept connections, one call at a time on each. Used on the loop's
+/// thread only.
+class web_client {
+public:
+  using callback = std::function<void(absl::StatusOr<web_response>)>;
+
+  /// At most `max_connections` calls run at a time; the others wait their turn.
+  web_client(asio::io_context& io, endpoint server, std::size_t max_connections);
+  ~web_client();
+  web_client(const web_client&) = delete;
+  web_client& operator=(const web_client&) = delete;
+
+  /// Sends a request. `done` is called exactly once, unless the client is destroyed first. Errors:
+  /// kUnavailable if the request was not sent; kDeadlineExceeded after `timeout`, waiting included;
+  /// kUnknown if the connection broke after sending: the call may have been carried out.
+  void call(web_request request, std::chrono::milliseconds timeout, callback done);
+
+  /// Calls that are running or waiting.
+  std::size_t pending() const;
+
+private:
+  class state;
+  class connection;
+  std::shared_ptr<state> state_;
+};
+
+} // namespace parsleylead
--- /dev/null
+++ b/include/parsleylead/web/web_server.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+
+#include "absl/status/status.h"
+#include "parsleylead/base/endpoint.hpp"
+#include "parsleylead/web/web_message.hpp"
+
+namespace parsleylead {
+
+/// One request that waits for its response. Used on the loop's thread only.
+class web_exchange {
+public:
+  virtual ~web_exchange() = default;
+
+  virtual const web_request& request() const = 0;
+
+  /// Sends the response. Only the first call has an effect.
+  virtual void respond(web_response response) = 0;
+
+  /// Closes the connection without a response.
+  virtual void abort() = 0;
+
+  /// `handler` is called once if the client closes the connection before the response is sent.
+  virtual void on_abandoned(std::function<void()> handler) = 0;
+};
+
+/// Bounds of a server. Sizes in bytes.
+struct web_server_limits {
+  std::size_t max_header_bytes = std::size_t{16} * 1024;
+  std::size_t max_body_bytes = std::size_t{256} * 1024;
+  std::size_t max_connections = 3000;
+  /// A kept connection without a request is closed after this time.
+  std::chrono::milliseconds idle_timeout{60'000};
+  /// A request has to arrive whole within this time of its first byte.
+  std::chrono::milliseconds receive_timeout{3'000};
+};
+
+/// An HTTP/1.1 server on an Asio loop: no thread for a connection or a request, one request at a
+/// time on each connection. Used on the loop's thread only.
+class web_server {
+public:
+  using handler = std::function<void(std::shared_ptr<web_exchange>)>;
+
+  web_server(asio::io_context& io, web_server_limits limits, handler on_request);
+  ~web_server();
+  web_server(const web_server&) = delete;
+  web_server& operator=(const web_server&) = delete;
+
+  /// Listens at the address; may be called for several addresses. Errors: kUnavailable.
+  absl::Status listen(const endpoint& address);
+
+  /// Closes idle connections, and the others after their next response. New connections are still
+  /// accepted, so that a client that was already directed here gets an answer.
+  void close_after_response();
+
+  /// Number of open connections.
+  std::size_t connections() const;
+
+private:
+  class state;
+  class connection;
+  std::shared_ptr<state> state_;
+};
+
+} // namespace parsleylead
--- /dev/null
+++ b/src/fleet/fleet_agent.cpp
@@ -0,0 +1,468 @@
+#include "parsleylead/fleet/fleet_agent.hpp"
+
+#include <algorithm>
+#include <asio/post.hpp>
+#include <utility>
+
+#include "parsleylead/fleet/format_run.hpp"
+
+namespace parsleylead {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Clocks of workers may be this much slow; a lease lasts longer by that.
+constexpr double worker_clock_error = 0.02;
+// Time that a worker needs to end its runs.
+constexpr milliseconds worker_stop_time{60};
+// Pause before the next request after a failed one.
+constexpr milliseconds list_retry{30};
+
+} // namespace
+
+struct fleet_agent::session {
+  std::string address;
+  std::shared_ptr<frame_link> link;
+  std::string entry;
+  std::uint64_t incarnation = 0;
+  owner_id owner = 0;
+  bool greeted = false;
+  bool lapsed = false;
+  monotonic_time last_heard{};
+  monotonic_time status_sent{};
+  bool status_due = false;
+  fleet_frame out;
+};
+
+fleet_agent::fleet_agent(asio::io_context& io, fleet_agent_settings settings, worker_port& worker,
+                         event_log& log, metrics_registry& metrics)
+    : io_(io), settings_(std::move(settings)), port_(worker), log_(log), metrics_(metrics),
+      tick_timer_(io), dialer_(settings_.timing, settings_.name, settings_.availability_zone, "",
+                               settings_.max_sessions) {}
+
+fleet_agent::~fleet_agent() {
+  for (auto& [address, each] : sessions_) {
+    if (each->link) {
+      each->link->close();
+    }
+  }
+}
+
+void fleet_agent::start() {
+  last_tick_ = lease_now();
+  tick();
+}
+
+void fleet_agent::add_members(const std::vector<fleet_member>& members) {
+  if (dialer_.learn(members, lease_now())) {
+    log_.write("members_learnt", "known", dialer_.known());
+  }
+}
+
+std::size_t fleet_agent::sessions() const {
+  return static_cast<std::size_t>(std::count_if(
+      sessions_.begin(), sessions_.end(), [](const auto& each) { return each.second->greeted; }));
+}
+
+void fleet_agent::tick() {
+  const auto now = lease_now();
+  if (now - last_tick_ > settings_.timing.max_silence) {
+    log_.write("process_stood_still", "ms", (now - last_tick_) / milliseconds(1));
+  }
+  last_tick_ = now;
+  check_sessions(now);
+  for (const auto& address : dialer_.due(now)) {
+    dial(address);
+  }
+  status_dirty_ = true;
+  carry_out();
+  if (leaving_ && left_ && (table_.running() + table_.waiting() == 0 || now >= leave_limit_)) {
+    flush();
+    std::exchange(left_, nullptr)();
+  }
+  tick_timer_.expires_after(settings_.timing.tick);
+  tick_timer_.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      tick();
+    }
+  });
+}
+
+void fleet_agent::check_sessions(monotonic_time now) {
+  for (auto& [address, each] : sessions_) {
+    if (each->link) {
+      each->last_heard = std::max(each->last_heard, each->link->last_received());
+      if (now - each->link->last_received() > settings_.timing.max_silence) {
+        each->link->close();
+        closed(*each, "silent");
+      } else if (now - each->link->last_sent() > settings_.timing.keepalive) {
+        each->link->send(encode_frame(each->out));
+        each->out = {};
+      }
+    }
+    if (!each->lapsed && each->owner != 0 &&
+        now - each->last_heard > settings_.timing.owner_lease) {
+      each->lapsed = true;
+      log_.write("entry_lease_ended", "entry", each->entry, "silent_ms",
+                 (now - each->last_heard) / milliseconds(1), "cpu_millis",
+                 table_.owner_cpu_millis(each->owner));
+      table_.stop_owner(each->owner, now);
+    }
+  }
+}
+
+void fleet_agent::dial(const std::string& address) {
+  const auto at = parse_endpoint(address);
+  if (!at.ok()) {
+    log_.write("member_address_invalid", "address", address);
+    dialer_.lost(address, lease_now());
+    return;
+  }
+  connect_frame_link(io_, *at, settings_.timing.connect_timeout,
+                     [this, address, alive = std::weak_ptr<int>(alive_)](
+                         std::shared_ptr<frame_link> link, const std::string& cause) {
+                       if (alive.expired()) {
+                         return;
+                       }
+                       if (!link) {
+                         dialer_.lost(address, lease_now());
+                         log_.write("entry_unreachable", "address", address, "cause", cause);
+                         return;
+                       }
+                       opened(address, std::move(link));
+                     });
+}
+
+void fleet_agent::opened(const std::string& address, std::shared_ptr<frame_link> link) {
+  dialer_.linked(address, lease_now());
+  auto& slot = sessions_[address];
+  if (!slot) {
+    slot = std::make_unique<session>();
+    slot->address = address;
+  }
+  auto& opened = *slot;
+  if (opened.link) {
+    opened.link->close();
+  }
+  opened.link = std::move(link);
+  opened.greeted = false;
+  opened.out = {};
+  opened.link->set_max_silence(settings_.timing.max_silence);
+  opened.link->start([this, &opened](std::string_view bytes) { received(opened, bytes); },
+                     [this, &opened](const std::string& cause) { closed(opened, cause); });
+  fleet_frame hello;
+  hello.hello =
+      session_hello{{settings_.name, settings_.incarnation, "", settings_.availability_zone},
+                    true,
+                    opened.incarnation};
+  opened.link->send(encode_frame(hello));
+}
+
+void fleet_agent::closed(session& from, const std::string& cause) {
+  from.last_heard = std::max(from.last_heard, from.link->last_received());
+  from.link.reset();
+  from.greeted = false;
+  dialer_.lost(from.address, lease_now());
+  log_.write("session_lost", "entry", from.entry, "address", from.address, "cause", cause);
+  metrics_.add("parsleylead_agent_sessions_lost_total", {});
+}
+
+void fleet_agent::greeted(session& from, const session_hello& hello) {
+  if (from.owner == 0 || from.incarnation != hello.sender.incarnation) {
+    if (from.owner != 0) {
+      table_.stop_owner(from.owner, lease_now());
+    }
+    from.owner = next_owner_++;
+  }
+  from.entry = hello.sender.name;
+  from.incarnation = hello.sender.incarnation;
+  from.greeted = true;
+  from.lapsed = false;
+  from.last_heard = lease_now();
+  from.status_due = true;
+  from.status_sent = {};
+  log_.write("session_opened", "entry", from.entry, "incarnation", from.incarnation, "address",
+             from.address);
+}
+
+void fleet_agent::received(session& from, std::string_view bytes) {
+  auto frame = decode_frame(bytes);
+  if (!frame.ok()) {
+    log_.write("frame_refused", "peer", from.address, "cause",
+               std::string(frame.status().message()));
+    const auto link = from.link;
+    closed(from, "malformed frame");
+    link->close();
+    return;
+  }
+  const auto now = lease_now();
+  if (frame->hello) {
+    greeted(from, *frame->hello);
+    add_members({frame->hello->sender});
+  }
+  if (!frame->members.empty()) {
+    add_members(frame->members);
+  }
+  if (!from.greeted) {
+    return;
+  }
+  if (frame->outstanding) {
+    table_.reconcile(from.owner, *frame->outstanding, now);
+  }
+  for (const auto& run : frame->stops) {
+    table_.stop(from.owner, run, false, now);
+  }
+  for (const auto& run : frame->moves) {
+    table_.stop(from.owner, run, true, now);
+  }
+  for (auto& order : frame->starts) {
+    table_.add(from.owner, std::move(order), now);
+  }
+  flush_soon();
+}
+
+void fleet_agent::worker_announced(const worker_announcement& announced) {
+  const auto now = lease_now();
+  if (worker_ && worker_->id == announced.id && announced.life < worker_->life) {
+    log_.write("announcement_ignored", "worker", announced.id, "life", announced.life, "current",
+               worker_->life);
+    return;
+  }
+  const bool fresh = !worker_ || worker_->id != announced.id || worker_->life != announced.life;
+  const bool changed = fresh || worker_->draining != announced.draining;
+  worker_ = announced;
+  if (fresh) {
+    table_.worker_began(announced.capacity, now);
+    port_.attach(announced);
+    extended_ = now;
+    suspect_worker(true, "new worker");
+  }
+  table_.set_capacity(announced.capacity);
+  table_.set_accepting(!leaving_ && !announced.draining);
+  if (changed) {
+    log_.write("worker_announced", "worker", announced.id, "life", announced.life, "service",
+               announced.service, "draining", announced.draining, "cpu_millis",
+               announced.capacity.cpu_millis, "rack", announced.rack);
+    status_dirty_ = true;
+  }
+  if (!listing_) {
+    list_runs();
+  }
+  flush_soon();
+}
+
+void fleet_agent::worker_left(const std::string& id) {
+  if (!worker_ || worker_->id != id) {
+    return;
+  }
+  log_.write("worker_left", "worker", id);
+  worker_.reset();
+  table_.set_accepting(false);
+  table_.worker_lost(lease_now());
+  status_dirty_ = true;
+  flush_soon();
+}
+
+void fleet_agent::suspect_worker(bool suspected, const std::string& cause) {
+  table_.set_suspended(suspected);
+  if (suspected != suspected_) {
+    suspected_ = suspected;
+    status_dirty_ = true;
+    log_.write(suspected ? "worker_suspected" : "worker_answers", "worker",
+               worker_ ? worker_->id : "", "cause", cause);
+  }
+}
+
+void fleet_agent::list_runs() {
+  if (!worker_) {
+    listing_ = false;
+    return;
+  }
+  listing_ = true;
+  const auto now = lease_now();
+  // While the worker's state is unknown its lease is not extended, so that the time at which all
+  // runs have certainly ended stays fixed.
+  const bool extend = !suspected_;
+  if (extend) {
+    extended_ = now;
+  }
+  const auto wait = extend ? settings_.list_interval : milliseconds{0};
+  port_.list_runs(
+      extend, wait,
+      [this, extend, now, alive = std::weak_ptr<int>(alive_)](absl::StatusOr<run_lists> lists) {
+        if (!alive.expired()) {
+          listed(std::move(lists), extend, now);
+        }
+      });
+}
+
+void fleet_agent::listed(absl::StatusOr<run_lists> lists, bool /*extended*/,
+                         monotonic_time requested) {
+  const auto now = lease_now();
+  if (!lists.ok()) {
+    list_failed(lists.status(), now);
+    return;
+  }
+  refused_once_ = false;
+  suspect_worker(false, "");
+  table_.observe(lists->active, lists->finished, lists->complete, requested, now);
+  for (const auto& [owner, slow] : table_.slow_runs(now)) {
+    if (auto* to = session_of(owner)) {
+      to->out.slow.push_back(slow);
+    }
+  }
+  status_dirty_ = true;
+  flush_soon();
+  list_runs();
+}
+
+void fleet_agent::list_failed(const absl::Status& status, monotonic_time now) {
+  metrics_.add("parsleylead_agent_list_failures_total", {});
+  if (worker_) {
+    suspect_worker(true, std::string(status.message()));
+    const auto lease_end =
+        extended_ +
+        std::chrono::round<milliseconds>(settings_.worker_lease * (1 + worker_clock_error)) +
+        worker_stop_time;
+    const bool crashed = absl::IsUnavailable(status) && std::exchange(refused_once_, true);
+    if ((crashed || now > lease_end) && table_.running() > 0) {
+      log_.write("worker_lost", "worker", worker_->id, "crashed", crashed, "runs", table_.running(),
+                 "cause", std::string(status.message()));
+      table_.worker_lost(now);
+    }
+    flush_soon();
+  }
+  auto timer = std::make_shared<asio::steady_timer>(io_, list_retry);
+  timer->async_wait([this, timer, alive = std::weak_ptr<int>(alive_)](const asio::error_code&) {
+    if (!alive.expired()) {
+      list_runs();
+    }
+  });
+}
+
+fleet_agent::session* fleet_agent::session_of(owner_id owner) {
+  for (auto& [address, each] : sessions_) {
+    if (each->owner == owner) {
+      return each.get();
+    }
+  }
+  return nullptr;
+}
+
+void fleet_agent::carry_out() {
+  const auto now = lease_now();
+  if (worker_) {
+    table_.pump(now);
+  }
+  for (const auto& call : table_.take_calls()) {
+    const std::weak_ptr<int> alive = alive_;
+    if (call.what == worker_call::kind::stop) {
+      port_.stop(call.run, [this, run = call.run, alive](bool confirmed) {
+        if (!alive.expired()) {
+          table_.stop_answered(run, confirmed, lease_now());
+        }
+      });
+      continue;
+    }
+    const auto* order = table_.find_order(call.run);
+    if (order == nullptr) {
+      continue;
+    }
+    port_.start(*order, [this, run = call.run, alive](start_answer answer) {
+      if (alive.expired()) {
+        return;
+      }
+      if (answer != start_answer::started) {
+        log_.write("start_not_confirmed", "run", format_run(run), "answer",
+                   static_cast<int>(answer));
+        metrics_.add("parsleylead_agent_starts_not_confirmed_total", {});
+      }
+      table_.start_answered(run, answer, lease_now());
+      flush_soon();
+    });
+  }
+  for (auto& [owner, end] : table_.take_ends()) {
+    log_.write("run_ended", "run", format_run(end.run), "outcome", to_string(end.outcome), "ran_ms",
+               end.ran.count(), "waited_ms", end.waited.count());
+    metrics_.add("parsleylead_agent_runs_total", {{"outcome", to_string(end.outcome)}});
+    if (auto* to = session_of(owner)) {
+      to->out.ends.push_back(end);
+    }
+    status_dirty_ = true;
+  }
+  send_reports();
+}
+
+worker_status fleet_agent::status_for(const session& to) const {
+  worker_status status;
+  status.present = worker_.has_value() && !suspected_;
+  if (!worker_) {
+    return status;
+  }
+  status.accepting = !leaving_ && !worker_->draining;
+  status.worker_id = worker_->id;
+  status.service = worker_->service;
+  status.rack = worker_->rack;
+  status.labels = worker_->labels;
+  status.capacity = table_.capacity();
+  status.committed = table_.committed();
+  status.queued_cpu_millis = table_.queued_cpu_millis();
+  status.own_cpu_millis = table_.owner_cpu_millis(to.owner);
+  status.slowdown = table_.pace().slowdown();
+  status.failure_share = table_.failure_share();
+  return status;
+}
+
+void fleet_agent::send_reports() {
+  const auto now = lease_now();
+  if (std::exchange(status_dirty_, false)) {
+    for (auto& [address, each] : sessions_) {
+      each->status_due = true;
+    }
+  }
+  for (auto& [address, each] : sessions_) {
+    if (!each->link || !each->greeted) {
+      continue;
+    }
+    const bool carries_news = !each->out.empty();
+    if (each->status_due &&
+        (carries_news || now - each->status_sent >= settings_.timing.status_interval)) {
+      each->out.status = status_for(*each);
+      each->status_due = false;
+      each->status_sent = now;
+    }
+    if (!each->out.empty()) {
+      each->out.leaving = leaving_;
+      each->link->send(encode_frame(each->out));
+      each->out = {};
+    }
+  }
+}
+
+void fleet_agent::flush_soon() {
+  if (std::exchange(flush_posted_, true)) {
+    return;
+  }
+  asio::post(io_, [this, alive = std::weak_ptr<int>(alive_)] {
+    if (!alive.expired()) {
+      flush_posted_ = false;
+      flush();
+    }
+  });
+}
+
+void fleet_agent::flush() {
+  carry_out();
+}
+
+void fleet_agent::leave(std::chrono::milliseconds limit, std::function<void()> done) {
+  leaving_ = true;
+  left_ = std::move(done);
+  leave_limit_ = lease_now() + limit;
+  table_.set_accepting(false);
+  status_dirty_ = true;
+  log_.write("leaving", "runs", table_.running(), "waiting", table_.waiting());
+  flush_soon();
+}
+
+} // namespace parsleylead
--- /dev/null
+++ b/src/fleet/fleet_entry.cpp
@@ -0,0 +1,392 @@
+#include "parsleylead/fleet/fleet_entry.hpp"
+
+#include <algorithm>
+#include <asio/post.hpp>
+#include <utility>
+
+#include "parsleylead/base/uuid.hpp"
+#include "parsleylead/fleet/format_run.hpp"
+
+namespace parsleylead {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A connection has to say who it is within this time.
+constexpr milliseconds hello_timeout{2'000};
+
+} // namespace
+
+struct fleet_entry::session {
+  std::shared_ptr<frame_link> link;
+  /// Address that this process dialled; empty for an accepted connection.
+  std::string dialled;
+  fleet_member peer;
+  bool is_agent = false;
+  bool greeted = false;
+  bool closed = false;
+  worker_index worker = 0;
+  monotonic_time opened{};
+  fleet_frame out;
+};
+
+fleet_entry::fleet_entry(asio::io_context& io, fleet_entry_settings settings, event_log& log,
+                         metrics_registry& metrics,
+                         std::function<void(const route_update&)> on_routes)
+    : io_(io), settings_(std::move(settings)), log_(log), metrics_(metrics),
+      on_routes_(std::move(on_routes)), self_{settings_.name, settings_.incarnation,
+                                              to_string(settings_.listen),
+                                              settings_.availability_zone},
+      tick_timer_(io), acceptor_(io, [this](auto link) { accepted(std::move(link)); }),
+      dialer_(settings_.timing, settings_.name, settings_.availability_zone, self_.address,
+              settings_.max_peers),
+      scheduler_(settings_.policy, settings_.availability_zone, settings_.incarnation) {}
+
+fleet_entry::~fleet_entry() {
+  for (auto& each : sessions_) {
+    each->link->close();
+  }
+}
+
+absl::Status fleet_entry::start() {
+  if (auto status = acceptor_.listen(settings_.listen); !status.ok()) {
+    return status;
+  }
+  last_tick_ = lease_now();
+  tick();
+  return absl::OkStatus();
+}
+
+void fleet_entry::add_members(const std::vector<fleet_member>& members) {
+  if (dialer_.learn(members, lease_now())) {
+    members_changed_ = true;
+    log_.write("members_learnt", "known", dialer_.known());
+  }
+}
+
+void fleet_entry::set_routes(const route_update& routes) {
+  if (routes.version <= routes_.version) {
+    return;
+  }
+  routes_ = routes;
+  last_gossip_ = {}; // Pass them on at the next tick.
+}
+
+void fleet_entry::tick() {
+  const auto now = lease_now();
+  const auto passed = now - last_tick_;
+  last_tick_ = now;
+  if (passed > settings_.timing.max_silence) {
+    log_.write("process_stood_still", "ms", passed / milliseconds(1), "open_jobs",
+               scheduler_.open_jobs());
+    scheduler_.process_stalled(now);
+  }
+  check_sessions(now);
+  for (const auto& address : dialer_.due(now)) {
+    dial(address);
+  }
+  gossip(now);
+  scheduler_.tick(now);
+  run();
+  tick_timer_.expires_after(settings_.timing.tick);
+  tick_timer_.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      tick();
+    }
+  });
+}
+
+void fleet_entry::check_sessions(monotonic_time now) {
+  const auto all = sessions_;
+  for (const auto& each : all) {
+    const bool silent = now - each->link->last_received() > settings_.timing.max_silence;
+    const bool anonymous = !each->greeted && now - each->opened > hello_timeout;
+    if (silent || anonymous) {
+      each->link->close();
+      closed(each, silent ? "silent" : "no greeting");
+    } else if (each->greeted && now - each->link->last_sent() > settings_.timing.keepalive) {
+      each->out.routes_version = routes_.version;
+      each->link->send(encode_frame(each->out));
+      each->out = {};
+    }
+  }
+}
+
+fleet_frame fleet_entry::member_frame() const {
+  fleet_frame frame;
+  frame.members = dialer_.linked_members();
+  frame.members.push_back(self_);
+  frame.routes_version = routes_.version;
+  return frame;
+}
+
+void fleet_entry::gossip(monotonic_time now) {
+  const bool changed = std::exchange(members_changed_, false);
+  if (!changed && now - last_gossip_ < settings_.timing.gossip) {
+    return;
+  }
+  last_gossip_ = now;
+  const auto bytes = encode_frame(member_frame());
+  for (const auto& each : sessions_) {
+    // Agents need the members only when they change.
+    if (each->greeted && (changed || (!each->is_agent && !each->dialled.empty()))) {
+      each->link->send(bytes);
+    }
+  }
+}
+
+void fleet_entry::dial(const std::string& address) {
+  const auto at = parse_endpoint(address);
+  if (!at.ok()) {
+    log_.write("member_address_invalid", "address", address);
+    dialer_.lost(address, lease_now());
+    return;
+  }
+  connect_frame_link(io_, *at, settings_.timing.connect_timeout,
+                     [this, address, alive = std::weak_ptr<int>(alive_)](
+                         std::shared_ptr<frame_link> link, const std::string& cause) {
+                       if (alive.expired()) {
+                         return;
+                       }
+                       if (!link) {
+                         log_.write("entry_unreachable", "address", address, "cause", cause);
+                         dialer_.lost(address, lease_now());
+                         return;
+                       }
+                       auto made = std::make_shared<session>();
+                       made->link = std::move(link);
+                       made->dialled = address;
+                       dialer_.linked(address, lease_now());
+                       watch(made);
+                       auto hello = member_frame();
+                       hello.hello = session_hello{self_, false, 0};
+                       made->link->send(encode_frame(hello));
+                     });
+}
+
+void fleet_entry::accepted(std::shared_ptr<frame_link> link) {
+  auto made = std::make_shared<session>();
+  made->link = std::move(link);
+  watch(made);
+}
+
+void fleet_entry::watch(const std::shared_ptr<session>& made) {
+  made->opened = lease_now();
+  made->link->set_max_silence(settings_.timing.max_silence);
+  sessions_.push_back(made);
+  made->link->start(
+      [this, weak = std::weak_ptr(made)](std::string_view bytes) {
+        if (const auto from = weak.lock()) {
+          received(from, bytes);
+        }
+      },
+      [this, weak = std::weak_ptr(made)](const std::string& cause) {
+        if (const auto from = weak.lock()) {
+          closed(from, cause);
+        }
+      });
+}
+
+void fleet_entry::closed(const std::shared_ptr<session>& from, const std::string& cause) {
+  if (std::exchange(from->closed, true)) {
+    return;
+  }
+  std::erase(sessions_, from);
+  const auto now = lease_now();
+  if (!from->dialled.empty()) {
+    dialer_.lost(from->dialled, now);
+  }
+  const auto current = from->is_agent ? agents_.find(from->worker) : agents_.end();
+  if (current != agents_.end() && current->second == from) {
+    agents_.erase(current);
+    scheduler_.session_lost(from->worker, from->link->last_received(), now);
+    run_soon();
+  }
+  log_.write("session_lost", "peer", from->peer.name, "agent", from->is_agent, "cause", cause);
+  metrics_.add("parsleylead_entry_sessions_lost_total", {});
+}
+
+void fleet_entry::greeted(const std::shared_ptr<session>& from, const session_hello& hello) {
+  from->peer = hello.sender;
+  from->is_agent = hello.is_agent;
+  from->greeted = true;
+  if (hello.is_agent) {
+    agent_greeted(from, hello);
+    return;
+  }
+  add_members({hello.sender});
+  if (from->dialled.empty()) {
+    auto reply = member_frame();
+    reply.hello = session_hello{self_, false, 0};
+    from->link->send(encode_frame(reply));
+  }
+}
+
+void fleet_entry::agent_greeted(const std::shared_ptr<session>& from, const session_hello& hello) {
+  const auto now = lease_now();
+  from->worker = scheduler_.worker_for(hello.sender.name, hello.sender.availability_zone);
+  const auto older = agents_.find(from->worker);
+  if (older != agents_.end()) {
+    const auto replaced = older->second;
+    replaced->link->close();
+    closed(replaced, "opened again");
+  }
+  auto& known = agent_incarnations_[from->worker];
+  const bool same_agent = known == hello.sender.incarnation;
+  known = hello.sender.incarnation;
+  agents_[from->worker] = from;
+  scheduler_.session_opened(from->worker, same_agent, now);
+  auto reply = member_frame();
+  reply.hello = session_hello{self_, false, 0};
+  reply.outstanding = same_agent ? scheduler_.outstanding(from->worker) : std::vector<run_id>{};
+  from->link->send(encode_frame(reply));
+  log_.write("session_opened", "agent", hello.sender.name, "incarnation", hello.sender.incarnation,
+             "same_agent", same_agent, "outstanding", reply.outstanding->size());
+}
+
+void fleet_entry::routes_received(session& from, const fleet_frame& frame) {
+  if (!frame.routes.empty() && frame.routes_version > routes_.version) {
+    log_.write("routes_from_peer", "peer", from.peer.name, "version", frame.routes_version,
+               "previous", routes_.version);
+    on_routes_({frame.routes_version, frame.routes});
+  } else if (frame.routes_version < routes_.version && !from.is_agent) {
+    fleet_frame update;
+    update.routes_version = routes_.version;
+    update.routes = routes_.text;
+    from.link->send(encode_frame(update));
+  }
+}
+
+void fleet_entry::received(const std::shared_ptr<session>& from, std::string_view bytes) {
+  auto frame = decode_frame(bytes);
+  if (!frame.ok()) {
+    log_.write("frame_refused", "peer", from->peer.name, "cause",
+               std::string(frame.status().message()));
+    from->link->close();
+    closed(from, "malformed frame");
+    return;
+  }
+  const auto now = lease_now();
+  if (frame->hello) {
+    greeted(from, *frame->hello);
+  }
+  if (!from->greeted) {
+    return;
+  }
+  if (!from->is_agent) {
+    add_members(frame->members);
+    routes_received(*from, *frame);
+    return;
+  }
+  if (frame->status) {
+    scheduler_.worker_reported(from->worker, *frame->status, now);
+  }
+  for (const auto& end : frame->ends) {
+    scheduler_.run_ended(from->worker, end, now);
+  }
+  for (const auto& slow : frame->slow) {
+    scheduler_.run_is_slow(from->worker, slow, now);
+  }
+  run_soon();
+}
+
+fleet_entry::caller_ticket fleet_entry::submit(fleet_job job, result_handler done) {
+  const auto id = job.id;
+  const auto ticket = next_ticket_++;
+  auto& callers = callers_[id];
+  callers.emplace(ticket, std::move(done));
+  if (scheduler_.is_open(id)) {
+    log_.write("job_joined", "job", format_job(id), "callers", callers.size());
+    return ticket;
+  }
+  scheduler_.submit(std::move(job), lease_now());
+  run_soon();
+  return ticket;
+}
+
+void fleet_entry::abandon(std::uint64_t id, caller_ticket caller) {
+  const auto found = callers_.find(id);
+  if (found == callers_.end() || found->second.erase(caller) == 0 || !found->second.empty()) {
+    return;
+  }
+  log_.write("job_abandoned", "job", format_job(id));
+  metrics_.add("parsleylead_entry_jobs_total", {{"verdict", "abandoned"}, {"cause", "none"}});
+  callers_.erase(found);
+  scheduler_.cancel(id, lease_now());
+  run_soon();
+}
+
+bool fleet_entry::cancel(std::uint64_t id) {
+  if (!scheduler_.is_open(id)) {
+    return false;
+  }
+  scheduler_.cancel(id, lease_now());
+  job_result result;
+  result.id = id;
+  result.verdict = job_verdict::cancelled;
+  answer(result);
+  run_soon();
+  return true;
+}
+
+void fleet_entry::run_soon() {
+  if (std::exchange(run_posted_, true)) {
+    return;
+  }
+  asio::post(io_, [this, alive = std::weak_ptr<int>(alive_)] {
+    if (!alive.expired()) {
+      run_posted_ = false;
+      run();
+    }
+  });
+}
+
+void fleet_entry::run() {
+  scheduler_.pump(lease_now());
+  for (auto& [index, order] : scheduler_.take_starts()) {
+    if (const auto found = agents_.find(index); found != agents_.end()) {
+      found->second->out.starts.push_back(std::move(order));
+    }
+  }
+  for (const auto& [index, run, report_end] : scheduler_.take_stops()) {
+    const auto found = agents_.find(index);
+    if (found != agents_.end()) {
+      auto& out = found->second->out;
+      (report_end ? out.moves : out.stops).push_back(run);
+    }
+  }
+  for (const auto& [index, each] : agents_) {
+    if (!each->out.empty()) {
+      each->out.routes_version = routes_.version;
+      each->link->send(encode_frame(each->out));
+      each->out = {};
+    }
+  }
+  for (const auto& result : scheduler_.take_results()) {
+    answer(result);
+  }
+}
+
+void fleet_entry::answer(const job_result& result) {
+  log_.write("job_ended", "job", format_job(result.id), "verdict", to_string(result.verdict),
+             "cause", to_string(result.cause), "ms", result.elapsed.count(), "objective_ms",
+             result.objective.count(), "tasks", result.tasks, "starts", result.starts,
+             "failed_runs", result.failed_runs, "lost_runs", result.lost_runs, "moved_runs",
+             result.moved_runs, "longest_wait_ms", result.longest_wait.count(), "last_worker",
+             result.last_worker, "routes_version", routes_.version);
+  metrics_.add("parsleylead_entry_jobs_total",
+               {{"verdict", to_string(result.verdict)}, {"cause", to_string(result.cause)}});
+  metrics_.observe("parsleylead_entry_job_seconds", {{"verdict", to_string(result.verdict)}},
+                   result.elapsed);
+  const auto found = callers_.find(result.id);
+  if (found == callers_.end()) {
+    return;
+  }
+  const auto callers = std::move(found->second);
+  callers_.erase(found);
+  for (const auto& [ticket, done] : callers) {
+    done(result);
+  }
+}
+
+} // namespace parsleylead
--- /dev/null
+++ b/src/fleet/fleet_scheduler.cpp
@@ -0,0 +1,588 @@
+#include "parsleylead/fleet/fleet_scheduler.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+#include "parsleylead/base/invariant.hpp"
+
+namespace parsleylead {
+namespace {
+
+using std::chrono::milliseconds;
+using double_ms = std::chrono::duration<double, std::milli>;
+
+// Weight of the newest run in the moving average of run times.
+constexpr double mean_run_weight = 0.02;
+// Weight of a worker's load in its score: of two equally fast workers the emptier one is chosen.
+constexpr double load_weight = 0.5;
+// Random part of the score, so that entries with the same view do not choose the same worker.
+constexpr double score_jitter = 0.15;
+// Factor on the run time on another rack than the one that holds the data.
+constexpr double remote_rack_factor = 1.5;
+// Jobs without a place that one `pump` passes over before it stops looking.
+constexpr int max_unplaced_jobs = 32;
+// Moves of one task because of slow runs.
+constexpr std::uint32_t max_moves = 2;
+// A run without any progress is taken to need this much longer.
+constexpr milliseconds stalled_remaining{10'000};
+// Callers of refused jobs come back no sooner: the time that a queue takes to change.
+constexpr milliseconds min_retry_after{1'000};
+
+double ms(std::chrono::nanoseconds value) {
+  return double_ms(value).count();
+}
+
+} // namespace
+
+struct fleet_scheduler::worker {
+  std::string agent;
+  bool remote = false;
+  bool session = false;
+  worker_status status;
+  std::uint32_t own_cpu = 0;
+  std::unordered_map<task_key, std::uint32_t, task_key_hash> runs;
+  /// Runs placed until `lost_before` are taken as ended at `release_at`.
+  std::optional<monotonic_time> release_at;
+  monotonic_time lost_before{};
+};
+
+struct fleet_scheduler::task {
+  enum class state : std::uint8_t { blocked, ready, placed, done };
+  state at = state::blocked;
+  std::uint32_t attempts = 0;
+  std::uint32_t failures = 0;
+  std::uint32_t moves = 0;
+  bool moving = false;
+  worker_index on = 0;
+  monotonic_time placed{};
+  std::vector<worker_index> avoid;
+};
+
+struct fleet_scheduler::job {
+  fleet_job spec;
+  monotonic_time arrived;
+  monotonic_time objective;
+  monotonic_time late;
+  monotonic_time deadline;
+  std::chrono::milliseconds chain{0};
+  std::vector<std::vector<task>> tasks;
+  std::vector<std::uint32_t> left;
+  std::uint32_t ready = 0;
+  std::uint32_t placed = 0;
+  /// A run has ended that had started, or may have.
+  bool ran = false;
+  bool stalled = false;
+  job_result result;
+
+  bool may_have_run() const { return ran || placed > 0; }
+};
+
+fleet_scheduler::fleet_scheduler(fleet_policy policy, std::string availability_zone,
+                                 std::uint64_t seed)
+    : policy_(policy), availability_zone_(std::move(availability_zone)), random_(seed) {}
+
+fleet_scheduler::~fleet_scheduler() = default;
+
+bool fleet_scheduler::is_open(std::uint64_t id) const {
+  return jobs_.contains(id);
+}
+
+void fleet_scheduler::submit(fleet_job spec, monotonic_time now) {
+  check_invariant(!jobs_.contains(spec.id), "entry: a job is submitted twice");
+  auto made = std::make_unique<job>();
+  auto& owner = *made;
+  owner.arrived = now;
+  owner.deadline = now + spec.patience;
+  owner.spec = std::move(spec);
+  std::vector<milliseconds> chains;
+  for (const auto& step : owner.spec.steps) {
+    milliseconds before{0};
+    for (const auto earlier : step.after) {
+      before = std::max(before, chains.at(earlier));
+    }
+    chains.push_back(before + step.estimate);
+    owner.chain = std::max(owner.chain, chains.back());
+    owner.tasks.emplace_back(step.count);
+    owner.left.push_back(step.count);
+    owner.result.tasks += step.count;
+  }
+  const auto objective = std::chrono::round<milliseconds>(owner.chain * owner.spec.terms.stretch) +
+                         owner.spec.terms.target;
+  owner.result.id = owner.spec.id;
+  owner.result.objective = objective;
+  owner.objective = now + objective;
+  owner.late = now + std::chrono::round<milliseconds>(objective * policy_.late_factor);
+  jobs_.emplace(owner.spec.id, std::move(made));
+  for (std::uint32_t step = 0; step < owner.spec.steps.size(); ++step) {
+    if (!could_ever_run(owner, step)) {
+      finish(owner, job_verdict::not_run, job_cause::no_capable_worker, now);
+      return;
+    }
+  }
+  if (backlog_ + owner.result.tasks > policy_.max_backlog) {
+    finish(owner, job_verdict::not_run, job_cause::backlog_full, now);
+    return;
+  }
+  const double wait = expected_wait().count();
+  if (wait + ms(owner.chain) > ms(std::min(owner.late, owner.deadline) - now) && wait > 0) {
+    finish(owner, job_verdict::not_run, job_cause::objective_out_of_reach, now);
+    return;
+  }
+  open_steps(owner);
+}
+
+void fleet_scheduler::open_steps(job& owner) {
+  for (std::uint32_t step = 0; step < owner.spec.steps.size(); ++step) {
+    const auto& after = owner.spec.steps[step].after;
+    if (!std::all_of(after.begin(), after.end(),
+                     [&](std::uint32_t earlier) { return owner.left.at(earlier) == 0; })) {
+      continue;
+    }
+    for (auto& each : owner.tasks[step]) {
+      if (each.at == task::state::blocked) {
+        each.at = task::state::ready;
+        ++owner.ready;
+        ++backlog_;
+      }
+    }
+  }
+}
+
+void fleet_scheduler::cancel(std::uint64_t id, monotonic_time /*now*/) {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) {
+    return;
+  }
+  stop_runs(*found->second);
+  backlog_ -= found->second->ready;
+  jobs_.erase(found);
+}
+
+void fleet_scheduler::stop_runs(job& owner) {
+  for (std::uint32_t step = 0; step < owner.tasks.size(); ++step) {
+    for (std::uint32_t index = 0; index < owner.tasks[step].size(); ++index) {
+      auto& each = owner.tasks[step][index];
+      if (each.at == task::state::placed) {
+        stops_.push_back({each.on, {{owner.spec.id, step, index}, each.attempts}, false});
+        unplace(owner, step, index);
+        each.at = task::state::blocked;
+      }
+    }
+  }
+}
+
+void fleet_scheduler::finish(job& owner, job_verdict verdict, job_cause cause, monotonic_time now) {
+  stop_runs(owner);
+  backlog_ -= owner.ready;
+  auto& result = owner.result;
+  result.verdict = verdict;
+  result.cause = cause;
+  result.elapsed = std::chrono::round<milliseconds>(now - owner.arrived);
+  if (verdict == job_verdict::not_run) {
+    result.retry_after =
+        std::max(min_retry_after, std::chrono::round<milliseconds>(expected_wait()));
+  }
+  results_.push_back(std::move(result));
+  const auto id = owner.spec.id; // The job is destroyed while it is erased.
+  jobs_.erase(id);
+}
+
+worker_index fleet_scheduler::worker_for(const std::string& agent,
+                                         const std::string& availability_zone) {
+  const auto [at, added] =
+      worker_names_.try_emplace(agent, static_cast<worker_index>(workers_.size()));
+  if (added) {
+    workers_.push_back(std::make_unique<worker>());
+    workers_.back()->agent = agent;
+    workers_.back()->remote = availability_zone != availability_zone_;
+  }
+  return at->second;
+}
+
+std::string fleet_scheduler::worker_name(worker_index index) const {
+  return workers_.at(index)->agent;
+}
+
+void fleet_scheduler::worker_reported(worker_index index, const worker_status& status,
+                                      monotonic_time /*now*/) {
+  workers_.at(index)->status = status;
+}
+
+void fleet_scheduler::session_opened(worker_index index, bool same_agent, monotonic_time now) {
+  auto& each = *workers_.at(index);
+  each.session = true;
+  each.status = {};
+  if (same_agent) {
+    each.release_at.reset();
+  } else if (!each.release_at && !each.runs.empty()) {
+    each.release_at = now + policy_.lost_run_wait;
+    each.lost_before = now;
+  }
+}
+
+void fleet_scheduler::session_lost(worker_index index, monotonic_time last_heard,
+                                   monotonic_time now) {
+  auto& each = *workers_.at(index);
+  each.session = false;
+  each.release_at = last_heard + policy_.lost_run_wait;
+  each.lost_before = now;
+}
+
+std::vector<run_id> fleet_scheduler::outstanding(worker_index index) const {
+  std::vector<run_id> all;
+  for (const auto& [key, attempt] : workers_.at(index)->runs) {
+    all.push_back({key, attempt});
+  }
+  return all;
+}
+
+void fleet_scheduler::process_stalled(monotonic_time /*now*/) {
+  for (auto& [id, owner] : jobs_) {
+    owner->stalled = owner->stalled || owner->placed > 0;
+  }
+}
+
+bool fleet_scheduler::has_worker() const {
+  return std::any_of(workers_.begin(), workers_.end(), [](const auto& each) {
+    return each->session && each->status.present && each->status.accepting;
+  });
+}
+
+std::size_t fleet_scheduler::waiting_jobs(const std::string& service) const {
+  return static_cast<std::size_t>(std::count_if(jobs_.begin(), jobs_.end(), [&](const auto& each) {
+    return each.second->spec.terms.service == service && !each.second->may_have_run();
+  }));
+}
+
+double fleet_scheduler::free_cpu(const worker& each) const {
+  const auto& status = each.status;
+  const double others = static_cast<double>(status.committed.cpu_millis) +
+                        status.queued_cpu_millis - status.own_cpu_millis;
+  return static_cast<double>(status.capacity.cpu_millis) - std::max(0.0, others) - each.own_cpu;
+}
+
+double fleet_scheduler::run_time_ms(const worker& each, const job_step& step) const {
+  const bool far = !step.preferred_rack.empty() && step.preferred_rack != each.status.rack;
+  const double success = 1.0 - std::min(each.status.failure_share, 0.9);
+  return ms(step.estimate) * each.status.slowdown * (far ? remote_rack_factor : 1.0) / success;
+}
+
+bool fleet_scheduler::can_run(const worker& candidate, const job& owner,
+                              std::uint32_t step_number) const {
+  const auto& status = candidate.status;
+  const auto& step = owner.spec.steps[step_number];
+  if (!status.present || !status.accepting || status.service != owner.spec.terms.service ||
+      !fits(step.needs, {}, status.capacity)) {
+    return false;
+  }
+  return step.required_label.empty() || std::find(status.labels.begin(), status.labels.end(),
+                                                  step.required_label) != status.labels.end();
+}
+
+bool fleet_scheduler::could_ever_run(const job& owner, std::uint32_t step) const {
+  return std::any_of(workers_.begin(), workers_.end(), [&](const auto& each) {
+    return each->session && can_run(*each, owner, step);
+  });
+}
+
+std::optional<fleet_scheduler::choice> fleet_scheduler::choose(const job& owner,
+                                                               std::uint32_t step_number,
+                                                               const task& each,
+                                                               bool only_fitting) {
+  const auto& step = owner.spec.steps[step_number];
+  std::optional<choice> best;
+  double best_score = std::numeric_limits<double>::max();
+  std::uniform_real_distribution<double> jitter(0.0, score_jitter);
+  for (worker_index index = 0; index < workers_.size(); ++index) {
+    const auto& candidate = *workers_[index];
+    if (!candidate.session || !can_run(candidate, owner, step_number)) {
+      continue;
+    }
+    const double capacity = candidate.status.capacity.cpu_millis;
+    const double free = free_cpu(candidate);
+    const double missing = step.needs.cpu_millis - free;
+    if (missing > 0 && (only_fitting || missing > policy_.queue_ahead * capacity)) {
+      continue;
+    }
+    if (step.max_per_worker > 0) {
+      const auto there = std::count_if(
+          owner.tasks[step_number].begin(), owner.tasks[step_number].end(),
+          [&](const task& other) { return other.at == task::state::placed && other.on == index; });
+      if (there >= step.max_per_worker) {
+        continue;
+      }
+    }
+    const double run_ms = run_time_ms(candidate, step);
+    const double load = 1.0 - free / capacity;
+    double score = run_ms * (1.0 + load_weight * load + jitter(random_));
+    score += candidate.remote ? policy_.remote_round_trip.count() : 0.0;
+    if (missing > 0) {
+      score += missing / capacity * mean_run_ms_ * candidate.status.slowdown;
+    }
+    const bool avoided = std::find(each.avoid.begin(), each.avoid.end(), index) != each.avoid.end();
+    if (avoided || candidate.status.failure_share > policy_.max_failure_share) {
+      score += 1e6; // Only if there is no other worker.
+    }
+    if (score < best_score) {
+      best_score = score;
+      best = choice{index, missing <= 0, run_ms};
+    }
+  }
+  return best;
+}
+
+void fleet_scheduler::place(job& owner, std::uint32_t step, std::uint32_t index, choice where,
+                            monotonic_time now) {
+  auto& each = owner.tasks[step][index];
+  auto& target = *workers_[where.index];
+  const task_key key{owner.spec.id, step, index};
+  each.at = task::state::placed;
+  each.on = where.index;
+  each.placed = now;
+  each.moving = false;
+  ++each.attempts;
+  --owner.ready;
+  ++owner.placed;
+  --backlog_;
+  ++owner.result.starts;
+  if (each.attempts == 1) {
+    owner.result.longest_wait =
+        std::max(owner.result.longest_wait, std::chrono::round<milliseconds>(now - owner.arrived));
+  }
+  target.own_cpu += owner.spec.steps[step].needs.cpu_millis;
+  target.runs.emplace(key, each.attempts);
+  start_order order;
+  order.run = {key, each.attempts};
+  order.payload = owner.spec.payload;
+  order.needs = owner.spec.steps[step].needs;
+  order.estimate = owner.spec.steps[step].estimate;
+  order.due_in = std::chrono::round<milliseconds>(owner.objective - now - double_ms(where.run_ms));
+  order.max_wait = where.fits_now ? policy_.fitting_max_wait : policy_.queued_max_wait;
+  starts_.push_back({where.index, std::move(order)});
+}
+
+void fleet_scheduler::unplace(job& owner, std::uint32_t step, std::uint32_t index) {
+  auto& each = owner.tasks[step][index];
+  auto& target = *workers_[each.on];
+  target.own_cpu -= owner.spec.steps[step].needs.cpu_millis;
+  target.runs.erase(task_key{owner.spec.id, step, index});
+  --owner.placed;
+}
+
+void fleet_scheduler::place_ready(job& owner, monotonic_time now) {
+  for (std::uint32_t step = 0; step < owner.tasks.size() && owner.ready > 0; ++step) {
+    for (std::uint32_t index = 0; index < owner.tasks[step].size(); ++index) {
+      auto& each = owner.tasks[step][index];
+      if (each.at != task::state::ready) {
+        continue;
+      }
+      const auto where = choose(owner, step, each, false);
+      if (!where) {
+        break;
+      }
+      place(owner, step, index, *where, now);
+    }
+  }
+}
+
+void fleet_scheduler::pump(monotonic_time now) {
+  if (backlog_ == 0) {
+    return;
+  }
+  std::vector<job*> ready;
+  for (auto& [id, each] : jobs_) {
+    if (each->ready > 0) {
+      ready.push_back(each.get());
+    }
+  }
+  // On-time jobs first, the earliest objective before; late ones after them.
+  std::sort(ready.begin(), ready.end(), [now](const job* a, const job* b) {
+    const bool a_late = a->objective < now + a->chain;
+    const bool b_late = b->objective < now + b->chain;
+    if (a_late != b_late) {
+      return b_late;
+    }
+    return a->objective < b->objective;
+  });
+  int unplaced = 0;
+  for (auto* each : ready) {
+    place_ready(*each, now);
+    unplaced += each->ready > 0 ? 1 : 0;
+    if (unplaced > max_unplaced_jobs) {
+      break;
+    }
+  }
+}
+
+fleet_scheduler::task* fleet_scheduler::find_task(const run_id& run, worker_index on) {
+  const auto found = jobs_.find(run.task.job);
+  if (found == jobs_.end() || run.task.step >= found->second->tasks.size() ||
+      run.task.index >= found->second->tasks[run.task.step].size()) {
+    return nullptr;
+  }
+  auto& each = found->second->tasks[run.task.step][run.task.index];
+  const bool current =
+      each.at == task::state::placed && each.on == on && each.attempts == run.attempt;
+  return current ? &each : nullptr;
+}
+
+void fleet_scheduler::run_again(job& owner, std::uint32_t step, std::uint32_t index,
+                                monotonic_time now) {
+  if (owner.stalled) {
+    // The caller may have sent the job elsewhere meanwhile; a second run here could overlap.
+    finish(owner, job_verdict::unknown, job_cause::process_stalled, now);
+    return;
+  }
+  owner.tasks[step][index].at = task::state::ready;
+  ++owner.ready;
+  ++backlog_;
+}
+
+void fleet_scheduler::task_done(job& owner, std::uint32_t step, monotonic_time now) {
+  if (--owner.left[step] > 0) {
+    return;
+  }
+  if (std::all_of(owner.left.begin(), owner.left.end(), [](auto left) { return left == 0; })) {
+    finish(owner, job_verdict::completed, job_cause::none, now);
+    return;
+  }
+  open_steps(owner);
+}
+
+void fleet_scheduler::run_ended(worker_index index, const run_end& end, monotonic_time now) {
+  auto* each = find_task(end.run, index);
+  if (each == nullptr) {
+    return;
+  }
+  auto& owner = *jobs_.at(end.run.task.job);
+  const auto [id, step, number] = end.run.task;
+  unplace(owner, step, number);
+  owner.result.last_worker = workers_[index]->status.worker_id;
+  owner.ran = owner.ran || end.outcome != run_outcome::not_started;
+  switch (end.outcome) {
+  case run_outcome::done:
+    each->at = task::state::done;
+    mean_run_ms_ += mean_run_weight * (ms(end.ran) - mean_run_ms_);
+    task_done(owner, step, now);
+    return;
+  case run_outcome::failed:
+    ++owner.result.failed_runs;
+    each->avoid.push_back(index);
+    if (++each->failures >= owner.spec.terms.max_attempts) {
+      each->at = task::state::blocked;
+      finish(owner, job_verdict::failed, job_cause::attempts_used_up, now);
+      return;
+    }
+    break;
+  case run_outcome::not_started:
+    // Other entries filled the worker first: its next report says how full it is.
+    break;
+  default:
+    owner.result.lost_runs += each->moving ? 0 : 1;
+    break;
+  }
+  run_again(owner, step, number, now);
+}
+
+void fleet_scheduler::run_is_slow(worker_index index, const slow_run& slow, monotonic_time now) {
+  auto* each = find_task(slow.run, index);
+  if (each == nullptr || each->moving || each->moves >= max_moves) {
+    return;
+  }
+  auto& owner = *jobs_.at(slow.run.task.job);
+  if (owner.deadline <= now) {
+    return;
+  }
+  const auto& step = owner.spec.steps[slow.run.task.step];
+  each->avoid.push_back(index);
+  const auto other = choose(owner, slow.run.task.step, *each, true);
+  each->avoid.pop_back();
+  if (!other || other->index == index) {
+    return;
+  }
+  const double ran = ms(slow.ran);
+  const double done = slow.percent / 100.0;
+  const double remaining = done > 0 ? ran * (1 - done) / done : ms(stalled_remaining);
+  const double here = std::max(0.1, workers_[index]->status.slowdown);
+  const double anew =
+      done > 0.05 ? std::min(ran / done * workers_[other->index]->status.slowdown / here,
+                             3 * ms(step.estimate) * workers_[other->index]->status.slowdown)
+                  : other->run_ms;
+  const double gain = remaining - anew;
+  if (gain < ms(policy_.min_move_gain) || gain < anew) {
+    return;
+  }
+  each->moving = true;
+  ++each->moves;
+  ++owner.result.moved_runs;
+  each->avoid.push_back(index);
+  stops_.push_back({index, slow.run, true});
+}
+
+void fleet_scheduler::tick(monotonic_time now) {
+  release_lost_runs(now);
+  give_up_jobs(now);
+  pump(now);
+}
+
+void fleet_scheduler::release_lost_runs(monotonic_time now) {
+  for (worker_index index = 0; index < workers_.size(); ++index) {
+    auto& each = *workers_[index];
+    if (!each.release_at || *each.release_at > now) {
+      continue;
+    }
+    each.release_at.reset();
+    for (const auto& run : outstanding(index)) {
+      auto* lost = find_task(run, index);
+      if (lost != nullptr && lost->placed <= each.lost_before) {
+        run_ended(index, {run, run_outcome::lost, {}, {}}, now);
+      }
+    }
+  }
+}
+
+void fleet_scheduler::give_up_jobs(monotonic_time now) {
+  std::vector<std::uint64_t> expired;
+  std::vector<std::uint64_t> hopeless;
+  for (const auto& [id, each] : jobs_) {
+    if (each->deadline <= now) {
+      expired.push_back(id);
+    } else if (!each->may_have_run() && each->late < now + each->chain) {
+      hopeless.push_back(id);
+    }
+  }
+  for (const auto id : expired) {
+    auto& owner = *jobs_.at(id);
+    finish(owner, owner.may_have_run() ? job_verdict::failed : job_verdict::not_run,
+           job_cause::deadline_passed, now);
+  }
+  for (const auto id : hopeless) {
+    finish(*jobs_.at(id), job_verdict::not_run, job_cause::objective_out_of_reach, now);
+  }
+}
+
+double_ms fleet_scheduler::expected_wait() const {
+  if (backlog_ == 0) {
+    return double_ms{0};
+  }
+  double waiting = 0; // processor-milliseconds
+  for (const auto& [id, each] : jobs_) {
+    for (std::uint32_t step = 0; each->ready > 0 && step < each->tasks.size(); ++step) {
+      const auto& shape = each->spec.steps[step];
+      waiting += static_cast<double>(
+                     std::count_if(each->tasks[step].begin(), each->tasks[step].end(),
+                                   [](const task& one) { return one.at == task::state::ready; })) *
+                 shape.needs.cpu_millis * ms(shape.estimate);
+    }
+  }
+  // This entry's running tasks end at the rate at which they hold processors.
+  double draining = 0;
+  for (const auto& each : workers_) {
+    draining += each->own_cpu / std::max(0.1, each->status.slowdown);
+  }
+  return double_ms{draining > 0 ? waiting / draining : 0};
+}
+
+} // namespace parsleylead
--- /dev/null
+++ b/src/link/frame_link.cpp
@@ -0,0 +1,224 @@
+#include "parsleylead/link/frame_link.hpp"
+
+#include <array>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+#include <cstdint>
+
+namespace parsleylead {
+namespace {
+
+using asio::ip::tcp;
+
+constexpr std::size_t header_bytes = 4;
+constexpr std::size_t read_chunk_bytes = std::size_t{16} * 1024;
+// Pause after a failed accept, so that a lack of descriptors does not become a busy loop.
+constexpr std::chrono::milliseconds accept_retry{50};
+
+std::size_t frame_length(std::string_view header) {
+  std::size_t length = 0;
+  for (std::size_t i = 0; i < header_bytes; ++i) {
+    length = length << 8U | static_cast<unsigned char>(header[i]);
+  }
+  return length;
+}
+
+void append_header(std::string& out, std::size_t length) {
+  for (int shift = 24; shift >= 0; shift -= 8) {
+    out += static_cast<char>(length >> static_cast<unsigned>(shift) & 0xffU);
+  }
+}
+
+} // namespace
+
+frame_link::frame_link(tcp::socket socket)
+    : socket_(std::move(socket)), chunk_(read_chunk_bytes, '\0'), last_received_(lease_now()),
+      last_sent_(last_received_) {
+  asio::error_code error;
+  socket_.set_option(tcp::no_delay(true), error); // Without it the link is only slower.
+  const auto remote = socket_.remote_endpoint(error);
+  peer_ = error ? "?" : remote.address().to_string() + ":" + std::to_string(remote.port());
+}
+
+void frame_link::start(std::function<void(std::string_view)> on_frame,
+                       std::function<void(const std::string&)> on_closed) {
+  on_frame_ = std::move(on_frame);
+  on_closed_ = std::move(on_closed);
+  read();
+}
+
+void frame_link::send(std::string_view payload) {
+  if (closed_) {
+    return;
+  }
+  if (queued_.size() + payload.size() > max_queued_bytes) {
+    asio::post(socket_.get_executor(),
+               [self = shared_from_this()] { self->fail("the peer does not read"); });
+    return;
+  }
+  append_header(queued_, payload.size());
+  queued_ += payload;
+  last_sent_ = lease_now();
+  if (!write_posted_ && writing_.empty()) {
+    write_posted_ = true;
+    asio::post(socket_.get_executor(), [self = shared_from_this()] {
+      self->write_posted_ = false;
+      self->write();
+    });
+  }
+}
+
+void frame_link::close() {
+  if (closed_) {
+    return;
+  }
+  closed_ = true;
+  asio::error_code ignored; // The connection is given up whatever the result.
+  socket_.close(ignored);
+}
+
+void frame_link::read() {
+  socket_.async_read_some(
+      asio::buffer(chunk_),
+      [self = shared_from_this()](const asio::error_code& error, std::size_t count) {
+        if (self->closed_) {
+          return;
+        }
+        if (error) {
+          self->fail(error.message());
+          return;
+        }
+        const auto now = lease_now();
+        if (now - self->last_received_ > self->max_silence_) {
+          // This process stood still: what waits in the socket is older than the peer's leases.
+          self->fail("silent for too long");
+          return;
+        }
+        self->last_received_ = now;
+        self->input_.append(self->chunk_.data(), count);
+        self->parse();
+        if (!self->closed_) {
+          self->read();
+        }
+      });
+}
+
+void frame_link::parse() {
+  std::size_t at = 0;
+  while (!closed_ && input_.size() - at >= header_bytes) {
+    const auto length = frame_length(std::string_view(input_).substr(at, header_bytes));
+    if (length > max_frame_bytes) {
+      fail("frame too large");
+      return;
+    }
+    if (input_.size() - at - header_bytes < length) {
+      break;
+    }
+    on_frame_(std::string_view(input_).substr(at + header_bytes, length));
+    at += header_bytes + length;
+  }
+  input_.erase(0, at);
+}
+
+void frame_link::write() {
+  if (closed_ || queued_.empty() || !writing_.empty()) {
+    return;
+  }
+  writing_.swap(queued_);
+  asio::async_write(socket_, asio::buffer(writing_),
+                    [self = shared_from_this()](const asio::error_code& error, std::size_t) {
+                      self->writing_.clear();
+                      if (error) {
+                        self->fail(error.message());
+                        return;
+                      }
+                      self->write();
+                    });
+}
+
+void frame_link::fail(const std::string& cause) {
+  if (closed_) {
+    return;
+  }
+  close();
+  if (on_closed_) {
+    on_closed_(cause);
+  }
+}
+
+frame_acceptor::frame_acceptor(asio::io_context& io,
+                               std::function<void(std::shared_ptr<frame_link>)> on_link)
+    : acceptor_(io), on_link_(std::move(on_link)) {}
+
+absl::Status frame_acceptor::listen(const endpoint& address) {
+  asio::error_code error;
+  const tcp::endpoint at(asio::ip::make_address(address.ip, error), address.port);
+  if (!error) {
+    acceptor_.open(at.protocol(), error);
+  }
+  if (!error) {
+    acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    acceptor_.bind(at, error);
+  }
+  if (!error) {
+    acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return absl::UnavailableError("cannot listen at " + to_string(address) + ": " +
+                                  error.message());
+  }
+  accept();
+  return absl::OkStatus();
+}
+
+void frame_acceptor::accept() {
+  acceptor_.async_accept([this](const asio::error_code& error, tcp::socket socket) {
+    if (error == asio::error::operation_aborted) {
+      return;
+    }
+    if (error) {
+      auto timer = std::make_shared<asio::steady_timer>(acceptor_.get_executor(), accept_retry);
+      timer->async_wait([this, timer](const asio::error_code& failed) {
+        if (!failed) {
+          accept();
+        }
+      });
+      return;
+    }
+    on_link_(std::make_shared<frame_link>(std::move(socket)));
+    accept();
+  });
+}
+
+void connect_frame_link(
+    asio::io_context& io, const endpoint& address, std::chrono::milliseconds timeout,
+    std::function<void(std::shared_ptr<frame_link>, const std::string& cause)> done) {
+  asio::error_code error;
+  const tcp::endpoint at(asio::ip::make_address(address.ip, error), address.port);
+  if (error) {
+    done(nullptr, error.message());
+    return;
+  }
+  auto socket = std::make_shared<tcp::socket>(io);
+  auto timer = std::make_shared<asio::steady_timer>(io, timeout);
+  timer->async_wait([socket](const asio::error_code& cancelled) {
+    if (!cancelled) {
+      asio::error_code ignored; // Ends the connect below.
+      socket->close(ignored);
+    }
+  });
+  socket->async_connect(at,
+                        [socket, timer, done = std::move(done)](const asio::error_code& failed) {
+                          timer->cancel();
+                          if (failed || !socket->is_open()) {
+                            done(nullptr, failed ? failed.message() : "timed out");
+                            return;
+                          }
+                          done(std::make_shared<frame_link>(std::move(*socket)), "");
+                        });
+}
+
+} // namespace parsleylead
--- /dev/null
+++ b/src/web/message_parser.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstddef>
+#include <http_parser.h>
+#include <string>
+
+#include "parsleylead/web/web_message.hpp"
+
+namespace parsleylead {
+
+/// Collects one HTTP message at a time from a stream of bytes. Not thread-safe.
+class message_parser {
+public:
+  enum class result { incomplete, complete, malformed, too_large };
+
+  /// `type` is HTTP_REQUEST or HTTP_RESPONSE. The bounds are in bytes.
+  message_parser(http_parser_type type, std::size_t max_header_bytes, std::size_t max_body_bytes);
+
+  /// Consumes bytes from the front of `input` up to the end of the message.
+  result feed(std::string& input);
+
+  /// For a response without a length, whose body ends with the connection.
+  result feed_end();
+
+  /// Prepares for the next message on the connection.
+  void reset();
+
+  bool started() const { return started_; }
+  bool keep_alive() const { return keep_alive_; }
+  int status() const { return static_cast<int>(parser_.status_code); }
+
+  std::string method;
+  std::string target;
+  web_headers headers;
+  std::string body;
+
+private:
+  static const http_parser_settings& callbacks();
+  static message_parser& self(http_parser* parser);
+
+  http_parser parser_{};
+  http_parser_type type_;
+  std::size_t max_header_bytes_;
+  std::size_t max_body_bytes_;
+  std::size_t header_bytes_ = 0;
+  bool value_open_ = false;
+  bool started_ = false;
+  bool complete_ = false;
+  bool too_large_ = false;
+  bool keep_alive_ = false;
+};
+
+} // namespace parsleylead
--- /dev/null
+++ b/src/web/web_client.cpp
@@ -0,0 +1,271 @@
+#include "parsleylead/web/web_client.hpp"
+
+#include <array>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+#include <deque>
+#include <utility>
+#include <vector>
+
+#include "message_parser.hpp"
+#include "write_message.hpp"
+
+namespace parsleylead {
+namespace {
+
+using asio::ip::tcp;
+using std::chrono::steady_clock;
+
+constexpr std::size_t read_chunk_bytes = std::size_t{32} * 1024;
+constexpr std::size_t max_header_bytes = std::size_t{64} * 1024;
+constexpr std::size_t max_body_bytes = std::size_t{8} * 1024 * 1024;
+
+struct pending_call {
+  web_request request;
+  steady_clock::time_point deadline;
+  web_client::callback done;
+};
+
+} // namespace
+
+class web_client::state : public std::enable_shared_from_this<web_client::state> {
+public:
+  state(asio::io_context& loop, endpoint address, std::size_t connection_limit)
+      : io(loop), server(std::move(address)), authority(to_string(server)),
+        max_connections(connection_limit) {}
+
+  void call(pending_call made);
+  void release(const std::shared_ptr<connection>& used, bool reusable);
+  void stop();
+
+  asio::io_context& io;
+  endpoint server;
+  std::string authority;
+  std::size_t max_connections;
+  std::vector<std::shared_ptr<connection>> idle;
+  std::vector<std::shared_ptr<connection>> busy;
+  std::deque<pending_call> waiting;
+  bool stopped = false;
+};
+
+class web_client::connection : public std::enable_shared_from_this<web_client::connection> {
+public:
+  explicit connection(std::shared_ptr<state> client)
+      : client_(std::move(client)), socket_(client_->io), timer_(client_->io),
+        parser_(HTTP_RESPONSE, max_header_bytes, max_body_bytes) {}
+
+  void run(pending_call made) {
+    call_ = std::move(made);
+    in_call_ = true;
+    reused_ = connected_;
+    output_ = write_request(call_.request, client_->authority);
+    parser_.reset();
+    input_.clear();
+    sent_ = false;
+    timer_.expires_at(call_.deadline);
+    timer_.async_wait(
+        [self = shared_from_this(), number = ++number_](const asio::error_code& error) {
+          if (!error && number == self->number_ && self->in_call_) {
+            self->finish(absl::DeadlineExceededError("no answer from " + self->client_->authority),
+                         false);
+          }
+        });
+    if (connected_) {
+      write();
+    } else {
+      connect();
+    }
+  }
+
+  void close() {
+    connected_ = false;
+    timer_.cancel();
+    asio::error_code ignored; // The connection is given up whatever the result.
+    socket_.close(ignored);
+  }
+
+  /// Watches an idle connection, so that a close by the server is noticed before the next call.
+  void read() {
+    if (reading_) {
+      return;
+    }
+    reading_ = true;
+    socket_.async_read_some(
+        asio::buffer(chunk_),
+        [self = shared_from_this()](const asio::error_code& error, std::size_t count) {
+          self->reading_ = false;
+          self->received(error, count);
+        });
+  }
+
+  bool connected() const { return connected_; }
+
+private:
+  void connect() {
+    asio::error_code error;
+    const auto address = asio::ip::make_address(client_->server.ip, error);
+    if (error) {
+      finish(absl::UnavailableError("not an address: " + client_->server.ip), false);
+      return;
+    }
+    socket_.async_connect({address, client_->server.port}, [self = shared_from_this()](
+                                                               const asio::error_code& failed) {
+      if (!self->in_call_) {
+        return;
+      }
+      if (failed) {
+        self->finish(absl::UnavailableError("cannot connect to " + self->client_->authority + ": " +
+                                            failed.message()),
+                     false);
+        return;
+      }
+      self->connected_ = true;
+      asio::error_code ignored; // Only costs latency.
+      self->socket_.set_option(tcp::no_delay(true), ignored);
+      self->write();
+    });
+  }
+
+  void write() {
+    sent_ = true;
+    asio::async_write(socket_, asio::buffer(output_),
+                      [self = shared_from_this()](const asio::error_code& error, std::size_t) {
+                        if (error && self->in_call_) {
+                          self->finish(absl::UnknownError("connection to " +
+                                                          self->client_->authority +
+                                                          " broke: " + error.message()),
+                                       false);
+                        }
+                      });
+    read();
+  }
+
+  void received(const asio::error_code& error, std::size_t count) {
+    if (!in_call_) {
+      // A close, or bytes without a call: the connection can't be used again.
+      close();
+      return;
+    }
+    auto result = message_parser::result::malformed;
+    if (!error) {
+      input_.append(chunk_.data(), count);
+      result = parser_.feed(input_);
+    } else if (error == asio::error::eof && parser_.started()) {
+      result = parser_.feed_end();
+    }
+    if (result == message_parser::result::incomplete) {
+      read();
+      return;
+    }
+    if (result != message_parser::result::complete) {
+      finish(absl::UnknownError("connection to " + client_->authority +
+                                " broke: " + (error ? error.message() : "malformed response")),
+             false);
+      return;
+    }
+    const bool reusable = parser_.keep_alive() && !error;
+    finish(web_response{parser_.status(), std::move(parser_.headers), std::move(parser_.body)},
+           reusable);
+  }
+
+  void finish(absl::StatusOr<web_response> result, bool reusable) {
+    in_call_ = false;
+    ++number_;
+    timer_.cancel();
+    auto done = std::move(call_.done);
+    if (!reusable) {
+      close();
+    }
+    const auto self = shared_from_this();
+    const auto client = client_;
+    client->release(self, reusable);
+    if (!client->stopped) {
+      done(std::move(result));
+    }
+  }
+
+  std::shared_ptr<state> client_;
+  tcp::socket socket_;
+  asio::steady_timer timer_;
+  message_parser parser_;
+  std::array<char, read_chunk_bytes> chunk_{};
+  std::string input_;
+  std::string output_;
+  pending_call call_;
+  std::uint64_t number_ = 0;
+  bool connected_ = false;
+  bool reading_ = false;
+  bool in_call_ = false;
+  bool sent_ = false;
+  bool reused_ = false;
+};
+
+void web_client::state::call(pending_call made) {
+  while (!idle.empty() && !idle.back()->connected()) {
+    idle.pop_back();
+  }
+  if (idle.empty() && busy.size() >= max_connections) {
+    waiting.push_back(std::move(made));
+    return;
+  }
+  std::shared_ptr<connection> chosen;
+  if (idle.empty()) {
+    chosen = std::make_shared<connection>(shared_from_this());
+  } else {
+    chosen = idle.back();
+    idle.pop_back();
+  }
+  busy.push_back(chosen);
+  chosen->run(std::move(made));
+}
+
+void web_client::state::release(const std::shared_ptr<connection>& used, bool reusable) {
+  std::erase(busy, used);
+  if (stopped) {
+    return;
+  }
+  if (reusable) {
+    idle.push_back(used);
+    used->read();
+  }
+  while (!waiting.empty()) {
+    auto next = std::move(waiting.front());
+    waiting.pop_front();
+    if (next.deadline <= steady_clock::now()) {
+      next.done(absl::DeadlineExceededError("waited too long for a connection to " + authority));
+      continue;
+    }
+    call(std::move(next));
+    break;
+  }
+}
+
+void web_client::state::stop() {
+  stopped = true;
+  waiting.clear();
+  for (const auto& each : idle) {
+    each->close();
+  }
+  for (const auto& each : busy) {
+    each->close();
+  }
+  idle.clear();
+}
+
+web_client::web_client(asio::io_context& io, endpoint server, std::size_t max_connections)
+    : state_(std::make_shared<state>(io, std::move(server), max_connections)) {}
+
+web_client::~web_client() {
+  state_->stop();
+}
+
+void web_client::call(web_request request, std::chrono::milliseconds timeout, callback done) {
+  state_->call({std::move(request), steady_clock::now() + timeout, std::move(done)});
+}
+
+std::size_t web_client::pending() const {
+  return state_->busy.size() + state_->waiting.size();
+}
+
+} // namespace parsleylead
