Test the scheduler, the run table, links' frames, codecs and HTTP; ignore repeated orders

An order that arrives twice from one entry was answered as not started while the first copy was waiting. Found by the property test of the run table.

--- /dev/null
+++ b/src/fleet/fleet_frame_test.cpp
@@ -0,0 +1,87 @@
+#include "parsleylead/fleet/fleet_frame.hpp"
+
+#include <doctest/doctest.h>
+
+#include <random>
+
+#include "../test_support.hpp"
+
+namespace parsleylead {
+namespace {
+
+using std::chrono::milliseconds;
+
+fleet_frame full_frame() {
+  fleet_frame frame;
+  frame.hello = session_hello{{"entry-1", 7, "127.0.0.1:80", "a"}, true, 9};
+  frame.starts.push_back({{{1, 2, 3}, 4},
+                          "text",
+                          {3'100, 64, 1},
+                          milliseconds(60),
+                          milliseconds(-20),
+                          milliseconds(250)});
+  frame.stops.push_back({{5, 0, 1}, 2});
+  frame.moves.push_back({{6, 0, 1}, 2});
+  frame.ends.push_back({{{7, 0, 1}, 1}, run_outcome::lost, milliseconds(30), milliseconds(4)});
+  frame.slow.push_back({{{8, 0, 1}, 1}, 12, milliseconds(900)});
+  worker_status status;
+  status.present = true;
+  status.service = "desk";
+  status.labels = {"a", "r1"};
+  status.capacity = {32'000, 65'536, 0};
+  status.slowdown = 1.25;
+  status.failure_share = 0.125;
+  frame.status = status;
+  frame.members.push_back({"entry-2", 8, "127.0.0.1:81", "b"});
+  frame.outstanding = std::vector<run_id>{};
+  frame.routes_version = 12;
+  frame.routes = "{}";
+  frame.leaving = true;
+  return frame;
+}
+
+TEST_CASE("a frame arrives as it was sent") {
+  const auto sent = full_frame();
+  const auto got = decode_frame(encode_frame(sent));
+  REQUIRE(got.ok());
+  REQUIRE(got->hello.has_value());
+  CHECK(got->hello->sender == sent.hello->sender);
+  CHECK(got->hello->resumes == 9);
+  REQUIRE(got->starts.size() == 1);
+  CHECK(got->starts[0].run == sent.starts[0].run);
+  CHECK(got->starts[0].payload == "text");
+  CHECK(got->starts[0].needs == sent.starts[0].needs);
+  CHECK(got->starts[0].due_in == milliseconds(-20));
+  CHECK(got->stops == sent.stops);
+  CHECK(got->moves == sent.moves);
+  REQUIRE(got->ends.size() == 1);
+  CHECK(got->ends[0].outcome == run_outcome::lost);
+  REQUIRE(got->status.has_value());
+  CHECK(got->status->labels == sent.status->labels);
+  CHECK(got->status->slowdown == doctest::Approx(1.25));
+  CHECK(got->members == sent.members);
+  REQUIRE(got->outstanding.has_value());
+  CHECK(got->routes_version == 12);
+  CHECK(got->leaving);
+}
+
+TEST_CASE("bytes that are no frame are refused, never read past their end") {
+  // Guards against a crash by a broken or foreign peer.
+  CHECK_FALSE(decode_frame("").ok());
+  CHECK_FALSE(decode_frame("abc").ok());
+  CHECK_FALSE(decode_frame(std::string(64, '\xff')).ok());
+  const auto bytes = encode_frame(full_frame());
+  std::mt19937 random(5);
+  for (int i = 0; i < 2'000; ++i) {
+    auto mutated = bytes;
+    for (int k = 0; k < 4; ++k) {
+      mutated[random() % mutated.size()] = static_cast<char>(random());
+    }
+    mutated.resize(mutated.size() - 8 * (random() % 4));
+    const auto decoded = decode_frame(mutated);
+    CHECK((decoded.ok() || !decoded.status().message().empty()));
+  }
+}
+
+} // namespace
+} // namespace parsleylead
--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -125,6 +125,8 @@
     finish(owner, job_verdict::not_run, job_cause::backlog_full, now);
     return;
   }
+  // Jobs that came in the same turn of the loop are no backlog until they have been tried.
+  pump(now);
   const double wait = expected_wait().count();
   if (wait + ms(owner.chain) > ms(std::min(owner.late, owner.deadline) - now) && wait > 0) {
     finish(owner, job_verdict::not_run, job_cause::objective_out_of_reach, now);
--- /dev/null
+++ b/src/fleet/fleet_scheduler_test.cpp
@@ -0,0 +1,277 @@
+#include "parsleylead/fleet/fleet_scheduler.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <set>
+
+#include "../test_support.hpp"
+
+namespace parsleylead {
+namespace {
+
+using std::chrono::milliseconds;
+
+worker_status idle_worker(std::uint32_t cpu_millis = 32'000) {
+  worker_status status;
+  status.present = true;
+  status.accepting = true;
+  status.worker_id = "w";
+  status.service = "desk";
+  status.capacity = {cpu_millis, 65'536, 0};
+  return status;
+}
+
+fleet_job make_job(std::uint64_t id, std::uint32_t tasks,
+                   milliseconds estimate = milliseconds(60)) {
+  fleet_job job;
+  job.id = id;
+  job.terms = {"desk", milliseconds(60), 1.6, 3};
+  job.payload = "text";
+  job.patience = milliseconds(30'000);
+  job_step step;
+  step.count = tasks;
+  step.needs = {3'100, 64, 0};
+  step.estimate = estimate;
+  job.steps.push_back(step);
+  return job;
+}
+
+/// A scheduler with workers that are idle at time 0.
+struct fixture {
+  explicit fixture(int count) : scheduler({}, "a", 7) {
+    for (int i = 0; i < count; ++i) {
+      workers.push_back(scheduler.worker_for("agent-" + std::to_string(i), "a"));
+      scheduler.session_opened(workers.back(), false, at_ms(0));
+      scheduler.worker_reported(workers.back(), idle_worker(), at_ms(0));
+    }
+  }
+
+  std::vector<placed_start> submit(fleet_job job, std::int64_t at = 0) {
+    scheduler.submit(std::move(job), at_ms(at));
+    scheduler.pump(at_ms(at));
+    return scheduler.take_starts();
+  }
+
+  void end(const placed_start& start, run_outcome outcome, std::int64_t at) {
+    scheduler.run_ended(start.worker, {start.order.run, outcome, milliseconds(60), {}}, at_ms(at));
+  }
+
+  fleet_scheduler scheduler;
+  std::vector<worker_index> workers;
+};
+
+TEST_CASE("a job is completed when each of its tasks is done") {
+  fixture fleet(2);
+  const auto starts = fleet.submit(make_job(1, 4));
+  REQUIRE(starts.size() == 4);
+  for (std::size_t i = 0; i < starts.size(); ++i) {
+    CHECK(fleet.scheduler.take_results().empty());
+    fleet.end(starts[i], run_outcome::done, 60);
+  }
+  const auto results = fleet.scheduler.take_results();
+  REQUIRE(results.size() == 1);
+  CHECK(results[0].verdict == job_verdict::completed);
+  CHECK(fleet.scheduler.open_jobs() == 0);
+}
+
+TEST_CASE("a step waits for the steps that it names") {
+  // Guards against starts before the tasks of earlier steps are done.
+  fixture fleet(2);
+  auto job = make_job(1, 2);
+  job.steps.push_back(job.steps[0]);
+  job.steps[1].after = {0};
+  auto starts = fleet.submit(std::move(job));
+  REQUIRE(starts.size() == 2);
+  fleet.end(starts[0], run_outcome::done, 60);
+  fleet.scheduler.pump(at_ms(60));
+  CHECK(fleet.scheduler.take_starts().empty());
+  fleet.end(starts[1], run_outcome::done, 70);
+  fleet.scheduler.pump(at_ms(70));
+  starts = fleet.scheduler.take_starts();
+  REQUIRE(starts.size() == 2);
+  CHECK(starts[0].order.run.task.step == 1);
+}
+
+TEST_CASE("failed runs are repeated elsewhere until the attempts are used up") {
+  fixture fleet(3);
+  auto starts = fleet.submit(make_job(1, 1));
+  std::set<worker_index> used;
+  for (std::uint32_t attempt = 1; attempt <= 3; ++attempt) {
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].order.run.attempt == attempt);
+    CHECK(used.insert(starts[0].worker).second);
+    fleet.end(starts[0], run_outcome::failed, 60 * attempt);
+    fleet.scheduler.pump(at_ms(60 * attempt));
+    starts = fleet.scheduler.take_starts();
+  }
+  CHECK(starts.empty());
+  const auto results = fleet.scheduler.take_results();
+  REQUIRE(results.size() == 1);
+  CHECK(results[0].verdict == job_verdict::failed);
+  CHECK(results[0].cause == job_cause::attempts_used_up);
+}
+
+TEST_CASE("runs of a lost agent are repeated only after they have certainly ended") {
+  // Guards against two runs of one task at a time.
+  fixture fleet(2);
+  const auto starts = fleet.submit(make_job(1, 1));
+  REQUIRE(starts.size() == 1);
+  fleet.scheduler.session_lost(starts[0].worker, at_ms(10), at_ms(400));
+  fleet.scheduler.tick(at_ms(1'259));
+  CHECK(fleet.scheduler.take_starts().empty());
+  fleet.scheduler.tick(at_ms(1'261));
+  const auto again = fleet.scheduler.take_starts();
+  REQUIRE(again.size() == 1);
+  CHECK(again[0].worker != starts[0].worker);
+  CHECK(again[0].order.run.attempt == 2);
+}
+
+TEST_CASE("a session that is resumed in time keeps its runs") {
+  fixture fleet(2);
+  const auto starts = fleet.submit(make_job(1, 1));
+  fleet.scheduler.session_lost(starts[0].worker, at_ms(10), at_ms(400));
+  fleet.scheduler.session_opened(starts[0].worker, true, at_ms(500));
+  CHECK(fleet.scheduler.outstanding(starts[0].worker) == std::vector<run_id>{starts[0].order.run});
+  fleet.scheduler.tick(at_ms(5'000));
+  CHECK(fleet.scheduler.take_starts().empty());
+  fleet.end(starts[0], run_outcome::done, 5'000);
+  CHECK(fleet.scheduler.take_results().size() == 1);
+}
+
+TEST_CASE("a new agent process does not shorten the wait for the runs of the old one") {
+  // Guards against two runs of one task at a time when an agent is restarted at once.
+  fixture fleet(2);
+  const auto starts = fleet.submit(make_job(1, 1));
+  fleet.scheduler.session_lost(starts[0].worker, at_ms(10), at_ms(20));
+  fleet.scheduler.session_opened(starts[0].worker, false, at_ms(200));
+  fleet.scheduler.worker_reported(starts[0].worker, idle_worker(), at_ms(200));
+  fleet.scheduler.tick(at_ms(1'250));
+  CHECK(fleet.scheduler.take_starts().empty());
+  fleet.scheduler.tick(at_ms(1'270));
+  CHECK(fleet.scheduler.take_starts().size() == 1);
+}
+
+TEST_CASE("after this process stood still, lost runs are not repeated") {
+  // Guards against a second run here while the caller has sent the job to another entry.
+  fixture fleet(2);
+  const auto starts = fleet.submit(make_job(1, 1));
+  fleet.scheduler.process_stalled(at_ms(3'000));
+  fleet.scheduler.session_lost(starts[0].worker, at_ms(10), at_ms(3'000));
+  fleet.scheduler.tick(at_ms(3'100));
+  CHECK(fleet.scheduler.take_starts().empty());
+  const auto results = fleet.scheduler.take_results();
+  REQUIRE(results.size() == 1);
+  CHECK(results[0].verdict == job_verdict::unknown);
+}
+
+TEST_CASE("a job is said not to have run only if none of its tasks was started") {
+  // Guards the truth of refusals: what was placed may have run.
+  fixture fleet(1);
+  auto job = make_job(1, 1);
+  job.patience = milliseconds(500);
+  const auto starts = fleet.submit(std::move(job));
+  REQUIRE(starts.size() == 1);
+  fleet.scheduler.tick(at_ms(501));
+  auto results = fleet.scheduler.take_results();
+  REQUIRE(results.size() == 1);
+  CHECK(results[0].verdict == job_verdict::failed);
+  CHECK(fleet.scheduler.take_stops().size() == 1);
+
+  fixture second(1);
+  job = make_job(2, 1);
+  job.patience = milliseconds(500);
+  const auto returned = second.submit(std::move(job));
+  second.end(returned[0], run_outcome::not_started, 10);
+  second.scheduler.worker_reported(second.workers[0], {}, at_ms(10));
+  second.scheduler.tick(at_ms(501));
+  results = second.scheduler.take_results();
+  REQUIRE(results.size() == 1);
+  CHECK(results[0].verdict == job_verdict::not_run);
+  CHECK(results[0].retry_after >= milliseconds(1'000));
+}
+
+TEST_CASE("a job that no known worker can hold is refused at once") {
+  fixture fleet(1);
+  auto job = make_job(1, 1);
+  job.steps[0].needs.cpu_millis = 64'000;
+  CHECK(fleet.submit(std::move(job)).empty());
+  job = make_job(2, 1);
+  job.steps[0].required_label = "gpu";
+  CHECK(fleet.submit(std::move(job)).empty());
+  const auto results = fleet.scheduler.take_results();
+  REQUIRE(results.size() == 2);
+  for (const auto& result : results) {
+    CHECK(result.verdict == job_verdict::not_run);
+    CHECK(result.cause == job_cause::no_capable_worker);
+  }
+}
+
+TEST_CASE("jobs that arrive in one turn of the loop are not refused while workers are idle") {
+  // Guards against taking jobs that were not yet tried for a backlog.
+  fixture fleet(20);
+  fleet.submit(make_job(100, 1, milliseconds(900)));
+  for (std::uint64_t id = 1; id <= 20; ++id) {
+    fleet.scheduler.submit(make_job(id, 8), at_ms(1));
+  }
+  fleet.scheduler.pump(at_ms(1));
+  CHECK(fleet.scheduler.take_results().empty());
+  CHECK(fleet.scheduler.take_starts().size() == 160);
+}
+
+TEST_CASE("a slow run is moved if another worker ends it sooner") {
+  fixture fleet(2);
+  const auto starts = fleet.submit(make_job(1, 1, milliseconds(900)));
+  REQUIRE(starts.size() == 1);
+  fleet.scheduler.run_is_slow(starts[0].worker, {starts[0].order.run, 2, milliseconds(2'300)},
+                              at_ms(2'300));
+  const auto stops = fleet.scheduler.take_stops();
+  REQUIRE(stops.size() == 1);
+  CHECK(stops[0].report_end);
+  // Nothing starts before the end of the first run is reported.
+  fleet.scheduler.pump(at_ms(2'310));
+  CHECK(fleet.scheduler.take_starts().empty());
+  fleet.end(starts[0], run_outcome::stopped, 2'350);
+  fleet.scheduler.pump(at_ms(2'350));
+  const auto again = fleet.scheduler.take_starts();
+  REQUIRE(again.size() == 1);
+  CHECK(again[0].worker != starts[0].worker);
+}
+
+TEST_CASE("an end of an earlier attempt changes nothing") {
+  // Guards against late and repeated reports after a session was resumed.
+  fixture fleet(2);
+  const auto first = fleet.submit(make_job(1, 1));
+  fleet.end(first[0], run_outcome::failed, 50);
+  fleet.scheduler.pump(at_ms(50));
+  const auto second = fleet.scheduler.take_starts();
+  REQUIRE(second.size() == 1);
+  fleet.end(first[0], run_outcome::done, 60);
+  fleet.scheduler.run_ended(first[0].worker, {second[0].order.run, run_outcome::done, {}, {}},
+                            at_ms(61));
+  CHECK(fleet.scheduler.take_results().empty());
+}
+
+TEST_CASE("a caller that leaves has its runs stopped") {
+  fixture fleet(1);
+  fleet.submit(make_job(1, 3));
+  fleet.scheduler.cancel(1, at_ms(5));
+  CHECK(fleet.scheduler.take_stops().size() == 3);
+  CHECK(fleet.scheduler.take_results().empty());
+  CHECK_FALSE(fleet.scheduler.is_open(1));
+  CHECK(fleet.scheduler.outstanding(fleet.workers[0]).empty());
+}
+
+TEST_CASE("a worker that fails its runs gets tasks only if there is no other") {
+  fixture fleet(2);
+  auto failing = idle_worker();
+  failing.failure_share = 0.9;
+  failing.slowdown = 0.1;
+  fleet.scheduler.worker_reported(fleet.workers[0], failing, at_ms(0));
+  for (const auto& start : fleet.submit(make_job(1, 8))) {
+    CHECK(start.worker == fleet.workers[1]);
+  }
+}
+
+} // namespace
+} // namespace parsleylead
--- /dev/null
+++ b/src/fleet/member_dialer_test.cpp
@@ -0,0 +1,88 @@
+#include "parsleylead/fleet/member_dialer.hpp"
+
+#include <doctest/doctest.h>
+
+#include "../test_support.hpp"
+
+namespace parsleylead {
+namespace {
+
+using std::chrono::milliseconds;
+
+fleet_member member(int number, const std::string& zone = "a") {
+  return {"entry-" + std::to_string(number), 1, "127.0.0.1:" + std::to_string(number), zone};
+}
+
+TEST_CASE("known entries are dialled once, and again after a pause that grows") {
+  member_dialer dialer({}, "agent", "a", "", 4);
+  CHECK(dialer.learn({member(1)}, at_ms(0)));
+  CHECK_FALSE(dialer.learn({member(1)}, at_ms(0)));
+  CHECK(dialer.due(at_ms(0)).size() == 1);
+  CHECK(dialer.due(at_ms(1)).empty());
+  dialer.lost("127.0.0.1:1", at_ms(10));
+  CHECK(dialer.due(at_ms(50)).empty());
+  CHECK(dialer.due(at_ms(111)).size() == 1);
+  dialer.linked("127.0.0.1:1", at_ms(120));
+  CHECK(dialer.linked_members().size() == 1);
+  CHECK(dialer.due(at_ms(60'000)).empty());
+}
+
+TEST_CASE("a link that breaks is dialled again at once") {
+  // Guards the leases of the runs behind a connection that was only reset.
+  member_dialer dialer({}, "agent", "a", "", 4);
+  dialer.learn({member(1)}, at_ms(0));
+  dialer.due(at_ms(0));
+  dialer.linked("127.0.0.1:1", at_ms(1));
+  dialer.lost("127.0.0.1:1", at_ms(500));
+  CHECK(dialer.due(at_ms(500)).size() == 1);
+}
+
+TEST_CASE("the own address is never dialled, and a changed entry is news") {
+  member_dialer dialer({}, "entry-1", "a", "127.0.0.1:1", 4);
+  CHECK_FALSE(dialer.learn({member(1)}, at_ms(0)));
+  CHECK(dialer.learn({member(2)}, at_ms(0)));
+  auto restarted = member(2);
+  restarted.incarnation = 2;
+  CHECK(dialer.learn({restarted}, at_ms(5)));
+}
+
+TEST_CASE("links are bounded, the own zone goes first, and failing entries make room") {
+  member_dialer dialer({}, "agent", "a", "", 2);
+  dialer.learn({member(1, "b"), member(2, "b"), member(3, "a"), member(4, "a")}, at_ms(0));
+  const auto first = dialer.due(at_ms(0));
+  REQUIRE(first.size() == 2);
+  for (const auto& address : first) {
+    CHECK((address == "127.0.0.1:3" || address == "127.0.0.1:4"));
+  }
+  std::int64_t now = 0;
+  std::size_t others = 0;
+  for (int i = 0; i < 400; ++i) {
+    now += 20;
+    for (const auto& address : dialer.due(at_ms(now))) {
+      if (address == "127.0.0.1:3" || address == "127.0.0.1:4") {
+        dialer.lost(address, at_ms(now));
+      } else {
+        dialer.linked(address, at_ms(now));
+        ++others;
+      }
+    }
+    // Attempts of the first round fail too.
+    if (i == 0) {
+      dialer.lost(first[0], at_ms(now));
+      dialer.lost(first[1], at_ms(now));
+    }
+  }
+  CHECK(others == 2);
+}
+
+TEST_CASE("an entry that stays unreachable is forgotten") {
+  member_dialer dialer({}, "agent", "a", "", 2);
+  dialer.learn({member(1)}, at_ms(0));
+  dialer.due(at_ms(0));
+  dialer.lost("127.0.0.1:1", at_ms(400));
+  dialer.due(at_ms(30'001));
+  CHECK(dialer.known() == 0);
+}
+
+} // namespace
+} // namespace parsleylead
--- a/src/runs/run_table.cpp
+++ b/src/runs/run_table.cpp
@@ -71,6 +71,9 @@
 
 void run_table::add(owner_id owner, start_order order, monotonic_time now) {
   const auto key = order.run.task;
+  if (const auto* here = find(order.run); here != nullptr && here->owner == owner) {
+    return; // Received before.
+  }
   if (runs_.contains(key)) {
     // Another run of this task is here: never two at once.
     ends_.push_back({owner, {order.run, run_outcome::not_started, {}, {}}});
--- /dev/null
+++ b/src/runs/run_table_test.cpp
@@ -0,0 +1,312 @@
+#include "parsleylead/runs/run_table.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include "../test_support.hpp"
+
+namespace parsleylead {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr owner_id entry = 1;
+constexpr owner_id other_entry = 2;
+
+start_order make_order(std::uint64_t job, std::uint32_t cpu_millis = 4'000,
+                       std::uint32_t attempt = 1) {
+  start_order order;
+  order.run = {{job, 0, 0}, attempt};
+  order.needs = {cpu_millis, 64, 0};
+  order.estimate = milliseconds(100);
+  order.due_in = milliseconds(100);
+  order.max_wait = milliseconds(200);
+  return order;
+}
+
+/// A table whose worker has room for two orders of `make_order`.
+run_table make_table() {
+  run_table table;
+  table.worker_began({8'000, 1'024, 0}, at_ms(0));
+  table.set_accepting(true);
+  return table;
+}
+
+std::vector<run_id> started(run_table& table) {
+  std::vector<run_id> runs;
+  for (const auto& call : table.take_calls()) {
+    if (call.what == worker_call::kind::start) {
+      runs.push_back(call.run);
+    }
+  }
+  return runs;
+}
+
+std::vector<run_id> stopped(run_table& table) {
+  std::vector<run_id> runs;
+  for (const auto& call : table.take_calls()) {
+    if (call.what == worker_call::kind::stop) {
+      runs.push_back(call.run);
+    }
+  }
+  return runs;
+}
+
+TEST_CASE("runs never need more than the worker has") {
+  // Guards against overloading a worker that starts whatever it is told to.
+  auto table = make_table();
+  for (std::uint64_t job = 1; job <= 3; ++job) {
+    table.add(entry, make_order(job), at_ms(0));
+  }
+  table.pump(at_ms(0));
+  CHECK(started(table).size() == 2);
+  CHECK(table.waiting() == 1);
+  table.start_answered({{1, 0, 0}, 1}, start_answer::started, at_ms(1));
+  // A run that is being stopped keeps its room until the worker lists its end.
+  table.stop(entry, {{1, 0, 0}, 1}, false, at_ms(2));
+  table.pump(at_ms(2));
+  CHECK(stopped(table).size() == 1);
+  CHECK(table.waiting() == 1);
+  table.stop_answered({{1, 0, 0}, 1}, true, at_ms(3));
+  table.pump(at_ms(3));
+  CHECK(started(table).empty());
+  table.observe({}, {{{{1, 0, 0}, 1}, run_outcome::stopped}}, true, at_ms(4), at_ms(5));
+  table.pump(at_ms(5));
+  CHECK(started(table).size() == 1);
+}
+
+TEST_CASE("a start without an answer is given back only after the worker has sealed it") {
+  // Guards against two runs of a task when the worker carries an order out seconds later.
+  auto table = make_table();
+  const auto order = make_order(1);
+  table.add(entry, order, at_ms(0));
+  table.pump(at_ms(0));
+  table.take_calls();
+  table.start_answered(order.run, start_answer::unknown, at_ms(250));
+  CHECK(stopped(table) == std::vector<run_id>{order.run});
+  // A list that was requested before the seal proves nothing.
+  table.stop_answered(order.run, true, at_ms(260));
+  table.observe({}, {}, true, at_ms(255), at_ms(265));
+  CHECK(table.take_ends().empty());
+  table.observe({}, {}, true, at_ms(270), at_ms(275));
+  const auto ends = table.take_ends();
+  REQUIRE(ends.size() == 1);
+  CHECK(ends[0].end.outcome == run_outcome::not_started);
+}
+
+TEST_CASE("an unanswered stop is repeated until the worker confirms it") {
+  auto table = make_table();
+  const auto order = make_order(1);
+  table.add(entry, order, at_ms(0));
+  table.pump(at_ms(0));
+  table.start_answered(order.run, start_answer::unknown, at_ms(250));
+  table.take_calls();
+  table.stop_answered(order.run, false, at_ms(500));
+  table.pump(at_ms(501));
+  CHECK(stopped(table).size() == 1);
+  table.observe({}, {}, true, at_ms(600), at_ms(610));
+  CHECK(table.take_ends().empty());
+}
+
+TEST_CASE("a run whose start was not answered but that is listed is running") {
+  auto table = make_table();
+  const auto order = make_order(1);
+  table.add(entry, order, at_ms(0));
+  table.pump(at_ms(0));
+  table.observe({{order.run, 10}}, {}, true, at_ms(5), at_ms(10));
+  table.take_calls();
+  table.start_answered(order.run, start_answer::unknown, at_ms(250));
+  CHECK(stopped(table).empty());
+  table.observe({}, {{order.run, run_outcome::done}}, true, at_ms(100), at_ms(110));
+  const auto ends = table.take_ends();
+  REQUIRE(ends.size() == 1);
+  CHECK(ends[0].end.outcome == run_outcome::done);
+}
+
+TEST_CASE("nothing starts while the worker runs what this agent does not know") {
+  // Guards against overload after an agent was restarted.
+  auto table = make_table();
+  const run_id unknown{{99, 0, 0}, 1};
+  table.observe({{unknown, 50}}, {}, true, at_ms(0), at_ms(1));
+  CHECK(stopped(table) == std::vector<run_id>{unknown});
+  table.add(entry, make_order(1), at_ms(2));
+  table.pump(at_ms(2));
+  CHECK(started(table).empty());
+  table.observe({}, {{unknown, run_outcome::stopped}}, true, at_ms(50), at_ms(60));
+  table.pump(at_ms(60));
+  CHECK(started(table).size() == 1);
+}
+
+TEST_CASE("a task that is here already is not started a second time") {
+  // Guards against two runs at a time when a caller sends its job to two entries.
+  auto table = make_table();
+  table.add(entry, make_order(1), at_ms(0));
+  table.pump(at_ms(0));
+  table.take_calls();
+  table.add(other_entry, make_order(1, 4'000, 2), at_ms(1));
+  const auto ends = table.take_ends();
+  REQUIRE(ends.size() == 1);
+  CHECK(ends[0].owner == other_entry);
+  CHECK(ends[0].end.outcome == run_outcome::not_started);
+}
+
+TEST_CASE("everything of an entry whose lease ended is stopped and still reported on request") {
+  auto table = make_table();
+  const auto first = make_order(1);
+  const auto second = make_order(2);
+  table.add(entry, first, at_ms(0));
+  table.add(other_entry, second, at_ms(0));
+  table.pump(at_ms(0));
+  table.take_calls();
+  for (const auto& run : {first.run, second.run}) {
+    table.start_answered(run, start_answer::started, at_ms(1));
+  }
+  table.stop_owner(entry, at_ms(700));
+  CHECK(stopped(table) == std::vector<run_id>{first.run});
+  table.stop_answered(first.run, true, at_ms(705));
+  table.observe({{second.run, 50}}, {{first.run, run_outcome::stopped}}, true, at_ms(740),
+                at_ms(750));
+  CHECK(table.take_ends().empty());
+  table.reconcile(entry, {first.run}, at_ms(800));
+  const auto ends = table.take_ends();
+  REQUIRE(ends.size() == 1);
+  CHECK(ends[0].end.outcome == run_outcome::stopped);
+}
+
+TEST_CASE("a resumed session hears of what ended, never arrived or is still running") {
+  auto table = make_table();
+  const auto ended = make_order(1);
+  const auto running = make_order(2);
+  const auto unwanted = make_order(3);
+  table.add(entry, ended, at_ms(0));
+  table.add(entry, running, at_ms(0));
+  table.pump(at_ms(0));
+  table.take_calls();
+  table.observe({{running.run, 10}}, {{ended.run, run_outcome::done}}, true, at_ms(50), at_ms(60));
+  table.take_ends(); // Lost with the connection.
+  table.add(entry, unwanted, at_ms(70));
+  table.pump(at_ms(70));
+  table.take_calls();
+  const run_id never_arrived{{4, 0, 0}, 1};
+  table.reconcile(entry, {ended.run, running.run, never_arrived}, at_ms(100));
+  const auto ends = table.take_ends();
+  REQUIRE(ends.size() == 2);
+  CHECK(ends[0].end.run == ended.run);
+  CHECK(ends[0].end.outcome == run_outcome::done);
+  CHECK(ends[1].end.run == never_arrived);
+  CHECK(ends[1].end.outcome == run_outcome::not_started);
+  CHECK(stopped(table) == std::vector<run_id>{unwanted.run});
+}
+
+TEST_CASE("orders that wait too long, or at a worker that leaves, are given back unstarted") {
+  auto table = make_table();
+  for (std::uint64_t job = 1; job <= 3; ++job) {
+    table.add(entry, make_order(job), at_ms(0));
+  }
+  table.pump(at_ms(0));
+  table.take_calls();
+  table.pump(at_ms(201));
+  auto ends = table.take_ends();
+  REQUIRE(ends.size() == 1);
+  CHECK(ends[0].end.outcome == run_outcome::not_started);
+  table.add(entry, make_order(4), at_ms(202));
+  table.set_accepting(false);
+  table.pump(at_ms(203));
+  ends = table.take_ends();
+  REQUIRE(ends.size() == 1);
+  CHECK(ends[0].end.run.task.job == 4);
+  CHECK(started(table).empty());
+}
+
+TEST_CASE("on-time orders start before late ones, the most urgent first") {
+  auto table = make_table();
+  auto late = make_order(1, 8'000);
+  late.due_in = milliseconds(-5);
+  auto relaxed = make_order(2, 8'000);
+  auto urgent = make_order(3, 8'000);
+  urgent.due_in = milliseconds(20);
+  for (const auto& order : {late, relaxed, urgent}) {
+    table.add(entry, order, at_ms(0));
+  }
+  table.pump(at_ms(1));
+  CHECK(started(table) == std::vector<run_id>{urgent.run});
+}
+
+TEST_CASE("a new life of the worker ends all runs as lost") {
+  auto table = make_table();
+  const auto order = make_order(1);
+  table.add(entry, order, at_ms(0));
+  table.pump(at_ms(0));
+  table.start_answered(order.run, start_answer::started, at_ms(1));
+  table.worker_began({8'000, 1'024, 0}, at_ms(100));
+  const auto ends = table.take_ends();
+  REQUIRE(ends.size() == 1);
+  CHECK(ends[0].end.outcome == run_outcome::lost);
+  CHECK(table.committed() == resource_needs{});
+}
+
+TEST_CASE("a worker that stands still shows as slow before its runs end") {
+  auto table = make_table();
+  const auto order = make_order(1);
+  table.add(entry, order, at_ms(0));
+  table.pump(at_ms(0));
+  for (int at = 50; at <= 1'500; at += 50) {
+    table.observe({{order.run, 1}}, {}, true, at_ms(at - 1), at_ms(at));
+  }
+  CHECK(table.pace().slowdown() > 5.0);
+  const auto slow = table.slow_runs(at_ms(1'500));
+  REQUIRE(slow.size() == 1);
+  CHECK(slow[0].first == entry);
+  CHECK(slow[0].second.percent == 1);
+}
+
+TEST_CASE("the committed room is the sum of the runs after any history") {
+  CHECK(check_property(71, [](const std::vector<std::pair<std::uint8_t, std::uint8_t>>& history) {
+    auto table = make_table();
+    std::int64_t now = 0;
+    for (const auto& [operation, choice] : history) {
+      now += 20;
+      const std::uint64_t job = choice % 5;
+      const run_id run{{job, 0, 0}, 1};
+      switch (operation % 8) {
+      case 0:
+      case 1:
+        table.add(1 + choice % 2, make_order(job, 1'000 + choice * 10U), at_ms(now));
+        break;
+      case 2:
+        table.start_answered(run, static_cast<start_answer>(choice % 5), at_ms(now));
+        break;
+      case 3:
+        table.stop(1 + choice % 2, run, choice % 3 == 0, at_ms(now));
+        break;
+      case 4:
+        table.stop_answered(run, choice % 2 == 0, at_ms(now));
+        break;
+      case 5:
+        table.observe({}, {{run, run_outcome::done}}, true, at_ms(now - 1), at_ms(now));
+        break;
+      case 6:
+        table.observe({{run, choice % 100U}}, {}, choice % 2 == 0, at_ms(now - 1), at_ms(now));
+        break;
+      default:
+        table.stop_owner(1 + choice % 2, at_ms(now));
+      }
+      table.pump(at_ms(now));
+      table.take_calls();
+      for (const auto& [owner, end] : table.take_ends()) {
+        RC_ASSERT(table.owner_of(end.run) != owner);
+      }
+      RC_ASSERT(fits({}, table.committed(), table.capacity()));
+      if (table.running() == 0) {
+        RC_ASSERT(table.committed() == resource_needs{});
+      }
+      if (table.waiting() == 0) {
+        RC_ASSERT(table.queued_cpu_millis() == 0);
+      }
+    }
+  }));
+}
+
+} // namespace
+} // namespace parsleylead
--- /dev/null
+++ b/src/store/keyed_watch_test.cpp
@@ -0,0 +1,71 @@
+#include "parsleylead/store/keyed_watch.hpp"
+
+#include <doctest/doctest.h>
+
+#include <asio/post.hpp>
+#include <deque>
+#include <utility>
+
+namespace parsleylead {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Answers from a script; the last answer to a read blocks for good.
+class scripted_store : public keyed_store {
+public:
+  explicit scripted_store(asio::io_context& io) : io_(io) {}
+
+  void read_newest(const std::string&, const std::string& after,
+                   std::function<void(absl::StatusOr<keyed_snapshot>)> done) override {
+    asked.push_back("newest:" + after);
+    answer(newest, std::move(done));
+  }
+  void read_from(const std::string&, std::uint64_t offset, milliseconds,
+                 std::function<void(absl::StatusOr<keyed_snapshot>)> done) override {
+    asked.push_back("from:" + std::to_string(offset));
+    answer(reads, std::move(done));
+  }
+  void put(const std::string&, const keyed_record&, std::function<void(absl::Status)>) override {}
+
+  std::deque<absl::StatusOr<keyed_snapshot>> newest;
+  std::deque<absl::StatusOr<keyed_snapshot>> reads;
+  std::vector<std::string> asked;
+
+private:
+  void answer(std::deque<absl::StatusOr<keyed_snapshot>>& script,
+              std::function<void(absl::StatusOr<keyed_snapshot>)> done) {
+    if (script.empty()) {
+      return;
+    }
+    asio::post(io_, [done = std::move(done), next = std::move(script.front())] { done(next); });
+    script.pop_front();
+  }
+
+  asio::io_context& io_;
+};
+
+TEST_CASE("a watch reads all pages, follows later records and starts anew after a gap") {
+  // Guards against a change that is missed because the store dropped its history or a page.
+  asio::io_context io;
+  event_log log("test");
+  scripted_store store(io);
+  store.newest.push_back(keyed_snapshot{{{"a", "1"}}, 5, true});
+  store.newest.push_back(keyed_snapshot{{{"b", "1"}}, 6, false});
+  store.reads.push_back(keyed_snapshot{{{"a", "2"}}, 7, false});
+  store.reads.push_back(absl::OutOfRangeError("deleted"));
+  store.newest.push_back(absl::UnavailableError("busy"));
+  store.newest.push_back(keyed_snapshot{{{"a", "4"}}, 40, false});
+  std::vector<std::string> seen;
+  keyed_watch watch(io, store, log, "topic", {milliseconds(1), milliseconds(1), milliseconds(2)},
+                    [&](const keyed_record& record) { seen.push_back(record.key + record.value); });
+  watch.start();
+  io.run_for(std::chrono::seconds(2));
+  CHECK(watch.caught_up());
+  CHECK(seen == std::vector<std::string>{"a1", "b1", "a2", "a4"});
+  CHECK(store.asked == std::vector<std::string>{"newest:", "newest:a", "from:5", "from:7",
+                                                "newest:", "newest:", "from:40"});
+}
+
+} // namespace
+} // namespace parsleylead
--- /dev/null
+++ b/src/web/web_test.cpp
@@ -0,0 +1,164 @@
+#include <doctest/doctest.h>
+
+#include <asio/connect.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+
+#include "parsleylead/web/web_client.hpp"
+#include "parsleylead/web/web_server.hpp"
+
+namespace parsleylead {
+namespace {
+
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+constexpr std::chrono::seconds test_limit{5};
+
+endpoint free_address(asio::io_context& io) {
+  tcp::acceptor probe(io, {asio::ip::make_address("127.0.0.1"), 0});
+  return {"127.0.0.1", probe.local_endpoint().port()};
+}
+
+TEST_CASE("requests on one connection are answered in turn, with their bodies") {
+  asio::io_context io;
+  const auto address = free_address(io);
+  web_server server(io, {}, [](const std::shared_ptr<web_exchange>& exchange) {
+    exchange->respond(
+        {200,
+         {},
+         exchange->request().method + exchange->request().target + exchange->request().body});
+  });
+  REQUIRE(server.listen(address).ok());
+  web_client client(io, address, 1);
+  std::vector<std::string> bodies;
+  for (const char* body : {"one", "two", "three"}) {
+    client.call({"POST", "/path", {}, body}, milliseconds(2'000),
+                [&](absl::StatusOr<web_response> response) {
+                  REQUIRE(response.ok());
+                  bodies.push_back(response->body);
+                  if (bodies.size() == 3) {
+                    io.stop();
+                  }
+                });
+  }
+  io.run_for(test_limit);
+  CHECK(bodies == std::vector<std::string>{"POST/pathone", "POST/pathtwo", "POST/paththree"});
+  CHECK(server.connections() == 1);
+}
+
+TEST_CASE("a call without an answer ends with its time-out, and the next one works") {
+  asio::io_context io;
+  const auto address = free_address(io);
+  std::vector<std::shared_ptr<web_exchange>> held;
+  web_server server(io, {}, [&](const std::shared_ptr<web_exchange>& exchange) {
+    if (exchange->request().target == "/hold") {
+      held.push_back(exchange);
+    } else {
+      exchange->respond({204, {}, ""});
+    }
+  });
+  REQUIRE(server.listen(address).ok());
+  web_client client(io, address, 1);
+  absl::StatusCode first = absl::StatusCode::kOk;
+  int second = 0;
+  client.call({"GET", "/hold", {}, ""}, milliseconds(50), [&](absl::StatusOr<web_response> got) {
+    first = got.status().code();
+    client.call({"GET", "/", {}, ""}, milliseconds(2'000), [&](absl::StatusOr<web_response> next) {
+      REQUIRE(next.ok());
+      second = next->status;
+      io.stop();
+    });
+  });
+  io.run_for(test_limit);
+  CHECK(first == absl::StatusCode::kDeadlineExceeded);
+  CHECK(second == 204);
+}
+
+TEST_CASE("a refused connection says that nothing was sent") {
+  // Guards the difference between an order that was never sent and one that may be carried out.
+  asio::io_context io;
+  const auto address = free_address(io);
+  web_client client(io, address, 1);
+  absl::StatusCode code = absl::StatusCode::kOk;
+  client.call({"GET", "/", {}, ""}, milliseconds(2'000), [&](absl::StatusOr<web_response> got) {
+    code = got.status().code();
+    io.stop();
+  });
+  io.run_for(test_limit);
+  CHECK(code == absl::StatusCode::kUnavailable);
+}
+
+std::string send_raw(asio::io_context& io, const endpoint& address, const std::string& bytes) {
+  tcp::socket socket(io);
+  socket.connect({asio::ip::make_address(address.ip), address.port});
+  asio::write(socket, asio::buffer(bytes));
+  std::string received(4'096, '\0');
+  std::size_t count = 0;
+  socket.async_read_some(asio::buffer(received), [&](const asio::error_code&, std::size_t got) {
+    count = got;
+    io.stop();
+  });
+  io.run_for(test_limit);
+  io.restart();
+  received.resize(count);
+  return received;
+}
+
+TEST_CASE("malformed and oversized requests get a clear status") {
+  asio::io_context io;
+  const auto address = free_address(io);
+  web_server server(io, {1'024, 2'048, 10}, [](const std::shared_ptr<web_exchange>& exchange) {
+    exchange->respond({200, {}, ""});
+  });
+  REQUIRE(server.listen(address).ok());
+  CHECK(send_raw(io, address, "NONSENSE\r\n\r\n").find("400") != std::string::npos);
+  CHECK(send_raw(io, address,
+                 "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 4000\r\n\r\n" +
+                     std::string(4'000, 'x'))
+            .find("413") != std::string::npos);
+  CHECK(send_raw(io, address, "GET / HTTP/1.1\r\nx: " + std::string(3'000, 'y') + "\r\n\r\n")
+            .find("413") != std::string::npos);
+}
+
+TEST_CASE("a caller that leaves before its answer is noticed") {
+  // Guards against work for callers who are gone.
+  asio::io_context io;
+  const auto address = free_address(io);
+  bool abandoned = false;
+  std::shared_ptr<web_exchange> open;
+  auto socket = std::make_unique<tcp::socket>(io);
+  web_server server(io, {}, [&](const std::shared_ptr<web_exchange>& exchange) {
+    open = exchange;
+    exchange->on_abandoned([&] {
+      abandoned = true;
+      io.stop();
+    });
+    socket.reset();
+  });
+  REQUIRE(server.listen(address).ok());
+  socket->connect({asio::ip::make_address(address.ip), address.port});
+  asio::write(*socket, asio::buffer(std::string("GET / HTTP/1.1\r\nhost: a\r\n\r\n")));
+  io.run_for(test_limit);
+  CHECK(abandoned);
+  open->respond({200, {}, ""}); // Has no effect any more.
+}
+
+TEST_CASE("while the server closes, answers still arrive and say that the connection ends") {
+  asio::io_context io;
+  const auto address = free_address(io);
+  std::shared_ptr<web_exchange> open;
+  web_server server(io, {}, [&](const std::shared_ptr<web_exchange>& exchange) {
+    open = exchange;
+    server.close_after_response();
+    open->respond({200, {}, "whole"});
+  });
+  REQUIRE(server.listen(address).ok());
+  const auto response = send_raw(io, address, "GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+  CHECK(response.find("connection: close") != std::string::npos);
+  CHECK(response.ends_with("whole"));
+}
+
+} // namespace
+} // namespace parsleylead
