Send fewer bytes between availability zones

Change: frames are packed, the tasks of a job share one payload in a frame, and a report is sent only if it says something new.

--- a/include/parsleylead/fleet/fleet_agent.hpp
+++ b/include/parsleylead/fleet/fleet_agent.hpp
@@ -83,6 +83,8 @@
   void carry_out();
   void send_reports();
   worker_status status_for(const session& to) const;
+  static bool worth_sending(const worker_status& status, const session& to);
+  void add_status(session& to, monotonic_time now);
   void flush_soon();
   void flush();
   session* session_of(owner_id owner);
--- a/include/parsleylead/fleet/run_types.hpp
+++ b/include/parsleylead/fleet/run_types.hpp
@@ -118,17 +118,26 @@
   std::chrono::milliseconds ran{0};
 };
 
+/// What seldom changes about a worker.
+struct worker_description {
+  std::string worker_id;
+  std::string service;
+  std::string rack;
+  std::vector<std::string> labels;
+  resource_needs capacity;
+
+  bool operator==(const worker_description&) const = default;
+};
+
 /// What an agent reports about its worker.
 struct worker_status {
   /// A worker has announced itself and answers.
   bool present = false;
   /// The worker takes new tasks: it is not leaving, and neither is its agent.
   bool accepting = false;
-  std::string worker_id;
-  std::string service;
-  std::string rack;
-  std::vector<std::string> labels;
-  resource_needs capacity;
+  worker_description about;
+  /// `about` is left out of a report if it is the same as in the session's last one.
+  bool has_description = true;
   /// Running, starting and stopping.
   resource_needs committed;
   /// Processor demand of the orders that wait at the agent.
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -24,7 +24,8 @@
 
 struct Start {
   run @0 :RunId;
-  payload @1 :Text;
+  # Index into the payloads of the frame: the tasks of a job share one.
+  payload @1 :UInt32;
   needs @2 :Needs;
   estimateMs @3 :UInt32;
   # Time left until the latest start that meets the job's objective.
@@ -50,24 +51,30 @@
   waitedMs @3 :UInt32;
 }
 
-# What an agent says of its worker. Sent when it changes, at a bounded rate.
+# What seldom changes about a worker. Sent first in each session, then when it changes.
+struct WorkerDescription {
+  workerId @0 :Text;
+  service @1 :Text;
+  rack @2 :Text;
+  labels @3 :List(Text);
+  capacity @4 :Needs;
+}
+
+# The load of a worker. Sent when it changes, at a bounded rate.
 struct WorkerStatus {
   present @0 :Bool;
   accepting @1 :Bool;
-  workerId @2 :Text;
-  service @3 :Text;
-  rack @4 :Text;
-  labels @5 :List(Text);
-  capacity @6 :Needs;
+  # Absent if it is the same as in the last status of this session.
+  description @2 :WorkerDescription;
   # Running, starting and stopping.
-  committed @7 :Needs;
-  queuedCpuMillis @8 :UInt32;
+  committed @3 :Needs;
+  queuedCpuMillis @4 :UInt32;
   # Run time over the estimate, as a moving average in thousandths.
-  slowdownMillis @9 :UInt32;
+  slowdownMillis @5 :UInt32;
   # Failed runs among the latest ones, in thousandths.
-  failureMillis @10 :UInt32;
+  failureMillis @6 :UInt32;
   # Part of committed and queued that belongs to the receiver.
-  ownCpuMillis @11 :UInt32;
+  ownCpuMillis @7 :UInt32;
 }
 
 # A run that takes far longer than expected.
@@ -112,4 +119,5 @@
   # Stops of runs that will be placed again: their ends are reported.
   moves @11 :List(RunId);
   slow @12 :List(SlowRun);
+  payloads @13 :List(Text);
 }
--- a/src/fleet/fleet_agent.cpp
+++ b/src/fleet/fleet_agent.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <asio/post.hpp>
+#include <cmath>
 #include <utility>
 
 #include "parsleylead/fleet/format_run.hpp"
@@ -13,6 +14,8 @@
 
 // Clocks of workers may be this much slow; a lease lasts longer by that.
 constexpr double worker_clock_error = 0.02;
+// Smaller changes of a worker's pace and failures are not reported.
+constexpr double min_reported_change = 0.05;
 // Time that a worker needs to end its runs.
 constexpr milliseconds worker_stop_time{60};
 // Pause before the next request after a lost answer, and after a refused connection or a longer
@@ -33,6 +36,7 @@
   monotonic_time last_heard{};
   monotonic_time status_sent{};
   bool status_due = false;
+  std::optional<worker_status> sent_status;
   fleet_frame out;
 };
 
@@ -183,6 +187,7 @@
   from.last_heard = lease_now();
   from.status_due = true;
   from.status_sent = {};
+  from.sent_status.reset();
   log_.write("session_opened", "entry", from.entry, "incarnation", from.incarnation, "address",
              from.address);
 }
@@ -432,11 +437,7 @@
     return status;
   }
   status.accepting = !leaving_ && !worker_->draining;
-  status.worker_id = worker_->id;
-  status.service = worker_->service;
-  status.rack = worker_->rack;
-  status.labels = worker_->labels;
-  status.capacity = table_.capacity();
+  status.about = {worker_->id, worker_->service, worker_->rack, worker_->labels, table_.capacity()};
   status.committed = table_.committed();
   status.queued_cpu_millis = table_.queued_cpu_millis();
   status.own_cpu_millis = table_.owner_cpu_millis(to.owner);
@@ -445,6 +446,31 @@
   return status;
 }
 
+bool fleet_agent::worth_sending(const worker_status& status, const session& to) {
+  if (!to.sent_status) {
+    return true;
+  }
+  const auto& sent = *to.sent_status;
+  return status.present != sent.present || status.accepting != sent.accepting ||
+         status.about != sent.about || status.committed != sent.committed ||
+         status.queued_cpu_millis != sent.queued_cpu_millis ||
+         status.own_cpu_millis != sent.own_cpu_millis ||
+         std::abs(status.slowdown - sent.slowdown) > min_reported_change * sent.slowdown ||
+         std::abs(status.failure_share - sent.failure_share) > min_reported_change;
+}
+
+void fleet_agent::add_status(session& to, monotonic_time now) {
+  auto status = status_for(to);
+  to.status_due = false;
+  if (!worth_sending(status, to)) {
+    return;
+  }
+  status.has_description = !to.sent_status || to.sent_status->about != status.about;
+  to.status_sent = now;
+  to.sent_status = status;
+  to.out.status = std::move(status);
+}
+
 void fleet_agent::send_reports() {
   const auto now = lease_now();
   if (std::exchange(status_dirty_, false)) {
@@ -459,9 +485,7 @@
     const bool carries_news = !each->out.empty();
     if (each->status_due &&
         (carries_news || now - each->status_sent >= settings_.timing.status_interval)) {
-      each->out.status = status_for(*each);
-      each->status_due = false;
-      each->status_sent = now;
+      add_status(*each, now);
     }
     if (!each->out.empty()) {
       each->out.leaving = leaving_;
--- a/src/fleet/fleet_frame.cpp
+++ b/src/fleet/fleet_frame.cpp
@@ -1,10 +1,10 @@
 #include "parsleylead/fleet/fleet_frame.hpp"
 
 #include <capnp/message.h>
-#include <capnp/serialize.h>
+#include <capnp/serialize-packed.h>
 #include <cmath>
-#include <cstring>
 #include <kj/exception.h>
+#include <kj/io.h>
 
 #include "generated/fleet.capnp.h"
 
@@ -56,7 +56,6 @@
 
 void write(wire::Start::Builder out, const start_order& order) {
   write(out.initRun(), order.run);
-  out.setPayload(order.payload);
   write(out.initNeeds(), order.needs);
   out.setEstimateMs(static_cast<std::uint32_t>(order.estimate.count()));
   out.setDueInMs(order.due_in.count());
@@ -65,24 +64,42 @@
 
 start_order read(wire::Start::Reader in) {
   return {read(in.getRun()),
-          text(in.getPayload()),
+          {},
           read(in.getNeeds()),
           milliseconds(in.getEstimateMs()),
           milliseconds(in.getDueInMs()),
           milliseconds(in.getMaxWaitMs())};
 }
 
+void write(wire::WorkerDescription::Builder out, const worker_description& about) {
+  out.setWorkerId(about.worker_id);
+  out.setService(about.service);
+  out.setRack(about.rack);
+  auto labels = out.initLabels(static_cast<unsigned>(about.labels.size()));
+  for (unsigned i = 0; i < labels.size(); ++i) {
+    labels.set(i, about.labels[i]);
+  }
+  write(out.initCapacity(), about.capacity);
+}
+
+worker_description read(wire::WorkerDescription::Reader in) {
+  worker_description about;
+  about.worker_id = text(in.getWorkerId());
+  about.service = text(in.getService());
+  about.rack = text(in.getRack());
+  for (const auto label : in.getLabels()) {
+    about.labels.push_back(text(label));
+  }
+  about.capacity = read(in.getCapacity());
+  return about;
+}
+
 void write(wire::WorkerStatus::Builder out, const worker_status& status) {
   out.setPresent(status.present);
   out.setAccepting(status.accepting);
-  out.setWorkerId(status.worker_id);
-  out.setService(status.service);
-  out.setRack(status.rack);
-  auto labels = out.initLabels(static_cast<unsigned>(status.labels.size()));
-  for (unsigned i = 0; i < labels.size(); ++i) {
-    labels.set(i, status.labels[i]);
+  if (status.has_description) {
+    write(out.initDescription(), status.about);
   }
-  write(out.initCapacity(), status.capacity);
   write(out.initCommitted(), status.committed);
   out.setQueuedCpuMillis(status.queued_cpu_millis);
   out.setOwnCpuMillis(status.own_cpu_millis);
@@ -94,13 +111,10 @@
   worker_status status;
   status.present = in.getPresent();
   status.accepting = in.getAccepting();
-  status.worker_id = text(in.getWorkerId());
-  status.service = text(in.getService());
-  status.rack = text(in.getRack());
-  for (const auto label : in.getLabels()) {
-    status.labels.push_back(text(label));
+  status.has_description = in.hasDescription();
+  if (status.has_description) {
+    status.about = read(in.getDescription());
   }
-  status.capacity = read(in.getCapacity());
   status.committed = read(in.getCommitted());
   status.queued_cpu_millis = in.getQueuedCpuMillis();
   status.own_cpu_millis = in.getOwnCpuMillis();
@@ -150,6 +164,34 @@
   return static_cast<unsigned>(size);
 }
 
+/// Consecutive starts with the same payload share one copy of it.
+void write_starts(wire::Frame::Builder out, const std::vector<start_order>& orders) {
+  std::vector<const std::string*> payloads;
+  auto starts = out.initStarts(count(orders.size()));
+  for (unsigned i = 0; i < starts.size(); ++i) {
+    if (payloads.empty() || *payloads.back() != orders[i].payload) {
+      payloads.push_back(&orders[i].payload);
+    }
+    write(starts[i], orders[i]);
+    starts[i].setPayload(count(payloads.size() - 1));
+  }
+  auto texts = out.initPayloads(count(payloads.size()));
+  for (unsigned i = 0; i < texts.size(); ++i) {
+    texts.set(i, *payloads[i]);
+  }
+}
+
+/// Starts without a payload are left out: only a broken peer sends them.
+void read_starts(wire::Frame::Reader in, std::vector<start_order>& orders) {
+  const auto payloads = in.getPayloads();
+  for (const auto start : in.getStarts()) {
+    if (start.getPayload() < payloads.size()) {
+      orders.push_back(read(start));
+      orders.back().payload = text(payloads[start.getPayload()]);
+    }
+  }
+}
+
 void write_hello(wire::Hello::Builder out, const session_hello& hello) {
   out.setVersion(wire::PROTOCOL_VERSION);
   out.setName(hello.sender.name);
@@ -172,7 +214,7 @@
   if (in.hasHello()) {
     frame.hello = read_hello(in.getHello());
   }
-  read_all(in.getStarts(), frame.starts);
+  read_starts(in, frame.starts);
   read_all(in.getStops(), frame.stops);
   read_all(in.getMoves(), frame.moves);
   read_all(in.getEnds(), frame.ends);
@@ -204,7 +246,7 @@
     write_hello(out.initHello(), *frame.hello);
   }
   if (!frame.starts.empty()) {
-    write_all(out.initStarts(count(frame.starts.size())), frame.starts);
+    write_starts(out, frame.starts);
   }
   if (!frame.stops.empty()) {
     write_all(out.initStops(count(frame.stops.size())), frame.stops);
@@ -233,21 +275,19 @@
     out.setRoutes(frame.routes);
   }
   out.setLeaving(frame.leaving);
-  const auto words = capnp::messageToFlatArray(message);
-  const auto bytes = words.asBytes();
+  // Most words of a frame are zero: packing leaves them out.
+  kj::VectorOutputStream stream;
+  capnp::writePackedMessage(stream, message);
+  const auto bytes = stream.getArray();
   return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
 }
 
 absl::StatusOr<fleet_frame> decode_frame(std::string_view bytes) {
-  if (bytes.size() % sizeof(capnp::word) != 0 || bytes.empty()) {
-    return absl::InvalidArgumentError("a frame's length is not a multiple of a word");
-  }
-  // The reader needs aligned words.
-  auto words = kj::heapArray<capnp::word>(bytes.size() / sizeof(capnp::word));
-  std::memcpy(words.asBytes().begin(), bytes.data(), bytes.size());
   std::optional<fleet_frame> frame;
   auto failure = kj::runCatchingExceptions([&] {
-    capnp::FlatArrayMessageReader message(words);
+    kj::ArrayInputStream stream(
+        kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
+    capnp::PackedMessageReader message(stream);
     const auto root = message.getRoot<wire::Frame>();
     if (!root.hasHello() || root.getHello().getVersion() == wire::PROTOCOL_VERSION) {
       frame = read_frame(root);
--- a/src/fleet/fleet_frame_test.cpp
+++ b/src/fleet/fleet_frame_test.cpp
@@ -26,9 +26,9 @@
   frame.slow.push_back({{{8, 0, 1}, 1}, 12, milliseconds(900)});
   worker_status status;
   status.present = true;
-  status.service = "desk";
-  status.labels = {"a", "r1"};
-  status.capacity = {32'000, 65'536, 0};
+  status.about.service = "desk";
+  status.about.labels = {"a", "r1"};
+  status.about.capacity = {32'000, 65'536, 0};
   status.slowdown = 1.25;
   status.failure_share = 0.125;
   frame.status = status;
@@ -57,7 +57,7 @@
   REQUIRE(got->ends.size() == 1);
   CHECK(got->ends[0].outcome == run_outcome::lost);
   REQUIRE(got->status.has_value());
-  CHECK(got->status->labels == sent.status->labels);
+  CHECK(got->status->about.labels == sent.status->about.labels);
   CHECK(got->status->slowdown == doctest::Approx(1.25));
   CHECK(got->members == sent.members);
   REQUIRE(got->outstanding.has_value());
@@ -65,10 +65,28 @@
   CHECK(got->leaving);
 }
 
+TEST_CASE("the tasks of a job share one copy of its payload") {
+  // Guards the bytes between availability zones.
+  fleet_frame frame;
+  const std::string payload(1'000, 'p');
+  for (std::uint32_t index = 0; index < 8; ++index) {
+    frame.starts.push_back({{{1, 0, index}, 1}, payload, {}, {}, {}, {}});
+  }
+  frame.starts.push_back({{{2, 0, 0}, 1}, "other", {}, {}, {}, {}});
+  const auto bytes = encode_frame(frame);
+  CHECK(bytes.size() < 2 * payload.size());
+  const auto got = decode_frame(bytes);
+  REQUIRE(got.ok());
+  REQUIRE(got->starts.size() == 9);
+  CHECK(got->starts[7].payload == payload);
+  CHECK(got->starts[8].payload == "other");
+}
+
 TEST_CASE("bytes that are no frame are refused, never read past their end") {
   // Guards against a crash by a broken or foreign peer.
   CHECK_FALSE(decode_frame("").ok());
   CHECK_FALSE(decode_frame("abc").ok());
+  CHECK_FALSE(decode_frame(std::string(3, '\0')).ok());
   CHECK_FALSE(decode_frame(std::string(64, '\xff')).ok());
   const auto bytes = encode_frame(full_frame());
   std::mt19937 random(5);
@@ -77,7 +95,7 @@
     for (int k = 0; k < 4; ++k) {
       mutated[random() % mutated.size()] = static_cast<char>(random());
     }
-    mutated.resize(mutated.size() - 8 * (random() % 4));
+    mutated.resize(mutated.size() - (random() % 32));
     const auto decoded = decode_frame(mutated);
     CHECK((decoded.ok() || !decoded.status().message().empty()));
   }
--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -209,7 +209,10 @@
 
 void fleet_scheduler::worker_reported(worker_index index, const worker_status& status,
                                       monotonic_time /*now*/) {
-  workers_.at(index)->status = status;
+  auto& known = workers_.at(index)->status;
+  auto about = status.has_description ? status.about : std::move(known.about);
+  known = status;
+  known.about = std::move(about);
 }
 
 void fleet_scheduler::session_opened(worker_index index, bool same_agent, monotonic_time now) {
@@ -262,11 +265,12 @@
   const auto& status = each.status;
   const double others = static_cast<double>(status.committed.cpu_millis) +
                         status.queued_cpu_millis - status.own_cpu_millis;
-  return static_cast<double>(status.capacity.cpu_millis) - std::max(0.0, others) - each.own_cpu;
+  return static_cast<double>(status.about.capacity.cpu_millis) - std::max(0.0, others) -
+         each.own_cpu;
 }
 
 double fleet_scheduler::run_time_ms(const worker& each, const job_step& step) const {
-  const bool far = !step.preferred_rack.empty() && step.preferred_rack != each.status.rack;
+  const bool far = !step.preferred_rack.empty() && step.preferred_rack != each.status.about.rack;
   const double success = 1.0 - std::min(each.status.failure_share, 0.9);
   return ms(step.estimate) * each.status.slowdown * (far ? remote_rack_factor : 1.0) / success;
 }
@@ -275,12 +279,13 @@
                               std::uint32_t step_number) const {
   const auto& status = candidate.status;
   const auto& step = owner.spec.steps[step_number];
-  if (!status.present || !status.accepting || status.service != owner.spec.terms.service ||
-      !fits(step.needs, {}, status.capacity)) {
+  if (!status.present || !status.accepting || status.about.service != owner.spec.terms.service ||
+      !fits(step.needs, {}, status.about.capacity)) {
     return false;
   }
-  return step.required_label.empty() || std::find(status.labels.begin(), status.labels.end(),
-                                                  step.required_label) != status.labels.end();
+  return step.required_label.empty() ||
+         std::find(status.about.labels.begin(), status.about.labels.end(), step.required_label) !=
+             status.about.labels.end();
 }
 
 bool fleet_scheduler::could_ever_run(const job& owner, std::uint32_t step) const {
@@ -302,7 +307,7 @@
     if (!candidate.session || !can_run(candidate, owner, step_number)) {
       continue;
     }
-    const double capacity = candidate.status.capacity.cpu_millis;
+    const double capacity = candidate.status.about.capacity.cpu_millis;
     const double free = free_cpu(candidate);
     const double missing = step.needs.cpu_millis - free;
     if (missing > 0 && (only_fitting || missing > policy_.queue_ahead * capacity)) {
@@ -461,7 +466,7 @@
   auto& owner = *jobs_.at(end.run.task.job);
   const auto [id, step, number] = end.run.task;
   unplace(owner, step, number);
-  owner.result.last_worker = workers_[index]->status.worker_id;
+  owner.result.last_worker = workers_[index]->status.about.worker_id;
   owner.ran = owner.ran || end.outcome != run_outcome::not_started;
   switch (end.outcome) {
   case run_outcome::done:
--- a/src/fleet/fleet_scheduler_test.cpp
+++ b/src/fleet/fleet_scheduler_test.cpp
@@ -16,9 +16,9 @@
   worker_status status;
   status.present = true;
   status.accepting = true;
-  status.worker_id = "w";
-  status.service = "desk";
-  status.capacity = {cpu_millis, 65'536, 0};
+  status.about.worker_id = "w";
+  status.about.service = "desk";
+  status.about.capacity = {cpu_millis, 65'536, 0};
   return status;
 }
 
