Let jobs wait for the first worker reports after an entry's start

Cause: after a loss of all hosts the restarted entries refused jobs with no_capable_worker in the 0.1 to 0.3 s before their agents reported.

--- a/include/parsleylead/fleet/fleet_scheduler.hpp
+++ b/include/parsleylead/fleet/fleet_scheduler.hpp
@@ -40,6 +40,9 @@
   double max_failure_share = 0.5;
   /// A slow run is moved if it saves at least this time.
   std::chrono::milliseconds min_move_gain{250};
+  /// After the start of this process, jobs wait for the first workers of their service to report:
+  /// agents need a second or two after a loss of all hosts. Later such jobs are refused at once.
+  std::chrono::milliseconds first_report_wait{5'000};
   /// Waiting tasks of one entry at most.
   std::size_t max_backlog = 20'000;
 };
@@ -121,6 +124,7 @@
   task* find_task(const run_id& run, worker_index on);
   bool can_run(const worker& candidate, const job& owner, std::uint32_t step) const;
   bool could_ever_run(const job& owner, std::uint32_t step) const;
+  bool may_still_report(const std::string& service, monotonic_time now) const;
   double free_cpu(const worker& each) const;
   double run_time_ms(const worker& each, const job_step& step) const;
   std::optional<choice> choose(const job& owner, std::uint32_t step, const task& each,
@@ -147,6 +151,7 @@
   std::vector<placed_stop> stops_;
   std::vector<job_result> results_;
   std::size_t backlog_ = 0;
+  monotonic_time first_used_{};
   /// Moving average of the time for which a run holds its room.
   double mean_run_ms_ = 250.0;
 };
--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -91,6 +91,9 @@
 
 void fleet_scheduler::submit(fleet_job spec, monotonic_time now) {
   check_invariant(!jobs_.contains(spec.id), "entry: a job is submitted twice");
+  if (first_used_ == monotonic_time{}) {
+    first_used_ = now;
+  }
   auto made = std::make_unique<job>();
   auto& owner = *made;
   owner.arrived = now;
@@ -116,7 +119,7 @@
   owner.late = now + std::chrono::round<milliseconds>(objective * policy_.late_factor);
   jobs_.emplace(owner.spec.id, std::move(made));
   for (std::uint32_t step = 0; step < owner.spec.steps.size(); ++step) {
-    if (!could_ever_run(owner, step)) {
+    if (!could_ever_run(owner, step) && !may_still_report(owner.spec.terms.service, now)) {
       finish(owner, job_verdict::not_run, job_cause::no_capable_worker, now);
       return;
     }
@@ -261,6 +264,13 @@
   }));
 }
 
+bool fleet_scheduler::may_still_report(const std::string& service, monotonic_time now) const {
+  return now - first_used_ < policy_.first_report_wait &&
+         std::none_of(workers_.begin(), workers_.end(), [&](const auto& each) {
+           return each->session && each->status.present && each->status.about.service == service;
+         });
+}
+
 double fleet_scheduler::free_cpu(const worker& each) const {
   const auto& status = each.status;
   const double others = static_cast<double>(status.committed.cpu_millis) +
--- a/src/fleet/fleet_scheduler_test.cpp
+++ b/src/fleet/fleet_scheduler_test.cpp
@@ -207,6 +207,25 @@
   }
 }
 
+TEST_CASE("after the start, jobs wait for the first worker to report") {
+  // Guards against refusals in the moment after all hosts were restarted.
+  fixture fleet(0);
+  CHECK(fleet.submit(make_job(1, 2)).empty());
+  CHECK(fleet.scheduler.take_results().empty());
+  const auto worker = fleet.scheduler.worker_for("agent", "a");
+  fleet.scheduler.session_opened(worker, false, at_ms(100));
+  fleet.scheduler.worker_reported(worker, idle_worker(), at_ms(100));
+  fleet.scheduler.tick(at_ms(100));
+  CHECK(fleet.scheduler.take_starts().size() == 2);
+
+  fixture without_workers(0);
+  without_workers.submit(make_job(1, 1));
+  without_workers.scheduler.tick(at_ms(420));
+  CHECK(without_workers.scheduler.take_results().size() == 1);
+  without_workers.submit(make_job(2, 1), 6'000);
+  CHECK(without_workers.scheduler.take_results().size() == 1);
+}
+
 TEST_CASE("jobs that arrive in one turn of the loop are not refused while workers are idle") {
   // Guards against taking jobs that were not yet tried for a backlog.
   fixture fleet(20);
