--- a/include/parsleylead/fleet/fleet_job.hpp
+++ b/include/parsleylead/fleet/fleet_job.hpp
@@ -34,6 +34,8 @@
   double stretch = 1.0;
   /// Failed runs of one task after which the job has failed.
   std::uint32_t max_attempts = 1;
+  /// The operators' order of importance: 0 comes first.
+  std::uint32_t priority = 0;
 };
 
 /// A job that is answered when it has ended and is kept in memory only.
--- a/include/parsleylead/fleet/run_types.hpp
+++ b/include/parsleylead/fleet/run_types.hpp
@@ -75,6 +75,8 @@
   std::chrono::milliseconds due_in{0};
   /// The agent returns the order unstarted after this time.
   std::chrono::milliseconds max_wait{0};
+  /// The operators' order of importance: 0 comes first.
+  std::uint32_t priority = 0;
 };
 
 /// How a run ended. The numeric values are those of schema/fleet.capnp.
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -32,6 +32,8 @@
   dueInMs @4 :Int64;
   # The agent returns the start unstarted after waiting for this long.
   maxWaitMs @5 :UInt32;
+  # The operators' order of importance: 0 comes first.
+  priority @6 :UInt32;
 }
 
 enum Outcome {
--- a/src/fleet/fleet_frame.cpp
+++ b/src/fleet/fleet_frame.cpp
@@ -60,6 +60,7 @@
   out.setEstimateMs(static_cast<std::uint32_t>(order.estimate.count()));
   out.setDueInMs(order.due_in.count());
   out.setMaxWaitMs(static_cast<std::uint32_t>(order.max_wait.count()));
+  out.setPriority(order.priority);
 }
 
 start_order read(wire::Start::Reader in) {
@@ -68,7 +69,8 @@
           read(in.getNeeds()),
           milliseconds(in.getEstimateMs()),
           milliseconds(in.getDueInMs()),
-          milliseconds(in.getMaxWaitMs())};
+          milliseconds(in.getMaxWaitMs()),
+          in.getPriority()};
 }
 
 void write(wire::WorkerDescription::Builder out, const worker_description& about) {
--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -374,6 +374,7 @@
   order.run = {key, each.attempts};
   order.payload = owner.spec.payload;
   order.needs = owner.spec.steps[step].needs;
+  order.priority = owner.spec.terms.priority;
   order.estimate = owner.spec.steps[step].estimate;
   order.due_in = std::chrono::round<milliseconds>(owner.objective - now - double_ms(where.run_ms));
   order.max_wait = where.fits_now ? policy_.fitting_max_wait : policy_.queued_max_wait;
@@ -421,6 +422,9 @@
     if (a_late != b_late) {
       return b_late;
     }
+    if (a->spec.terms.priority != b->spec.terms.priority) {
+      return a->spec.terms.priority < b->spec.terms.priority;
+    }
     return a->objective < b->objective;
   });
   int unplaced = 0;
--- a/src/runs/run_table.cpp
+++ b/src/runs/run_table.cpp
@@ -345,6 +345,9 @@
     if (left_late != right_late) {
       return right_late;
     }
+    if (left.order.priority != right.order.priority) {
+      return left.order.priority < right.order.priority;
+    }
     return left_late ? left.added < right.added : left.due < right.due;
   });
   std::vector<task_key> still_waiting;
