Add the fault soak with stand-ins of the store and the workers; keep runs of a reborn worker

Change: a new life under the same id ends no run; the next list of the worker shows which are gone. The test fails without it.

--- a/include/parsleylead/fleet/fleet_entry.hpp
+++ b/include/parsleylead/fleet/fleet_entry.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -29,6 +30,8 @@
   std::uint64_t incarnation = 0;
   /// For frame links of agents and other entries.
   endpoint listen;
+  /// Address by which others reach this entry, if it is not `listen`.
+  std::optional<endpoint> advertised;
   link_timing timing;
   fleet_policy policy;
   /// Links to other entries at most; bounds the exchange on large sites.
@@ -68,8 +71,8 @@
 
   bool is_open(std::uint64_t id) const { return scheduler_.is_open(id); }
   std::size_t open_jobs() const { return scheduler_.open_jobs(); }
-  std::size_t waiting_jobs(const std::string& service) const {
-    return scheduler_.waiting_jobs(service);
+  std::size_t waiting_jobs(const std::string& queue) const {
+    return scheduler_.waiting_jobs(queue);
   }
   bool has_worker() const { return scheduler_.has_worker(); }
   const fleet_member& self() const { return self_; }
--- a/include/parsleylead/fleet/fleet_job.hpp
+++ b/include/parsleylead/fleet/fleet_job.hpp
@@ -27,6 +27,8 @@
 
 /// The terms that the operators' routes give to a job.
 struct job_terms {
+  /// Name of the route.
+  std::string queue;
   std::string service;
   /// Time beyond the work itself within which the job should end.
   std::chrono::milliseconds target{0};
--- a/include/parsleylead/fleet/fleet_scheduler.hpp
+++ b/include/parsleylead/fleet/fleet_scheduler.hpp
@@ -104,8 +104,8 @@
   std::vector<job_result> take_results() { return std::exchange(results_, {}); }
 
   std::size_t open_jobs() const { return jobs_.size(); }
-  /// Jobs of the service without a started task.
-  std::size_t waiting_jobs(const std::string& service) const;
+  /// Jobs of the queue without a started task.
+  std::size_t waiting_jobs(const std::string& queue) const;
   std::size_t backlog() const { return backlog_; }
   bool has_worker() const;
   std::string worker_name(worker_index worker) const;
--- a/include/parsleylead/runs/run_table.hpp
+++ b/include/parsleylead/runs/run_table.hpp
@@ -65,8 +65,7 @@
 /// run from then on, and a list taken after that confirmation does not show it.
 class run_table {
 public:
-  /// A worker (again) without runs: its first announcement, or a new life of it. Every run ends as
-  /// lost.
+  /// Another worker than before, which runs nothing of this table. Every run ends as lost.
   void worker_began(const resource_needs& capacity, monotonic_time now);
   void set_capacity(const resource_needs& capacity) { capacity_ = capacity; }
   /// The worker crashed or cannot be reached, and all leases on it have ended.
--- a/src/fleet/fleet_agent.cpp
+++ b/src/fleet/fleet_agent.cpp
@@ -235,11 +235,16 @@
                worker_->life);
     return;
   }
-  const bool fresh = !worker_ || worker_->id != announced.id || worker_->life != announced.life;
+  const bool other = !worker_ || worker_->id != announced.id;
+  const bool fresh = other || worker_->life != announced.life;
   const bool changed = fresh || worker_->draining != announced.draining;
   worker_ = announced;
-  if (fresh) {
+  if (other) {
     table_.worker_began(announced.capacity, now);
+  }
+  if (fresh) {
+    // A new life under the same id may already run what was started since it began: its next list
+    // shows which runs are lost.
     port_.attach(announced);
     extended_ = now;
     suspect_worker(true, "new worker");
--- a/src/web/write_message.cpp
+++ b/src/web/write_message.cpp
@@ -35,8 +35,10 @@
 }
 
 std::string write_request(const web_request& request, const std::string& authority) {
-  std::string out =
-      request.method + ' ' + request.target + " HTTP/1.1\r\nhost: " + authority + "\r\n";
+  std::string out = request.method + ' ' + request.target + " HTTP/1.1\r\n";
+  if (find_header(request.headers, "host").empty()) {
+    out += "host: " + authority + "\r\n";
+  }
   append_fields(out, request.headers, request.body);
   out += "\r\n";
   out += request.body;
--- /dev/null
+++ b/standins/standin-platform/store_service.cpp
@@ -0,0 +1,163 @@
+#include "store_service.hpp"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+#include "parsleylead/base/base64.hpp"
+
+namespace parsleylead::standin {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr milliseconds tick_interval{10};
+constexpr std::size_t length_bytes = 4;
+constexpr std::size_t offset_bytes = 8;
+
+std::string parameter(const std::string& target, const std::string& name) {
+  const auto at = target.find(name + "=", target.find('?'));
+  if (at == std::string::npos) {
+    return {};
+  }
+  const auto begin = at + name.size() + 1;
+  return target.substr(begin, target.find('&', begin) - begin);
+}
+
+std::uint64_t number(const std::string& text) {
+  std::uint64_t value = 0;
+  std::from_chars(text.data(), text.data() + text.size(), value);
+  return value;
+}
+
+void append_number(std::string& out, std::uint64_t value, std::size_t bytes) {
+  for (std::size_t i = bytes; i > 0; --i) {
+    out += static_cast<char>(value >> (8 * (i - 1)) & 0xffU);
+  }
+}
+
+std::uint64_t read_number(std::string_view bytes) {
+  std::uint64_t value = 0;
+  for (const char c : bytes) {
+    value = value << 8U | static_cast<unsigned char>(c);
+  }
+  return value;
+}
+
+} // namespace
+
+store_service::store_service(asio::io_context& io)
+    : server_(io, {}, [this](auto exchange) { handle(exchange); }), timer_(io) {
+  tick();
+}
+
+void store_service::put(const std::string& name, const std::string& key, const std::string& value) {
+  auto& to = topics_[name];
+  to.newest[key] = {to.end(), value};
+  to.records.push_back({key, value});
+}
+
+void store_service::forget_history() {
+  for (auto& [name, each] : topics_) {
+    each.first = each.end();
+    each.records.clear();
+  }
+}
+
+void store_service::answer(const std::shared_ptr<web_exchange>& exchange, web_response response) {
+  if (mode_ == answer_mode::lost) {
+    exchange->abort();
+  } else {
+    exchange->respond(std::move(response));
+  }
+}
+
+void store_service::handle(const std::shared_ptr<web_exchange>& exchange) {
+  if (mode_ == answer_mode::silent) {
+    unanswered_.push_back(exchange);
+    return;
+  }
+  if (mode_ == answer_mode::busy) {
+    exchange->respond({503, {}, "{}"});
+    return;
+  }
+  const auto& target = exchange->request().target;
+  const auto path = target.substr(0, target.find('?'));
+  const auto name = parameter(target, "topic");
+  if (path == "/log-append") {
+    append(exchange, name);
+  } else if (path == "/log-newest") {
+    read_newest(exchange, name);
+  } else if (path == "/log-read") {
+    const milliseconds wait(number(parameter(target, "wait_ms")));
+    read({exchange, name, number(parameter(target, "from")), steady_clock::now() + wait}, true);
+  } else {
+    exchange->respond({404, {}, "{}"});
+  }
+}
+
+void store_service::append(const std::shared_ptr<web_exchange>& exchange, const std::string& name) {
+  std::string_view body = exchange->request().body;
+  const auto offset = topics_[name].end();
+  while (body.size() > length_bytes) {
+    const auto length = read_number(body.substr(0, length_bytes));
+    const auto bytes = body.substr(length_bytes, length);
+    const auto key_length = static_cast<unsigned char>(bytes.front());
+    put(name, std::string(bytes.substr(1, key_length)), std::string(bytes.substr(1U + key_length)));
+    body.remove_prefix(std::min(body.size(), length_bytes + length));
+  }
+  answer(exchange, {200, {}, json{{"offset", offset}, {"end", topics_[name].end()}}.dump()});
+}
+
+void store_service::read_newest(const std::shared_ptr<web_exchange>& exchange,
+                                const std::string& name) {
+  json items = json::array();
+  for (const auto& [key, value] : topics_[name].newest) {
+    items.push_back(
+        {{"key", key}, {"value", encode_base64(value.second)}, {"offset", value.first}});
+  }
+  answer(
+      exchange,
+      {200, {}, json{{"items", items}, {"has_more", false}, {"end", topics_[name].end()}}.dump()});
+}
+
+void store_service::read(const waiting_read& request, bool may_wait) {
+  const auto& from = topics_[request.topic];
+  if (request.from < from.first) {
+    answer(request.exchange, {410, {}, json{{"first", from.first}}.dump()});
+    return;
+  }
+  if (may_wait && request.from >= from.end() && request.until > steady_clock::now()) {
+    reads_.push_back(request);
+    return;
+  }
+  std::string body;
+  append_number(body, from.end(), offset_bytes);
+  append_number(body, from.first, offset_bytes);
+  for (auto at = request.from; at < from.end(); ++at) {
+    const auto& each = from.records[at - from.first];
+    append_number(body, 1 + each.key.size() + each.value.size(), length_bytes);
+    body += static_cast<char>(each.key.size());
+    body += each.key + each.value;
+  }
+  answer(request.exchange, {200, {{"content-type", "application/octet-stream"}}, std::move(body)});
+}
+
+void store_service::tick() {
+  if (mode_ == answer_mode::normal) {
+    auto waiting = std::move(reads_);
+    reads_.clear();
+    for (const auto& each : waiting) {
+      read(each, true);
+    }
+  }
+  timer_.expires_after(tick_interval);
+  timer_.async_wait([this](const asio::error_code& error) {
+    if (!error) {
+      tick();
+    }
+  });
+}
+
+} // namespace parsleylead::standin
--- /dev/null
+++ b/standins/standin-platform/store_service.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdint>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "parsleylead/base/endpoint.hpp"
+#include "parsleylead/web/web_server.hpp"
+
+namespace parsleylead::standin {
+
+/// How a stand-in answers.
+enum class answer_mode : std::uint8_t {
+  normal,
+  /// Requests are never answered.
+  silent,
+  /// Requests are refused with 503 and have no effect.
+  busy,
+  /// Requests are carried out and their connections closed without an answer.
+  lost,
+};
+
+/// A test double of the platform's store, written from its protocol page: keyed topics with one
+/// partition, the newest records, reads that wait. Used on the loop's thread only.
+class store_service {
+public:
+  explicit store_service(asio::io_context& io);
+
+  absl::Status listen(const endpoint& address) { return server_.listen(address); }
+  void set_mode(answer_mode mode) { mode_ = mode; }
+  /// What an operator writes.
+  void put(const std::string& topic, const std::string& key, const std::string& value);
+  /// Deletes the history; the newest record of each key stays.
+  void forget_history();
+
+private:
+  struct record {
+    std::string key;
+    std::string value;
+  };
+  struct topic {
+    std::uint64_t first = 0;
+    std::vector<record> records;
+    std::map<std::string, std::pair<std::uint64_t, std::string>> newest;
+
+    std::uint64_t end() const { return first + records.size(); }
+  };
+  struct waiting_read {
+    std::shared_ptr<web_exchange> exchange;
+    std::string topic;
+    std::uint64_t from = 0;
+    std::chrono::steady_clock::time_point until;
+  };
+
+  void handle(const std::shared_ptr<web_exchange>& exchange);
+  void append(const std::shared_ptr<web_exchange>& exchange, const std::string& name);
+  void read(const waiting_read& request, bool may_wait);
+  void read_newest(const std::shared_ptr<web_exchange>& exchange, const std::string& name);
+  void answer(const std::shared_ptr<web_exchange>& exchange, web_response response);
+  void tick();
+
+  web_server server_;
+  asio::steady_timer timer_;
+  std::map<std::string, topic> topics_;
+  std::list<waiting_read> reads_;
+  std::vector<std::shared_ptr<web_exchange>> unanswered_;
+  answer_mode mode_ = answer_mode::normal;
+};
+
+} // namespace parsleylead::standin
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,56 @@
+// The fault soak: real processes under random faults, one seed after the other. See docs/PROOFS.md.
+
+#include <gflags/gflags.h>
+
+#include <chrono>
+#include <cstdio>
+#include <filesystem>
+
+#include "soak_site.hpp"
+
+DEFINE_string(binary, "build/bin/parsleylead-platform", "The program under test.");
+DEFINE_string(directory, "/tmp/parsleylead-soak", "Folder for settings and logs of each seed.");
+DEFINE_uint64(seed, 1, "First seed.");
+DEFINE_uint64(runs, 1, "Number of seeds, one after the other.");
+DEFINE_double(minutes, 0, "Plays further seeds until this time has passed, instead of --runs.");
+DEFINE_uint64(seconds, 10, "Time of faults in each run.");
+DEFINE_int32(entries, 3, "Number of entries.");
+DEFINE_int32(agents, 4, "Number of agents.");
+
+int main(int argc, char** argv) {
+  using namespace parsleylead::soak;
+  gflags::SetUsageMessage("plays random faults against real processes");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  const auto end = std::chrono::steady_clock::now() +
+                   std::chrono::duration_cast<std::chrono::steady_clock::duration>(
+                       std::chrono::duration<double, std::ratio<60>>(FLAGS_minutes));
+  std::size_t passed = 0;
+  std::size_t failed = 0;
+  for (std::uint64_t seed = FLAGS_seed;
+       FLAGS_minutes > 0 ? std::chrono::steady_clock::now() < end : seed < FLAGS_seed + FLAGS_runs;
+       ++seed) {
+    soak_options options;
+    options.binary = FLAGS_binary;
+    options.directory = FLAGS_directory + "/" + std::to_string(seed);
+    options.seed = seed;
+    options.duration = std::chrono::seconds(FLAGS_seconds);
+    options.entries = FLAGS_entries;
+    options.agents = FLAGS_agents;
+    std::filesystem::remove_all(options.directory);
+    std::filesystem::create_directories(options.directory);
+    const auto report = soak_site(options).run();
+    const bool good = report.violations.empty();
+    (good ? passed : failed) += 1;
+    std::printf("seed %llu: %s, %zu faults, %zu jobs: %zu completed, %zu failed, %zu refused, "
+                "%zu unanswered; %zu starts\n",
+                static_cast<unsigned long long>(seed), good ? "passed" : "FAILED", report.faults,
+                report.jobs, report.completed, report.failed, report.refused, report.unanswered,
+                report.starts);
+    for (const auto& each : report.violations) {
+      std::printf("  violation: %s\n", each.c_str());
+    }
+    std::fflush(stdout);
+  }
+  std::printf("%zu passed, %zu failed\n", passed, failed);
+  return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/tests/soak/soak_judge.cpp
@@ -0,0 +1,83 @@
+#include "soak_judge.hpp"
+
+namespace parsleylead::soak {
+namespace {
+
+using std::chrono::milliseconds;
+
+std::string job_of(const std::string& task) {
+  return task.substr(0, task.find('.'));
+}
+
+} // namespace
+
+void soak_judge::violation(const std::string& what) {
+  const auto at = std::chrono::round<milliseconds>(std::chrono::steady_clock::now() - began_);
+  violations_.push_back(std::to_string(at.count()) + " ms: " + what);
+}
+
+void soak_judge::submitted(const std::string& job, const std::string& payload,
+                           std::uint32_t tasks) {
+  auto& record = jobs_[job];
+  record.payload = payload;
+  record.tasks = tasks;
+}
+
+void soak_judge::completed(const std::string& job) {
+  const auto& record = jobs_.at(job);
+  if (record.done.size() != record.tasks) {
+    violation("job " + job + " was answered as completed with " +
+              std::to_string(record.done.size()) + " of " + std::to_string(record.tasks) +
+              " tasks done");
+  }
+}
+
+void soak_judge::refused(const std::string& job) {
+  auto& record = jobs_.at(job);
+  record.refused = true;
+  if (record.started && !again_.contains(job)) {
+    violation("job " + job + " was refused as not run after a task of it had started");
+  }
+}
+
+void soak_judge::run_started(const std::string& worker, const std::string& task,
+                             std::uint64_t /*run*/, const std::string& payload) {
+  ++starts_;
+  const auto found = jobs_.find(job_of(task));
+  if (found == jobs_.end()) {
+    violation("task " + task + " was started, but nobody submitted its job");
+    return;
+  }
+  found->second.started = true;
+  if (found->second.payload != payload) {
+    violation("task " + task + " was started with another payload");
+  }
+  if (found->second.refused && !again_.contains(found->first)) {
+    violation("task " + task + " was started after its job was refused");
+  }
+  const auto [at, added] =
+      running_.emplace(task, active_run{worker, std::chrono::steady_clock::now()});
+  if (!added) {
+    const auto since =
+        std::chrono::round<milliseconds>(std::chrono::steady_clock::now() - at->second.began);
+    violation("task " + task + " was started on " + worker + " while it ran on " +
+              at->second.worker + " for " + std::to_string(since.count()) + " ms" +
+              (again_.contains(found->first) ? ", its job was sent twice" : ""));
+  }
+}
+
+void soak_judge::run_ended(const std::string& worker, const std::string& task,
+                           const std::string& how) {
+  if (const auto at = running_.find(task); at != running_.end() && at->second.worker == worker) {
+    running_.erase(at);
+  }
+  if (how == "done") {
+    jobs_[job_of(task)].done.insert(task);
+  }
+}
+
+void soak_judge::overloaded(const std::string& worker) {
+  violation("worker " + worker + " was told to run more than it has room for");
+}
+
+} // namespace parsleylead::soak
