--- a/include/parsleylead/fleet/fleet_scheduler.hpp
+++ b/include/parsleylead/fleet/fleet_scheduler.hpp
@@ -29,13 +29,9 @@
   double late_factor = 3.0;
   /// A round trip to a worker in another availability zone.
   std::chrono::duration<double, std::milli> remote_round_trip{3.0};
-  /// Orders beyond a worker's room that an entry sends ahead, as a share of the capacity, so that a
-  /// worker whose run ends does not stand idle for a round trip.
-  double queue_ahead = 0.10;
-  /// An order that was expected to fit is returned by the agent after this time.
-  std::chrono::milliseconds fitting_max_wait{60};
-  /// An order that was sent ahead is returned by the agent after this time.
-  std::chrono::milliseconds queued_max_wait{250};
+  /// An agent returns an order that it had no room for after this time: reports of other entries'
+  /// orders may be that old.
+  std::chrono::milliseconds max_wait{60};
   /// Workers whose latest runs failed more often get a task only if no other worker is left.
   double max_failure_share = 0.5;
   /// A slow run is moved if it saves at least this time.
@@ -117,7 +113,6 @@
 
   struct choice {
     worker_index index = 0;
-    bool fits_now = true;
     double run_ms = 0;
   };
 
@@ -127,8 +122,7 @@
   bool may_still_report(const std::string& service, monotonic_time now) const;
   double free_cpu(const worker& each) const;
   double run_time_ms(const worker& each, const job_step& step) const;
-  std::optional<choice> choose(const job& owner, std::uint32_t step, const task& each,
-                               bool only_fitting);
+  std::optional<choice> choose(const job& owner, std::uint32_t step, const task& each);
   void place_ready(job& owner, monotonic_time now);
   void place(job& owner, std::uint32_t step, std::uint32_t index, choice where, monotonic_time now);
   void unplace(job& owner, std::uint32_t step, std::uint32_t index);
@@ -152,8 +146,6 @@
   std::vector<job_result> results_;
   std::size_t backlog_ = 0;
   monotonic_time first_used_{};
-  /// Moving average of the time for which a run holds its room.
-  double mean_run_ms_ = 250.0;
 };
 
 } // namespace parsleylead
--- a/include/parsleylead/fleet/run_types.hpp
+++ b/include/parsleylead/fleet/run_types.hpp
@@ -45,7 +45,9 @@
   std::uint32_t index = 0;
 
   bool operator==(const task_key&) const = default;
-  std::strong_ordering operator<=>(const task_key&) const = default;
+  // clang-tidy 14 takes the generated comparison with 0 for a null pointer.
+  std::strong_ordering
+  operator<=>(const task_key&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// One start of one task. `attempt` begins at 1 and rises with each start of the task.
--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -13,14 +13,18 @@
 using std::chrono::milliseconds;
 using double_ms = std::chrono::duration<double, std::milli>;
 
-// Weight of the newest run in the moving average of run times.
-constexpr double mean_run_weight = 0.02;
 // Weight of a worker's load in its score: of two equally fast workers the emptier one is chosen.
 constexpr double load_weight = 0.5;
 // Random part of the score, so that entries with the same view do not choose the same worker.
 constexpr double score_jitter = 0.15;
 // Factor on the run time on another rack than the one that holds the data.
 constexpr double remote_rack_factor = 1.5;
+// Added to the score of a worker that is used only if there is no other one, in milliseconds.
+constexpr double avoided_score = 1e6;
+// The progress of a run says how long it takes in all once this share of it is done.
+constexpr double min_telling_progress = 0.05;
+// A run that is moved is taken to need at most this many times its estimate.
+constexpr double max_estimate_error = 3.0;
 // Jobs without a place that one `pump` passes over before it stops looking.
 constexpr int max_unplaced_jobs = 32;
 // Moves of one task because of slow runs.
@@ -213,9 +217,11 @@
 void fleet_scheduler::worker_reported(worker_index index, const worker_status& status,
                                       monotonic_time /*now*/) {
   auto& known = workers_.at(index)->status;
-  auto about = status.has_description ? status.about : std::move(known.about);
+  auto about = std::move(known.about);
   known = status;
-  known.about = std::move(about);
+  if (!status.has_description) {
+    known.about = std::move(about);
+  }
 }
 
 void fleet_scheduler::session_opened(worker_index index, bool same_agent, monotonic_time now) {
@@ -304,10 +310,8 @@
   });
 }
 
-std::optional<fleet_scheduler::choice> fleet_scheduler::choose(const job& owner,
-                                                               std::uint32_t step_number,
-                                                               const task& each,
-                                                               bool only_fitting) {
+std::optional<fleet_scheduler::choice>
+fleet_scheduler::choose(const job& owner, std::uint32_t step_number, const task& each) {
   const auto& step = owner.spec.steps[step_number];
   std::optional<choice> best;
   double best_score = std::numeric_limits<double>::max();
@@ -319,8 +323,7 @@
     }
     const double capacity = candidate.status.about.capacity.cpu_millis;
     const double free = free_cpu(candidate);
-    const double missing = step.needs.cpu_millis - free;
-    if (missing > 0 && (only_fitting || missing > policy_.queue_ahead * capacity)) {
+    if (step.needs.cpu_millis > free) {
       continue;
     }
     if (step.max_per_worker > 0) {
@@ -335,16 +338,13 @@
     const double load = 1.0 - free / capacity;
     double score = run_ms * (1.0 + load_weight * load + jitter(random_));
     score += candidate.remote ? policy_.remote_round_trip.count() : 0.0;
-    if (missing > 0) {
-      score += missing / capacity * mean_run_ms_ * candidate.status.slowdown;
-    }
     const bool avoided = std::find(each.avoid.begin(), each.avoid.end(), index) != each.avoid.end();
     if (avoided || candidate.status.failure_share > policy_.max_failure_share) {
-      score += 1e6; // Only if there is no other worker.
+      score += avoided_score;
     }
     if (score < best_score) {
       best_score = score;
-      best = choice{index, missing <= 0, run_ms};
+      best = choice{index, run_ms};
     }
   }
   return best;
@@ -377,7 +377,7 @@
   order.priority = owner.spec.terms.priority;
   order.estimate = owner.spec.steps[step].estimate;
   order.due_in = std::chrono::round<milliseconds>(owner.objective - now - double_ms(where.run_ms));
-  order.max_wait = where.fits_now ? policy_.fitting_max_wait : policy_.queued_max_wait;
+  order.max_wait = policy_.max_wait;
   starts_.push_back({where.index, std::move(order)});
 }
 
@@ -396,7 +396,7 @@
       if (each.at != task::state::ready) {
         continue;
       }
-      const auto where = choose(owner, step, each, false);
+      const auto where = choose(owner, step, each);
       if (!where) {
         break;
       }
@@ -485,7 +485,6 @@
   switch (end.outcome) {
   case run_outcome::done:
     each->at = task::state::done;
-    mean_run_ms_ += mean_run_weight * (ms(end.ran) - mean_run_ms_);
     task_done(owner, step, now);
     return;
   case run_outcome::failed:
@@ -518,7 +517,7 @@
   }
   const auto& step = owner.spec.steps[slow.run.task.step];
   each->avoid.push_back(index);
-  const auto other = choose(owner, slow.run.task.step, *each, true);
+  const auto other = choose(owner, slow.run.task.step, *each);
   each->avoid.pop_back();
   if (!other || other->index == index) {
     return;
@@ -527,10 +526,11 @@
   const double done = slow.percent / 100.0;
   const double remaining = done > 0 ? ran * (1 - done) / done : ms(stalled_remaining);
   const double here = std::max(0.1, workers_[index]->status.slowdown);
+  const double there = workers_[other->index]->status.slowdown;
   const double anew =
-      done > 0.05 ? std::min(ran / done * workers_[other->index]->status.slowdown / here,
-                             3 * ms(step.estimate) * workers_[other->index]->status.slowdown)
-                  : other->run_ms;
+      done > min_telling_progress
+          ? std::min(ran / done * there / here, max_estimate_error * ms(step.estimate) * there)
+          : other->run_ms;
   const double gain = remaining - anew;
   if (gain < ms(policy_.min_move_gain) || gain < anew) {
     return;
--- a/src/fleet/fleet_scheduler_test.cpp
+++ b/src/fleet/fleet_scheduler_test.cpp
@@ -97,7 +97,7 @@
   fixture fleet(3);
   auto starts = fleet.submit(make_job(1, 1));
   std::set<worker_index> used;
-  for (std::uint32_t attempt = 1; attempt <= 3; ++attempt) {
+  for (std::int64_t attempt = 1; attempt <= 3; ++attempt) {
     REQUIRE(starts.size() == 1);
     CHECK(starts[0].order.run.attempt == attempt);
     CHECK(used.insert(starts[0].worker).second);
--- a/src/store/keyed_watch_test.cpp
+++ b/src/store/keyed_watch_test.cpp
@@ -50,12 +50,12 @@
   asio::io_context io;
   event_log log("test");
   scripted_store store(io);
-  store.newest.push_back(keyed_snapshot{{{"a", "1"}}, 5, true});
-  store.newest.push_back(keyed_snapshot{{{"b", "1"}}, 6, false});
-  store.reads.push_back(keyed_snapshot{{{"a", "2"}}, 7, false});
-  store.reads.push_back(absl::OutOfRangeError("deleted"));
-  store.newest.push_back(absl::UnavailableError("busy"));
-  store.newest.push_back(keyed_snapshot{{{"a", "4"}}, 40, false});
+  store.newest.emplace_back(keyed_snapshot{{{"a", "1"}}, 5, true});
+  store.newest.emplace_back(keyed_snapshot{{{"b", "1"}}, 6, false});
+  store.reads.emplace_back(keyed_snapshot{{{"a", "2"}}, 7, false});
+  store.reads.emplace_back(absl::OutOfRangeError("deleted"));
+  store.newest.emplace_back(absl::UnavailableError("busy"));
+  store.newest.emplace_back(keyed_snapshot{{{"a", "4"}}, 40, false});
   std::vector<std::string> seen;
   keyed_watch watch(io, store, log, "topic", {milliseconds(1), milliseconds(1), milliseconds(2)},
                     [&](const keyed_record& record) { seen.push_back(record.key + record.value); });
--- a/src/web/web_test.cpp
+++ b/src/web/web_test.cpp
@@ -63,14 +63,16 @@
   web_client client(io, address, 1);
   absl::StatusCode first = absl::StatusCode::kOk;
   int second = 0;
-  client.call({"GET", "/hold", {}, ""}, milliseconds(50), [&](absl::StatusOr<web_response> got) {
-    first = got.status().code();
-    client.call({"GET", "/", {}, ""}, milliseconds(2'000), [&](absl::StatusOr<web_response> next) {
-      REQUIRE(next.ok());
-      second = next->status;
-      io.stop();
-    });
-  });
+  client.call({"GET", "/hold", {}, ""}, milliseconds(50),
+              [&](const absl::StatusOr<web_response>& got) {
+                first = got.status().code();
+                client.call({"GET", "/", {}, ""}, milliseconds(2'000),
+                            [&](absl::StatusOr<web_response> next) {
+                              REQUIRE(next.ok());
+                              second = next->status;
+                              io.stop();
+                            });
+              });
   io.run_for(test_limit);
   CHECK(first == absl::StatusCode::kDeadlineExceeded);
   CHECK(second == 204);
@@ -82,10 +84,11 @@
   const auto address = free_address(io);
   web_client client(io, address, 1);
   absl::StatusCode code = absl::StatusCode::kOk;
-  client.call({"GET", "/", {}, ""}, milliseconds(2'000), [&](absl::StatusOr<web_response> got) {
-    code = got.status().code();
-    io.stop();
-  });
+  client.call({"GET", "/", {}, ""}, milliseconds(2'000),
+              [&](const absl::StatusOr<web_response>& got) {
+                code = got.status().code();
+                io.stop();
+              });
   io.run_for(test_limit);
   CHECK(code == absl::StatusCode::kUnavailable);
 }
