--- a/include/parsleylead/fleet/fleet_scheduler.hpp
+++ b/include/parsleylead/fleet/fleet_scheduler.hpp
@@ -85,8 +85,9 @@
   void session_lost(worker_index worker, monotonic_time last_heard, monotonic_time now);
   void run_ended(worker_index worker, const run_end& end, monotonic_time now);
   void run_is_slow(worker_index worker, const slow_run& run, monotonic_time now);
-  /// This process stood still for longer than its sessions' leases.
-  void process_stalled(monotonic_time now);
+  /// This process stood still from `since` on for longer than its sessions' leases. Jobs that
+  /// arrived later are not affected.
+  void process_stalled(monotonic_time since);
   /// Runs that are placed on the worker, for the resumption of its session.
   std::vector<run_id> outstanding(worker_index worker) const;
 
--- a/src/fleet/fleet_entry.cpp
+++ b/src/fleet/fleet_entry.cpp
@@ -74,12 +74,12 @@
 
 void fleet_entry::tick() {
   const auto now = lease_now();
-  const auto passed = now - last_tick_;
-  last_tick_ = now;
+  const auto before = std::exchange(last_tick_, now);
+  const auto passed = now - before;
   if (passed > settings_.timing.max_silence) {
     log_.write("process_stood_still", "ms", passed / milliseconds(1), "open_jobs",
                scheduler_.open_jobs());
-    scheduler_.process_stalled(now);
+    scheduler_.process_stalled(before);
   }
   check_sessions(now);
   for (const auto& address : dialer_.due(now)) {
--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -252,9 +252,9 @@
   return all;
 }
 
-void fleet_scheduler::process_stalled(monotonic_time /*now*/) {
+void fleet_scheduler::process_stalled(monotonic_time since) {
   for (auto& [id, owner] : jobs_) {
-    owner->stalled = owner->stalled || owner->placed > 0;
+    owner->stalled = owner->stalled || (owner->placed > 0 && owner->arrived <= since);
   }
 }
 
--- a/src/fleet/fleet_scheduler_test.cpp
+++ b/src/fleet/fleet_scheduler_test.cpp
@@ -156,7 +156,7 @@
   // Guards against a second run here while the caller has sent the job to another entry.
   fixture fleet(2);
   const auto starts = fleet.submit(make_job(1, 1));
-  fleet.scheduler.process_stalled(at_ms(3'000));
+  fleet.scheduler.process_stalled(at_ms(2'000));
   fleet.scheduler.session_lost(starts[0].worker, at_ms(10), at_ms(3'000));
   fleet.scheduler.tick(at_ms(3'100));
   CHECK(fleet.scheduler.take_starts().empty());
@@ -165,6 +165,18 @@
   CHECK(results[0].verdict == job_verdict::unknown);
 }
 
+TEST_CASE("jobs that arrive after this process stood still are not affected by it") {
+  // Guards against callers without an answer whose job came after the pause and was placed on a
+  // session that was lost during it. Found with deploy/days/cut_entries_change.toml.
+  fixture fleet(2);
+  const auto starts = fleet.submit(make_job(1, 1), 3'000);
+  fleet.scheduler.process_stalled(at_ms(0));
+  fleet.scheduler.session_lost(starts[0].worker, at_ms(10), at_ms(3'001));
+  fleet.scheduler.tick(at_ms(3'020));
+  CHECK(fleet.scheduler.take_starts().size() == 1);
+  CHECK(fleet.scheduler.take_results().empty());
+}
+
 TEST_CASE("a job is said not to have run only if none of its tasks was started") {
   // Guards the truth of refusals: what was placed may have run.
   fixture fleet(1);
