Share what both roles have, judge late announcements in one place, remove dead code

Late announcements were judged in platform/ and again in fleet_agent: only the agent does, with a test. One pair of functions for big-endian numbers in place of three, one for timers in place of nine copies, one lookup in run_table. Removed: unused members and functions of web_client, run_table, fleet_scheduler and fleet_agent, and a parameter that always had one value.

--- a/include/parsleylead/fleet/fleet_agent.hpp
+++ b/include/parsleylead/fleet/fleet_agent.hpp
@@ -52,7 +52,7 @@
 
   void start();
   void add_members(const std::vector<fleet_member>& members);
-  /// The worker's newest announcement.
+  /// An announcement of the worker; one that is older than another is ignored.
   void worker_announced(const worker_announcement& announced);
   /// The worker has left; everything on it has ended.
   void worker_left(const std::string& id);
@@ -61,7 +61,6 @@
   void leave(std::chrono::milliseconds limit, std::function<void()> done);
 
   std::size_t sessions() const;
-  bool has_worker() const { return worker_.has_value(); }
 
 private:
   struct session;
@@ -86,7 +85,6 @@
   static bool worth_sending(const worker_status& status, const session& to);
   void add_status(session& to, monotonic_time now);
   void flush_soon();
-  void flush();
   session* session_of(owner_id owner);
 
   asio::io_context& io_;
@@ -99,6 +97,8 @@
   std::map<std::string, std::unique_ptr<session>> sessions_;
   run_table table_;
   std::optional<worker_announcement> worker_;
+  /// The newest announcement, also of a worker that has left.
+  std::optional<worker_announcement> newest_;
   owner_id next_owner_ = 1;
   bool listing_ = false;
   bool looking_ = false;
--- a/include/parsleylead/fleet/fleet_scheduler.hpp
+++ b/include/parsleylead/fleet/fleet_scheduler.hpp
@@ -105,7 +105,6 @@
   std::size_t waiting_jobs(const std::string& queue) const;
   std::size_t backlog() const { return backlog_; }
   bool has_worker() const;
-  std::string worker_name(worker_index worker) const;
 
 private:
   struct worker;
--- a/include/parsleylead/fleet/worker_port.hpp
+++ b/include/parsleylead/fleet/worker_port.hpp
@@ -16,6 +16,8 @@
   std::string id;
   /// Changes with each start of the worker, also under the same id.
   std::int64_t life = 0;
+  /// Rises with each announcement of one life.
+  std::uint64_t sequence = 0;
   std::string service;
   std::string rack;
   std::vector<std::string> labels;
--- a/include/parsleylead/runs/run_table.hpp
+++ b/include/parsleylead/runs/run_table.hpp
@@ -93,8 +93,6 @@
 
   /// Starts what fits and returns what has waited too long.
   void pump(monotonic_time now);
-  /// Next moment at which `pump` has something to do without another event.
-  monotonic_time next_deadline() const;
 
   std::vector<worker_call> take_calls() { return std::exchange(calls_, {}); }
   std::vector<owned_end> take_ends() { return std::exchange(ends_, {}); }
@@ -136,6 +134,7 @@
   };
   using run_map = std::unordered_map<task_key, run, task_key_hash>;
 
+  run_map::iterator locate(const run_id& id);
   run* find(const run_id& id);
   const run* find(const run_id& id) const;
   void finish(run_map::iterator at, run_outcome outcome, monotonic_time now);
--- a/include/parsleylead/web/web_client.hpp
+++ b/include/parsleylead/web/web_client.hpp
@@ -28,9 +28,6 @@
   /// kUnknown if the connection broke after sending: the call may have been carried out.
   void call(web_request request, std::chrono::milliseconds timeout, callback done);
 
-  /// Calls that are running or waiting.
-  std::size_t pending() const;
-
 private:
   class state;
   class connection;
--- a/src/fleet/fleet_agent.cpp
+++ b/src/fleet/fleet_agent.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <utility>
 
+#include "parsleylead/base/call_after.hpp"
 #include "parsleylead/fleet/format_run.hpp"
 
 namespace parsleylead {
@@ -83,15 +84,9 @@
   status_dirty_ = true;
   carry_out();
   if (leaving_ && left_ && (table_.running() + table_.waiting() == 0 || now >= leave_limit_)) {
-    flush();
     std::exchange(left_, nullptr)();
   }
-  tick_timer_.expires_after(settings_.timing.tick);
-  tick_timer_.async_wait([this](const asio::error_code& error) {
-    if (!error) {
-      tick();
-    }
-  });
+  call_after(tick_timer_, settings_.timing.tick, [this] { tick(); });
 }
 
 void fleet_agent::check_sessions(monotonic_time now) {
@@ -224,11 +219,15 @@
 
 void fleet_agent::worker_announced(const worker_announcement& announced) {
   const auto now = lease_now();
-  if (worker_ && worker_->id == announced.id && announced.life < worker_->life) {
-    log_.write("announcement_ignored", "worker", announced.id, "life", announced.life, "current",
-               worker_->life);
+  // A delayed announcement may arrive after those of the worker's next life, or after it has left.
+  if (newest_ && (announced.life < newest_->life ||
+                  (announced.id == newest_->id && announced.life == newest_->life &&
+                   announced.sequence <= newest_->sequence))) {
+    log_.write("announcement_late", "worker", announced.id, "life", announced.life, "sequence",
+               announced.sequence, "newest", newest_->sequence);
     return;
   }
+  newest_ = announced;
   const bool other = !worker_ || worker_->id != announced.id;
   const bool fresh = other || worker_->life != announced.life;
   const bool changed = fresh || worker_->draining != announced.draining;
@@ -501,15 +500,11 @@
   asio::post(io_, [this, alive = std::weak_ptr<int>(alive_)] {
     if (!alive.expired()) {
       flush_posted_ = false;
-      flush();
+      carry_out();
     }
   });
 }
 
-void fleet_agent::flush() {
-  carry_out();
-}
-
 void fleet_agent::leave(std::chrono::milliseconds limit, std::function<void()> done) {
   leaving_ = true;
   left_ = std::move(done);
--- a/src/fleet/fleet_entry.cpp
+++ b/src/fleet/fleet_entry.cpp
@@ -4,7 +4,7 @@
 #include <asio/post.hpp>
 #include <utility>
 
-#include "parsleylead/base/uuid.hpp"
+#include "parsleylead/base/call_after.hpp"
 #include "parsleylead/fleet/format_run.hpp"
 
 namespace parsleylead {
@@ -88,12 +88,7 @@
   gossip(now);
   scheduler_.tick(now);
   run();
-  tick_timer_.expires_after(settings_.timing.tick);
-  tick_timer_.async_wait([this](const asio::error_code& error) {
-    if (!error) {
-      tick();
-    }
-  });
+  call_after(tick_timer_, settings_.timing.tick, [this] { tick(); });
 }
 
 void fleet_entry::check_sessions(monotonic_time now) {
--- a/src/fleet/fleet_link_test.cpp
+++ b/src/fleet/fleet_link_test.cpp
@@ -156,8 +156,8 @@
   }
 
   template <class Condition>
-  bool run_until(Condition done) {
-    const auto limit = std::chrono::steady_clock::now() + test_limit;
+  bool run_until(Condition done, milliseconds within = test_limit) {
+    const auto limit = std::chrono::steady_clock::now() + within;
     while (!done() && std::chrono::steady_clock::now() < limit) {
       io.run_one_for(milliseconds(20));
     }
@@ -261,6 +261,31 @@
   CHECK(fleet.worker.is_active({{2, 0, 0}, 1}));
 }
 
+TEST_CASE("late announcements of the worker are ignored") {
+  // Guards against a worker that is taken out, or back, by a message that was held up.
+  small_fleet fleet;
+  auto newest = announcement();
+  newest.sequence = 5;
+  fleet.agent->worker_announced(newest);
+  auto late = newest;
+  late.sequence = 4;
+  late.draining = true;
+  fleet.agent->worker_announced(late);
+  auto earlier_life = newest;
+  earlier_life.life = 0;
+  earlier_life.sequence = 9;
+  earlier_life.draining = true;
+  fleet.agent->worker_announced(earlier_life);
+  std::optional<job_result> result;
+  fleet.entry->submit(make_job(1, 1), [&](const job_result& got) { result = got; });
+  REQUIRE(fleet.run_until([&] { return result.has_value(); }));
+  CHECK(result->verdict == job_verdict::completed);
+  fleet.agent->worker_left("w-1");
+  REQUIRE(fleet.run_until([&] { return !fleet.entry->has_worker(); }));
+  fleet.agent->worker_announced(newest);
+  CHECK_FALSE(fleet.run_until([&] { return fleet.entry->has_worker(); }, milliseconds(200)));
+}
+
 TEST_CASE("entries learn newer routes from each other") {
   // Guards against an old configuration at an entry that cannot read the store.
   asio::io_context io;
--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -210,10 +210,6 @@
   return at->second;
 }
 
-std::string fleet_scheduler::worker_name(worker_index index) const {
-  return workers_.at(index)->agent;
-}
-
 void fleet_scheduler::worker_reported(worker_index index, const worker_status& status,
                                       monotonic_time /*now*/) {
   auto& known = workers_.at(index)->status;
--- a/src/link/frame_link.cpp
+++ b/src/link/frame_link.cpp
@@ -6,6 +6,7 @@
 #include <asio/write.hpp>
 #include <cstdint>
 
+#include "parsleylead/base/big_endian.hpp"
 #include "parsleylead/link/open_acceptor.hpp"
 
 namespace parsleylead {
@@ -18,20 +19,6 @@
 // Pause after a failed accept, so that a lack of descriptors does not become a busy loop.
 constexpr std::chrono::milliseconds accept_retry{50};
 
-std::size_t frame_length(std::string_view header) {
-  std::size_t length = 0;
-  for (std::size_t i = 0; i < header_bytes; ++i) {
-    length = length << 8U | static_cast<unsigned char>(header[i]);
-  }
-  return length;
-}
-
-void append_header(std::string& out, std::size_t length) {
-  for (int shift = 24; shift >= 0; shift -= 8) {
-    out += static_cast<char>(length >> static_cast<unsigned>(shift) & 0xffU);
-  }
-}
-
 } // namespace
 
 frame_link::frame_link(tcp::socket socket)
@@ -59,7 +46,7 @@
                [self = shared_from_this()] { self->fail("the peer does not read"); });
     return;
   }
-  append_header(queued_, payload.size());
+  append_big_endian(queued_, payload.size(), header_bytes);
   queued_ += payload;
   last_sent_ = lease_now();
   if (!write_posted_ && writing_.empty()) {
@@ -109,7 +96,7 @@
 void frame_link::parse() {
   std::size_t at = 0;
   while (!closed_ && input_.size() - at >= header_bytes) {
-    const auto length = frame_length(std::string_view(input_).substr(at, header_bytes));
+    const auto length = read_big_endian(std::string_view(input_).substr(at, header_bytes));
     if (length > max_frame_bytes) {
       fail("frame too large");
       return;
--- a/src/runs/run_table.cpp
+++ b/src/runs/run_table.cpp
@@ -28,9 +28,14 @@
 
 } // namespace
 
-run_table::run* run_table::find(const run_id& id) {
+run_table::run_map::iterator run_table::locate(const run_id& id) {
   const auto found = runs_.find(id.task);
-  return found != runs_.end() && found->second.order.run == id ? &found->second : nullptr;
+  return found != runs_.end() && found->second.order.run == id ? found : runs_.end();
+}
+
+run_table::run* run_table::find(const run_id& id) {
+  const auto found = locate(id);
+  return found != runs_.end() ? &found->second : nullptr;
 }
 
 const run_table::run* run_table::find(const run_id& id) const {
@@ -101,8 +106,8 @@
 }
 
 void run_table::stop(owner_id owner, const run_id& id, bool report_end, monotonic_time now) {
-  const auto found = runs_.find(id.task);
-  if (found == runs_.end() || found->second.owner != owner || !(found->second.order.run == id)) {
+  const auto found = locate(id);
+  if (found == runs_.end() || found->second.owner != owner) {
     return;
   }
   auto& each = found->second;
@@ -165,8 +170,8 @@
 }
 
 void run_table::start_answered(const run_id& id, start_answer answer, monotonic_time now) {
-  const auto found = runs_.find(id.task);
-  if (found == runs_.end() || !(found->second.order.run == id)) {
+  const auto found = locate(id);
+  if (found == runs_.end()) {
     return;
   }
   auto& each = found->second;
@@ -241,9 +246,8 @@
         estimate * ((known->percent - before) / 100.0), now);
   }
   for (const auto& each : finished) {
-    const auto found = runs_.find(each.run.task);
-    if (found == runs_.end() || !(found->second.order.run == each.run) ||
-        found->second.at == state::waiting) {
+    const auto found = locate(each.run);
+    if (found == runs_.end() || found->second.at == state::waiting) {
       continue;
     }
     auto& known = found->second;
@@ -368,18 +372,6 @@
   waiting_ = std::move(still_waiting);
 }
 
-monotonic_time run_table::next_deadline() const {
-  auto next = monotonic_time::max();
-  for (const auto& [key, each] : runs_) {
-    if (each.at == state::waiting) {
-      next = std::min(next, each.give_up);
-    } else if (each.at == state::sealing || each.at == state::stopping) {
-      next = std::min(next, each.stop_retry);
-    }
-  }
-  return next;
-}
-
 std::vector<std::pair<owner_id, slow_run>> run_table::slow_runs(monotonic_time now) const {
   std::vector<std::pair<owner_id, slow_run>> slow;
   for (const auto& [key, each] : runs_) {
--- a/src/store/keyed_watch.cpp
+++ b/src/store/keyed_watch.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "parsleylead/base/call_after.hpp"
+
 namespace parsleylead {
 
 keyed_watch::keyed_watch(asio::io_context& io, keyed_store& store, event_log& log,
@@ -69,12 +71,9 @@
     log_.write("store_lost", "topic", topic_, "cause", std::string(status.message()));
   }
   backoff_ = std::clamp(backoff_ * 2, timing_.retry, timing_.max_retry);
-  timer_.expires_after(backoff_);
-  timer_.async_wait([this](const asio::error_code& error) {
-    if (!error) {
-      // The newest records tell everything, whatever was deleted or missed.
-      read_newest("");
-    }
+  call_after(timer_, backoff_, [this] {
+    // The newest records tell everything, whatever was deleted or missed.
+    read_newest("");
   });
 }
 
--- a/src/web/web_client.cpp
+++ b/src/web/web_client.cpp
@@ -58,11 +58,9 @@
   void run(pending_call made) {
     call_ = std::move(made);
     in_call_ = true;
-    reused_ = connected_;
     output_ = write_request(call_.request, client_->authority);
     parser_.reset();
     input_.clear();
-    sent_ = false;
     timer_.expires_at(call_.deadline);
     timer_.async_wait(
         [self = shared_from_this(), number = ++number_](const asio::error_code& error) {
@@ -128,7 +126,6 @@
   }
 
   void write() {
-    sent_ = true;
     asio::async_write(socket_, asio::buffer(output_),
                       [self = shared_from_this()](const asio::error_code& error, std::size_t) {
                         if (error && self->in_call_) {
@@ -197,8 +194,6 @@
   bool connected_ = false;
   bool reading_ = false;
   bool in_call_ = false;
-  bool sent_ = false;
-  bool reused_ = false;
 };
 
 void web_client::state::call(pending_call made) {
@@ -264,8 +259,4 @@
   state_->call({std::move(request), steady_clock::now() + timeout, std::move(done)});
 }
 
-std::size_t web_client::pending() const {
-  return state_->busy.size() + state_->waiting.size();
-}
-
 } // namespace parsleylead
--- a/standins/standin-platform/store_service.cpp
+++ b/standins/standin-platform/store_service.cpp
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 
 #include "parsleylead/base/base64.hpp"
+#include "parsleylead/base/big_endian.hpp"
+#include "parsleylead/base/call_after.hpp"
 
 namespace parsleylead::standin {
 namespace {
@@ -31,20 +33,6 @@
   return value;
 }
 
-void append_number(std::string& out, std::uint64_t value, std::size_t bytes) {
-  for (std::size_t i = bytes; i > 0; --i) {
-    out += static_cast<char>(value >> (8 * (i - 1)) & 0xffU);
-  }
-}
-
-std::uint64_t read_number(std::string_view bytes) {
-  std::uint64_t value = 0;
-  for (const char c : bytes) {
-    value = value << 8U | static_cast<unsigned char>(c);
-  }
-  return value;
-}
-
 } // namespace
 
 store_service::store_service(asio::io_context& io)
@@ -101,7 +89,7 @@
   std::string_view body = exchange->request().body;
   const auto offset = topics_[name].end();
   while (body.size() > length_bytes) {
-    const auto length = read_number(body.substr(0, length_bytes));
+    const auto length = read_big_endian(body.substr(0, length_bytes));
     const auto bytes = body.substr(length_bytes, length);
     const auto key_length = static_cast<unsigned char>(bytes.front());
     put(name, std::string(bytes.substr(1, key_length)), std::string(bytes.substr(1U + key_length)));
@@ -133,11 +121,11 @@
     return;
   }
   std::string body;
-  append_number(body, from.end(), offset_bytes);
-  append_number(body, from.first, offset_bytes);
+  append_big_endian(body, from.end(), offset_bytes);
+  append_big_endian(body, from.first, offset_bytes);
   for (auto at = request.from; at < from.end(); ++at) {
     const auto& each = from.records[at - from.first];
-    append_number(body, 1 + each.key.size() + each.value.size(), length_bytes);
+    append_big_endian(body, 1 + each.key.size() + each.value.size(), length_bytes);
     body += static_cast<char>(each.key.size());
     body += each.key + each.value;
   }
@@ -152,12 +140,7 @@
       read(each, true);
     }
   }
-  timer_.expires_after(tick_interval);
-  timer_.async_wait([this](const asio::error_code& error) {
-    if (!error) {
-      tick();
-    }
-  });
+  call_after(timer_, tick_interval, [this] { tick(); });
 }
 
 } // namespace parsleylead::standin
--- a/standins/standin-platform/worker_service.cpp
+++ b/standins/standin-platform/worker_service.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "parsleylead/base/call_after.hpp"
 #include "parsleylead/base/time.hpp"
 
 namespace parsleylead::standin {
@@ -268,12 +269,7 @@
     next_announcement_ = now + announcement_interval;
     announce();
   }
-  tick_timer_.expires_after(tick_interval);
-  tick_timer_.async_wait([this](const asio::error_code& error) {
-    if (!error) {
-      tick();
-    }
-  });
+  call_after(tick_timer_, tick_interval, [this] { tick(); });
 }
 
 } // namespace parsleylead::standin
--- a/tests/soak/soak_site.cpp
+++ b/tests/soak/soak_site.cpp
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
+#include "parsleylead/base/call_after.hpp"
 #include "parsleylead/fleet/format_run.hpp"
 
 namespace parsleylead::soak {
@@ -292,13 +293,9 @@
   const std::uint32_t tasks = 1 + roll(6);
   submit(random_(), tasks, 0);
   std::exponential_distribution<double> gap(options_.jobs_per_second);
-  load_timer_.expires_after(
-      std::chrono::round<milliseconds>(std::chrono::duration<double>(gap(random_))));
-  load_timer_.async_wait([this](const asio::error_code& error) {
-    if (!error) {
-      next_job();
-    }
-  });
+  call_after(load_timer_,
+             std::chrono::round<milliseconds>(std::chrono::duration<double>(gap(random_))),
+             [this] { next_job(); });
 }
 
 void soak_site::submit(std::uint64_t id, std::uint32_t tasks, int attempt) {
