--- a/include/parsleylead/fleet/fleet_agent.hpp
+++ b/include/parsleylead/fleet/fleet_agent.hpp
@@ -35,6 +35,11 @@
   /// A list of runs is requested at least this often. If an answer is lost, ends stay unknown and
   /// room unused for about this time; each request costs some 0.2 ms of a small host's processor.
   std::chrono::milliseconds list_interval{60};
+  /// Pause before the next request for lists while ends wait for their owners: the worker then
+  /// answers at once. An owner stores an end within two of these.
+  std::chrono::milliseconds held_list_interval{10};
+  /// Partitions of stored jobs; the same at all entries.
+  std::uint32_t partitions = 1;
   /// A worker whose lists cannot be had for this long gets no new runs.
   std::chrono::milliseconds suspect_after{200};
 };
@@ -78,6 +83,10 @@
   void look();
   void take_lists(const run_lists& lists, monotonic_time requested);
   void list_failed(const absl::Status& status, monotonic_time now);
+  /// Lets the lease of a worker without runs end, if it holds ends that nobody may take note of.
+  void end_lease_if_superseded(monotonic_time now);
+  monotonic_time lease_end() const;
+  void list_runs_after(std::chrono::milliseconds delay);
   void suspect_worker(bool suspected, const std::string& cause);
   void carry_out();
   void send_reports();
@@ -111,6 +120,8 @@
   /// The last time for which a request that extends the lease was sent.
   monotonic_time extended_{};
   monotonic_time last_tick_{};
+  /// Waits until all leases have ended, as nobody may take note of some ends.
+  bool ending_lease_ = false;
   bool status_dirty_ = false;
   bool flush_posted_ = false;
   bool leaving_ = false;
--- a/include/parsleylead/fleet/fleet_entry.hpp
+++ b/include/parsleylead/fleet/fleet_entry.hpp
@@ -18,6 +18,7 @@
 #include "parsleylead/fleet/fleet_scheduler.hpp"
 #include "parsleylead/fleet/link_timing.hpp"
 #include "parsleylead/fleet/member_dialer.hpp"
+#include "parsleylead/kept/kept_jobs.hpp"
 #include "parsleylead/link/frame_link.hpp"
 #include "parsleylead/observe/event_log.hpp"
 #include "parsleylead/observe/metrics_registry.hpp"
@@ -66,10 +67,18 @@
   caller_ticket submit(fleet_job job, result_handler done);
   /// One caller of the job has left; the job is stopped when the last one has.
   void abandon(std::uint64_t id, caller_ticket caller);
-  /// Stops a job and answers all its callers. Returns whether it was open.
+  /// Keeps stored jobs from now on. Precondition: `start` has not been called. `log` must outlive
+  /// the entry.
+  void keep_jobs(kept_settings settings, partition_log& log);
+  /// The stored jobs, for calls of callers. Precondition: `keep_jobs` was called.
+  kept_jobs& stored_jobs();
+  /// Stored jobs of the queue that have not begun, at all linked entries.
+  std::size_t waiting_stored_jobs(const std::string& queue) const;
+  /// Stops a job that callers wait for, and answers all of them. Returns whether there was one.
   bool cancel(std::uint64_t id);
 
-  bool is_open(std::uint64_t id) const { return scheduler_.is_open(id); }
+  /// Whether callers wait for the job; nobody waits for a stored one.
+  bool is_waited_for(std::uint64_t id) const { return callers_.contains(id); }
   std::size_t open_jobs() const { return scheduler_.open_jobs(); }
   std::size_t waiting_jobs(const std::string& queue) const {
     return scheduler_.waiting_jobs(queue);
@@ -79,6 +88,7 @@
 
 private:
   struct session;
+  struct stored_job_port;
 
   void tick();
   void accepted(std::shared_ptr<frame_link> link);
@@ -93,6 +103,7 @@
   void gossip(monotonic_time now);
   void announce_routes();
   fleet_frame member_frame() const;
+  void run_ended(session& from, const run_end& end, monotonic_time now);
   void run_soon();
   void run();
   void answer(const job_result& result);
@@ -107,6 +118,8 @@
   frame_acceptor acceptor_;
   member_dialer dialer_;
   fleet_scheduler scheduler_;
+  std::unique_ptr<stored_job_port> stored_job_port_;
+  std::unique_ptr<kept_jobs> kept_;
   std::vector<std::shared_ptr<session>> sessions_;
   std::map<worker_index, std::shared_ptr<session>> agents_;
   std::map<worker_index, std::uint64_t> agent_incarnations_;
--- a/include/parsleylead/fleet/fleet_frame.hpp
+++ b/include/parsleylead/fleet/fleet_frame.hpp
@@ -36,6 +36,14 @@
   std::string text;
 };
 
+/// Number of jobs of one queue.
+struct queue_count {
+  std::string queue;
+  std::uint32_t jobs = 0;
+
+  bool operator==(const queue_count&) const = default;
+};
+
 /// Everything that one process has to say to another at one moment; see schema/fleet.capnp.
 struct fleet_frame {
   std::optional<session_hello> hello;
@@ -52,6 +60,12 @@
   /// The routes of that version; empty if the receiver has them.
   std::string routes;
   bool leaving = false;
+  /// Partitions of stored jobs that the sender owns, sent first in each session and when it claims
+  /// one.
+  std::vector<partition_claim> claims;
+  std::vector<end_note> notes;
+  /// Stored jobs of the sender that have not begun.
+  std::vector<queue_count> waiting;
 
   bool empty() const;
 };
--- a/include/parsleylead/fleet/fleet_job.hpp
+++ b/include/parsleylead/fleet/fleet_job.hpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,15 +41,41 @@
   std::uint32_t priority = 0;
 };
 
-/// A job that is answered when it has ended and is kept in memory only.
+/// What is known of one task of a stored job.
+struct task_progress {
+  bool done = false;
+  /// Runs that ended as failed.
+  std::uint32_t failures = 0;
+  /// The latest attempt whose end is part of this progress.
+  std::uint32_t ended_attempt = 0;
+
+  bool operator==(const task_progress&) const = default;
+};
+
+/// Each epoch has this many attempt numbers of a task: at the fastest pace of 60 ms for an order
+/// that an agent returns, they last an hour.
+inline constexpr std::uint32_t attempts_per_epoch = 1U << 16U;
+
+/// What the owner of a stored job adds to it.
+struct job_tenure {
+  std::uint64_t epoch = 0;
+  /// Attempts up to this number may have been used by earlier owners.
+  std::uint32_t attempts_before = 0;
+  /// By step and task; empty if nothing has run.
+  std::vector<std::vector<task_progress>> progress;
+};
+
+/// A job in memory. Without `tenure` it is answered when it has ended, and kept nowhere else.
 struct fleet_job {
   std::uint64_t id = 0;
   job_terms terms;
   /// Passed to each task as it is.
   std::string payload;
   std::vector<job_step> steps;
-  /// The caller waits at most this long for the answer.
+  /// The caller waits at most this long for the answer. Not used for stored jobs.
   std::chrono::milliseconds patience{0};
+  /// For a stored job: it is never refused or given up for its time.
+  std::optional<job_tenure> tenure;
 };
 
 /// How a job ended for its caller.
--- a/include/parsleylead/fleet/fleet_scheduler.hpp
+++ b/include/parsleylead/fleet/fleet_scheduler.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "parsleylead/base/time.hpp"
+#include "parsleylead/fleet/fleet_frame.hpp"
 #include "parsleylead/fleet/fleet_job.hpp"
 #include "parsleylead/fleet/run_types.hpp"
 
@@ -74,6 +75,13 @@
   /// Precondition: no job with this id is open.
   void submit(fleet_job job, monotonic_time now);
   bool is_open(std::uint64_t id) const;
+  /// Stops the job's runs, whose ends are reported, and places nothing of it any more.
+  /// Precondition: the job is open.
+  void suspend(std::uint64_t id);
+  /// Whether a task of the open job is placed on a worker.
+  bool is_placed(std::uint64_t id) const;
+  /// Whether a task of the open job has been placed or may have been before.
+  bool has_begun(std::uint64_t id) const;
   /// The caller has left: stops the job's runs and forgets it.
   void cancel(std::uint64_t id, monotonic_time now);
 
@@ -83,7 +91,8 @@
   /// A session to the agent is open, with the same agent process as before or a new one.
   void session_opened(worker_index worker, bool same_agent, monotonic_time now);
   void session_lost(worker_index worker, monotonic_time last_heard, monotonic_time now);
-  void run_ended(worker_index worker, const run_end& end, monotonic_time now);
+  /// Returns whether the end was that of a task's current run.
+  bool run_ended(worker_index worker, const run_end& end, monotonic_time now);
   void run_is_slow(worker_index worker, const slow_run& run, monotonic_time now);
   /// This process stood still from `since` on for longer than its sessions' leases. Jobs that
   /// arrived later are not affected.
@@ -103,6 +112,8 @@
   std::size_t open_jobs() const { return jobs_.size(); }
   /// Jobs of the queue without a started task.
   std::size_t waiting_jobs(const std::string& queue) const;
+  /// Stored jobs without a started task, by queue.
+  std::vector<queue_count> waiting_stored_jobs() const;
   std::size_t backlog() const { return backlog_; }
   bool has_worker() const;
 
@@ -128,6 +139,7 @@
   void unplace(job& owner, std::uint32_t step, std::uint32_t index);
   void run_again(job& owner, std::uint32_t step, std::uint32_t index, monotonic_time now);
   void task_done(job& owner, std::uint32_t step, monotonic_time now);
+  void take_progress(job& owner);
   void open_steps(job& owner);
   void stop_runs(job& owner);
   void finish(job& owner, job_verdict verdict, job_cause cause, monotonic_time now);
--- a/include/parsleylead/fleet/member_dialer.hpp
+++ b/include/parsleylead/fleet/member_dialer.hpp
@@ -35,6 +35,8 @@
   /// Members with a link, named ones only.
   std::vector<fleet_member> linked_members() const;
   std::size_t links() const;
+  /// Links beyond the number stay open.
+  void set_max_links(std::size_t links) { max_links_ = links; }
   std::size_t known() const { return members_.size(); }
 
 private:
--- a/include/parsleylead/fleet/run_types.hpp
+++ b/include/parsleylead/fleet/run_types.hpp
@@ -79,8 +79,27 @@
   std::chrono::milliseconds max_wait{0};
   /// The operators' order of importance: 0 comes first.
   std::uint32_t priority = 0;
+  /// Tenure in which the owner of a stored job gives this order; 0 for other jobs.
+  std::uint64_t epoch = 0;
 };
 
+/// Part of all stored jobs that has one owner at a time.
+using partition_number = std::uint32_t;
+
+/// One owner's tenure of a partition. Epochs of a partition rise with each owner.
+struct partition_claim {
+  partition_number partition = 0;
+  std::uint64_t epoch = 0;
+
+  bool operator==(const partition_claim&) const = default;
+};
+
+/// The partition of a stored job. Precondition: `partitions` > 0. Thread-safe.
+inline partition_number partition_of(std::uint64_t job, std::uint32_t partitions) {
+  constexpr std::uint64_t mix = 0x9e3779b97f4a7c15ULL; // 2^64 divided by the golden ratio
+  return static_cast<partition_number>(((job * mix) >> 32U) % partitions);
+}
+
 /// How a run ended. The numeric values are those of schema/fleet.capnp.
 enum class run_outcome : std::uint8_t {
   done = 0,
@@ -113,6 +132,18 @@
   run_outcome outcome = run_outcome::done;
   std::chrono::milliseconds ran{0};
   std::chrono::milliseconds waited{0};
+  /// The agent keeps the end at the worker until the owner of the job's partition has stored it.
+  bool held = false;
+};
+
+/// Answer to an end that an agent holds.
+struct end_note {
+  run_id run;
+  /// The task was started again before this end was known: the worker must not confirm the end
+  /// before a lease has ended, as one that nobody took note of.
+  bool superseded = false;
+
+  bool operator==(const end_note&) const = default;
 };
 
 /// A run that takes far longer than expected, with the share of its work that is done.
--- a/include/parsleylead/fleet/worker_port.hpp
+++ b/include/parsleylead/fleet/worker_port.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <vector>
@@ -45,10 +46,11 @@
   virtual void start(const start_order& order, std::function<void(start_answer)> done) = 0;
   /// `done(true)`: the worker stops the run, or will never start it.
   virtual void stop(const run_id& run, std::function<void(bool)> done) = 0;
-  /// Confirms the ends of the previous list and asks for the lists, answered at the next end or
-  /// after `wait`. With `extend`, everything on the worker keeps running for the longest lease.
-  /// Errors: kUnavailable if the worker refuses connections; others if its state is unknown.
-  virtual void list_runs(bool extend, std::chrono::milliseconds wait,
+  /// Confirms the ends up to a number and asks for the lists, answered at the next end or after
+  /// `wait`; at once while there are ends that are not confirmed. With `extend`, everything on the
+  /// worker keeps running for the longest lease. Errors: kUnavailable if the worker refuses
+  /// connections; others if its state is unknown.
+  virtual void list_runs(std::uint64_t confirmed_end, bool extend, std::chrono::milliseconds wait,
                          std::function<void(absl::StatusOr<run_lists>)> done) = 0;
 };
 
--- /dev/null
+++ b/include/parsleylead/kept/kept_jobs.hpp
@@ -0,0 +1,181 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "parsleylead/base/time.hpp"
+#include "parsleylead/kept/kept_port.hpp"
+#include "parsleylead/kept/kept_record.hpp"
+#include "parsleylead/observe/event_log.hpp"
+#include "parsleylead/observe/metrics_registry.hpp"
+#include "parsleylead/store/partition_log.hpp"
+
+namespace parsleylead {
+
+struct kept_settings {
+  /// This process in the group of owners; others reach it by this name.
+  std::string member;
+  std::string topic = "keyed.jobs";
+  std::string group = "jobs";
+  std::uint32_t partitions = 1;
+  /// Partitions are held for this long after each renewal. The store grants 1 s at least; longer
+  /// leases delay the successor of a dead owner, shorter ones end in short outages of the store.
+  std::chrono::milliseconds lease{2'000};
+  std::chrono::milliseconds renewal{500};
+  /// After a claim, jobs of an earlier owner are not started for this time: the earlier owner may
+  /// act until its lease ends (2 s), its agents stop its runs 0.7 s later, and the runs of an agent
+  /// that is dead then end with the worker's lease (1 s, 2 % of clock error).
+  std::chrono::milliseconds settle{3'800};
+  /// Ended jobs stay known for this long: callers may ask for two minutes.
+  std::chrono::milliseconds keep_ended{150'000};
+  /// A submission that is not stored by then is refused, or answered as unknown if its append may
+  /// still take effect.
+  std::chrono::milliseconds store_patience{1'000};
+  /// Open jobs of one entry at most: at 10 KB each, a fifth of the memory of a small host.
+  std::size_t max_open_jobs = 4'000;
+  /// Source of time for answers of the store.
+  std::function<monotonic_time()> clock = lease_now;
+};
+
+/// Answer to a call about a stored job.
+enum class kept_answer : std::uint8_t {
+  /// The job is stored.
+  accepted,
+  pending,
+  running,
+  completed,
+  failed,
+  cancelled,
+  no_such_job,
+  /// Another entry owns the job, or nobody does.
+  not_owner,
+  /// The job is not stored and never will be.
+  refused,
+  /// The store did not answer in time: the change may take effect or not.
+  unknown,
+};
+
+const char* to_string(kept_answer answer);
+
+/// The stored jobs of one entry. Jobs are shared out by partitions of the store's topic; each
+/// partition has one owner at a time, chosen by the store's group and made safe by two things: an
+/// owner appends only at the end that it knows, so that an earlier owner's appends fail; and agents
+/// refuse orders of epochs older than the newest claim that they know. A job is answered as
+/// accepted once it is stored, an end is noted to its agent once it is stored, and a result is
+/// shown once it is stored. Used on the loop's thread only.
+class kept_jobs {
+public:
+  using reply = std::function<void(kept_answer)>;
+
+  /// The references must outlive the object.
+  kept_jobs(kept_settings settings, partition_log& log, kept_port& port, event_log& events,
+            metrics_registry& metrics);
+  ~kept_jobs();
+  kept_jobs(const kept_jobs&) = delete;
+  kept_jobs& operator=(const kept_jobs&) = delete;
+
+  /// Handles what is due; to be called every few ten milliseconds.
+  void tick(monotonic_time now);
+  /// Gives all partitions up if the lease has ended; to be called before orders are sent, since
+  /// this process may have stood still.
+  void check_lease(monotonic_time now);
+
+  /// Stores and runs a job, or tells what is known of it. `job` has no tenure.
+  void submit(fleet_job job, monotonic_time now, const reply& done);
+  void cancel(std::uint64_t job, monotonic_time now, const reply& done);
+  kept_answer query(std::uint64_t job) const;
+  /// Whether this entry answers for the job.
+  bool owns(std::uint64_t job) const;
+
+  /// An end that an agent holds. `current`: it was the end of the task's current run.
+  void run_ended(worker_index worker, const run_end& end, bool current, monotonic_time now);
+  /// A job that was handed to the port has ended there.
+  void job_ended(const job_result& result, monotonic_time now);
+  /// Partitions that are held now, for a new session of an agent.
+  std::vector<partition_claim> claims() const;
+
+  /// The member that holds the job's partition, if that is known within a second or so.
+  void find_holder(std::uint64_t job, monotonic_time now,
+                   const std::function<void(std::optional<std::string>)>& done);
+  /// The known holders were wrong.
+  void forget_holders() { holders_at_ = {}; }
+
+  /// Gives up all partitions, so that others can run their jobs at once.
+  void leave(monotonic_time now);
+  bool has_left() const { return left_; }
+
+private:
+  struct kept_job;
+  struct partition;
+  struct change;
+  struct pending_reply;
+
+  partition_number partition_number_of(std::uint64_t job) const;
+  /// The partition of the job if this entry answers for it, or null.
+  partition* find_partition(std::uint64_t job);
+  const partition* find_partition(std::uint64_t job) const;
+  /// Also a partition that is being released.
+  partition* find_held(std::uint64_t job);
+  topic_partition topic_of(partition_number number) const { return {settings_.topic, number}; }
+  partition* current(partition_number number, std::uint64_t serial);
+
+  void renew(monotonic_time now);
+  void take_share(const group_share& share, monotonic_time sent, monotonic_time now);
+  /// `sent_submissions` is answered to callers whose job is in an append without an answer.
+  void give_up(partition_number number, const std::string& cause, kept_answer sent_submissions);
+  void release(partition& each, monotonic_time now);
+  void finish_releases(monotonic_time now);
+  void finish_leave();
+
+  void read(partition_number number, std::uint64_t serial, const std::string& after);
+  void claim(partition& each, monotonic_time now);
+  void claimed(partition& each, std::uint64_t end, monotonic_time now);
+  void restore(partition& each, const std::vector<keyed_record>& records);
+  void start_restored(partition& each);
+  void start(partition& each, kept_job& job);
+
+  void close(partition& each, std::uint64_t id);
+  void queue_change(partition& each, change what, monotonic_time now,
+                    std::chrono::milliseconds delay = {});
+  void flush(partition& each, monotonic_time now);
+  void append(partition& each);
+  void append_answered(partition& each, const absl::StatusOr<std::uint64_t>& end);
+  void check_appended(partition& each);
+  void appended(partition& each, std::uint64_t end);
+  void append_refused(partition& each);
+  void expire_waiting(monotonic_time now);
+  void forget_ended(partition& each, monotonic_time now);
+
+  kept_settings settings_;
+  partition_log& log_;
+  kept_port& port_;
+  event_log& events_;
+  metrics_registry& metrics_;
+  std::map<partition_number, std::unique_ptr<partition>> partitions_;
+  std::deque<std::shared_ptr<pending_reply>> waiting_;
+  std::size_t open_jobs_ = 0;
+  std::uint64_t next_serial_ = 1;
+  std::uint64_t generation_ = 0;
+  bool renewing_ = false;
+  bool reachable_ = true;
+  monotonic_time next_renewal_{};
+  monotonic_time lease_until_{};
+  monotonic_time now_{};
+  std::vector<partition_holder> holders_;
+  monotonic_time holders_at_{};
+  std::vector<std::function<void()>> holder_waits_;
+  bool leaving_ = false;
+  bool left_ = false;
+  std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+} // namespace parsleylead
--- a/include/parsleylead/runs/run_table.hpp
+++ b/include/parsleylead/runs/run_table.hpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -41,6 +42,8 @@
 struct finished_run {
   run_id run;
   run_outcome outcome = run_outcome::done;
+  /// Place in the worker's list of ends, from 1 in each of its lives.
+  std::uint64_t number = 0;
 };
 
 /// Calls that the agent has to make to its worker.
@@ -63,13 +66,21 @@
 /// A start without an answer may be carried out seconds later. It keeps its room until the worker
 /// lists the run, or until the worker has confirmed a stop of it, which makes the worker reject the
 /// run from then on, and a list taken after that confirmation does not show it.
+///
+/// Ends of stored jobs (with an epoch) are held at the worker until the owner of their partition
+/// has noted them: whatever happens to this process or to the owner, the worker lists them again.
 class run_table {
 public:
+  /// `partitions`: number of partitions of stored jobs.
+  explicit run_table(std::uint32_t partitions = 1) : partitions_(partitions) {}
+
   /// Another worker than before, which runs nothing of this table. Every run ends as lost.
   void worker_began(const resource_needs& capacity, monotonic_time now);
   void set_capacity(const resource_needs& capacity) { capacity_ = capacity; }
   /// The worker crashed or cannot be reached, and all leases on it have ended.
   void worker_lost(monotonic_time now);
+  /// The worker's list of ends begins anew.
+  void ends_restarted();
   /// While false, no run is started; waiting orders are returned at the next `pump`.
   void set_accepting(bool accepting) { accepting_ = accepting; }
   /// While true, no run is started, but orders stay: the worker's state is not known.
@@ -84,6 +95,22 @@
   /// stops what is not listed and reports again what ended or never arrived.
   void reconcile(owner_id owner, const std::vector<run_id>& outstanding, monotonic_time now);
 
+  /// The owner holds a partition of stored jobs. Runs of earlier epochs there are stopped, and all
+  /// held ends of the partition are reported to it. Claims older than a known one are ignored.
+  void claimed(owner_id owner, const partition_claim& claim, monotonic_time now);
+  /// A held end is stored, or of no use.
+  void noted(const end_note& note);
+  /// The worker may forget ends up to this number.
+  std::uint64_t confirmable_end() const;
+  /// All ends that the worker lists wait for their owners.
+  bool holds_ends() const { return !held_.empty(); }
+  /// Held ends that nobody may take note of: see `end_note::superseded`.
+  bool has_superseded_end() const;
+  /// All leases on the worker have ended since the superseded ends were listed.
+  void release_superseded();
+  /// Held ends of partitions without a claim.
+  bool has_unclaimed_end() const;
+
   void start_answered(const run_id& run, start_answer answer, monotonic_time now);
   /// `confirmed`: the worker will never start this run, or is stopping it.
   void stop_answered(const run_id& run, bool confirmed, monotonic_time now);
@@ -132,18 +159,34 @@
     owned_end end;
     monotonic_time at;
   };
+  struct held_end {
+    run_end end;
+    bool superseded = false;
+  };
+  struct known_claim {
+    owner_id owner = 0;
+    std::uint64_t epoch = 0;
+  };
   using run_map = std::unordered_map<task_key, run, task_key_hash>;
 
   run_map::iterator locate(const run_id& id);
   run* find(const run_id& id);
   const run* find(const run_id& id) const;
-  void finish(run_map::iterator at, run_outcome outcome, monotonic_time now);
+  void finish(run_map::iterator at, run_outcome outcome, monotonic_time now,
+              std::uint64_t number = 0);
+  void hold_end(std::uint64_t number, run_end end);
+  void report_held(const run_end& end);
   void remember(const owned_end& end, monotonic_time now);
   void order_stop(run& each, monotonic_time now);
   void end_all(run_outcome outcome, monotonic_time now);
   void count_end(run_outcome outcome, monotonic_time now);
   void remove_waiting(const task_key& key);
 
+  std::uint32_t partitions_;
+  std::map<partition_number, known_claim> claims_;
+  /// By the worker's numbers.
+  std::map<std::uint64_t, held_end> held_;
+  std::uint64_t last_end_ = 0;
   run_map runs_;
   std::vector<task_key> waiting_;
   std::deque<past_end> past_;
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -1,4 +1,4 @@
-# Frames between entries and agents, and between entries, protocol version 1. Each frame is one
+# Frames between entries and agents, and between entries, protocol version 2. Each frame is one
 # message of the type `Frame`.
 # Regenerate with scripts/generate; the output in src/transport/generated is committed.
 @0xd3a1f6c05b7e9214;
@@ -6,7 +6,7 @@
 using Cxx = import "/capnp/c++.capnp";
 $Cxx.namespace("parsleylead::fleet_wire");
 
-const protocolVersion :UInt32 = 1;
+const protocolVersion :UInt32 = 2;
 
 struct Needs {
   cpuMillis @0 :UInt32;
@@ -34,6 +34,8 @@
   maxWaitMs @5 :UInt32;
   # The operators' order of importance: 0 comes first.
   priority @6 :UInt32;
+  # Tenure of the owner of a stored job; 0 for other jobs.
+  epoch @7 :UInt64;
 }
 
 enum Outcome {
@@ -51,6 +53,23 @@
   outcome @1 :Outcome;
   ranMs @2 :UInt32;
   waitedMs @3 :UInt32;
+  # The agent keeps it at the worker until it is noted.
+  held @4 :Bool;
+}
+
+struct Claim {
+  partition @0 :UInt32;
+  epoch @1 :UInt64;
+}
+
+struct EndNote {
+  run @0 :RunId;
+  superseded @1 :Bool;
+}
+
+struct QueueCount {
+  queue @0 :Text;
+  jobs @1 :UInt32;
 }
 
 # What seldom changes about a worker. Sent first in each session, then when it changes.
@@ -122,4 +141,9 @@
   moves @11 :List(RunId);
   slow @12 :List(SlowRun);
   payloads @13 :List(Text);
+  # Partitions of stored jobs that the sender owns.
+  claims @14 :List(Claim);
+  notes @15 :List(EndNote);
+  # Stored jobs of the sender that have not begun.
+  waiting @16 :List(QueueCount);
 }
--- a/src/fleet/fleet_agent.cpp
+++ b/src/fleet/fleet_agent.cpp
@@ -45,7 +45,8 @@
                          event_log& log, metrics_registry& metrics)
     : io_(io), settings_(std::move(settings)), port_(worker), log_(log), metrics_(metrics),
       tick_timer_(io), dialer_(settings_.timing, settings_.name, settings_.availability_zone, "",
-                               settings_.max_sessions) {}
+                               settings_.max_sessions),
+      table_(settings_.partitions) {}
 
 fleet_agent::~fleet_agent() {
   for (auto& [address, each] : sessions_) {
@@ -78,6 +79,8 @@
   }
   last_tick_ = now;
   check_sessions(now);
+  // Ends of stored jobs have to reach the owner, whichever entry that is.
+  dialer_.set_max_links(table_.has_unclaimed_end() ? dialer_.known() : settings_.max_sessions);
   for (const auto& address : dialer_.due(now)) {
     dial(address);
   }
@@ -205,6 +208,17 @@
   if (frame->outstanding) {
     table_.reconcile(from.owner, *frame->outstanding, now);
   }
+  for (const auto& claim : frame->claims) {
+    log_.write("partition_claimed", "partition", claim.partition, "epoch", claim.epoch, "entry",
+               from.entry);
+    table_.claimed(from.owner, claim, now);
+  }
+  for (const auto& note : frame->notes) {
+    if (note.superseded) {
+      log_.write("end_superseded", "run", format_run(note.run));
+    }
+    table_.noted(note);
+  }
   for (const auto& run : frame->stops) {
     table_.stop(from.owner, run, false, now);
   }
@@ -236,6 +250,7 @@
     table_.worker_began(announced.capacity, now);
   }
   if (fresh) {
+    table_.ends_restarted();
     // A new life under the same id may already run what was started since it began: its next list
     // shows which runs are lost.
     port_.attach(announced);
@@ -269,7 +284,7 @@
 }
 
 void fleet_agent::suspect_worker(bool suspected, const std::string& cause) {
-  table_.set_suspended(suspected);
+  table_.set_suspended(suspected || table_.has_superseded_end());
   if (suspected != suspected_) {
     suspected_ = suspected;
     status_dirty_ = true;
@@ -287,12 +302,13 @@
   const auto now = lease_now();
   // After a miss the lease is not extended until the worker answers, so that the time at which all
   // runs have certainly ended stays fixed.
-  const bool extend = !list_missed_;
+  end_lease_if_superseded(now);
+  const bool extend = !list_missed_ && !ending_lease_;
   if (extend) {
     extended_ = now;
   }
   const auto wait = extend ? settings_.list_interval : milliseconds{0};
-  port_.list_runs(extend, wait,
+  port_.list_runs(table_.confirmable_end(), extend, wait,
                   [this, now, alive = std::weak_ptr<int>(alive_)](absl::StatusOr<run_lists> lists) {
                     if (alive.expired()) {
                       return;
@@ -302,17 +318,51 @@
                       return;
                     }
                     take_lists(*lists, now);
-                    list_runs();
+                    if (table_.holds_ends() || ending_lease_) {
+                      list_runs_after(settings_.held_list_interval);
+                    } else {
+                      list_runs();
+                    }
                   });
 }
 
+void fleet_agent::list_runs_after(milliseconds delay) {
+  auto timer = std::make_shared<asio::steady_timer>(io_, delay);
+  timer->async_wait([this, timer, alive = std::weak_ptr<int>(alive_)](const asio::error_code&) {
+    if (!alive.expired()) {
+      list_runs();
+    }
+  });
+}
+
+monotonic_time fleet_agent::lease_end() const {
+  return extended_ +
+         std::chrono::round<milliseconds>(settings_.worker_lease * (1 + worker_clock_error)) +
+         worker_stop_time;
+}
+
+void fleet_agent::end_lease_if_superseded(monotonic_time now) {
+  if (!table_.has_superseded_end()) {
+    return;
+  }
+  if (ending_lease_ && now > lease_end()) {
+    ending_lease_ = false;
+    table_.release_superseded();
+    log_.write("superseded_ends_released", "worker", worker_->id);
+  } else if (!ending_lease_ && table_.running() == 0) {
+    ending_lease_ = true;
+    log_.write("lease_not_extended", "worker", worker_->id, "cause", "superseded ends");
+  }
+  table_.set_suspended(suspected_ || table_.has_superseded_end());
+}
+
 void fleet_agent::look() {
   if (!worker_ || std::exchange(looking_, true)) {
     look_again_ = true;
     return;
   }
   look_again_ = false;
-  port_.list_runs(false, milliseconds{0},
+  port_.list_runs(table_.confirmable_end(), false, milliseconds{0},
                   [this, now = lease_now(),
                    alive = std::weak_ptr<int>(alive_)](absl::StatusOr<run_lists> lists) {
                     if (alive.expired()) {
@@ -351,25 +401,15 @@
     if (now - last_listed_ > settings_.suspect_after || absl::IsUnavailable(status)) {
       suspect_worker(true, std::string(status.message()));
     }
-    const auto lease_end =
-        extended_ +
-        std::chrono::round<milliseconds>(settings_.worker_lease * (1 + worker_clock_error)) +
-        worker_stop_time;
     const bool crashed = absl::IsUnavailable(status) && std::exchange(refused_once_, true);
-    if ((crashed || now > lease_end) && table_.running() > 0) {
+    if ((crashed || now > lease_end()) && table_.running() > 0) {
       log_.write("worker_lost", "worker", worker_->id, "crashed", crashed, "runs", table_.running(),
                  "cause", std::string(status.message()));
       table_.worker_lost(now);
     }
     flush_soon();
   }
-  auto timer =
-      std::make_shared<asio::steady_timer>(io_, suspected_ ? suspected_list_retry : list_retry);
-  timer->async_wait([this, timer, alive = std::weak_ptr<int>(alive_)](const asio::error_code&) {
-    if (!alive.expired()) {
-      list_runs();
-    }
-  });
+  list_runs_after(suspected_ ? suspected_list_retry : list_retry);
 }
 
 fleet_agent::session* fleet_agent::session_of(owner_id owner) {
--- a/src/fleet/fleet_entry.cpp
+++ b/src/fleet/fleet_entry.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <asio/post.hpp>
+#include <set>
 #include <utility>
 
 #include "parsleylead/base/call_after.hpp"
@@ -12,6 +13,8 @@
 
 using std::chrono::milliseconds;
 
+// Counts of waiting jobs come with each keepalive of an entry; older ones are no longer true.
+constexpr milliseconds counts_kept{1'000};
 // A connection has to say who it is within this time.
 constexpr milliseconds hello_timeout{2'000};
 
@@ -27,9 +30,50 @@
   bool closed = false;
   worker_index worker = 0;
   monotonic_time opened{};
+  std::vector<queue_count> waiting;
+  monotonic_time waiting_at{};
   fleet_frame out;
 };
 
+/// Runs stored jobs on the entry's scheduler.
+struct fleet_entry::stored_job_port : kept_port {
+  explicit stored_job_port(fleet_entry& of) : entry(of) {}
+
+  void run(fleet_job job) override {
+    // A caller may have used the id for a job that need not be stored.
+    entry.cancel(job.id);
+    entry.scheduler_.submit(std::move(job), lease_now());
+    entry.run_soon();
+  }
+  void drop(std::uint64_t job) override {
+    entry.scheduler_.cancel(job, lease_now());
+    entry.run_soon();
+  }
+  void suspend(std::uint64_t job) override {
+    if (entry.scheduler_.is_open(job)) {
+      entry.scheduler_.suspend(job);
+      entry.run_soon();
+    }
+  }
+  bool is_placed(std::uint64_t job) const override { return entry.scheduler_.is_placed(job); }
+  bool has_begun(std::uint64_t job) const override { return entry.scheduler_.has_begun(job); }
+  void announce(const std::vector<partition_claim>& claims) override {
+    for (const auto& [index, each] : entry.agents_) {
+      auto& out = each->out.claims;
+      out.insert(out.end(), claims.begin(), claims.end());
+    }
+    entry.run_soon();
+  }
+  void note(worker_index worker, const end_note& note) override {
+    if (const auto found = entry.agents_.find(worker); found != entry.agents_.end()) {
+      found->second->out.notes.push_back(note);
+      entry.run_soon();
+    }
+  }
+
+  fleet_entry& entry;
+};
+
 fleet_entry::fleet_entry(asio::io_context& io, fleet_entry_settings settings, event_log& log,
                          metrics_registry& metrics,
                          std::function<void(const route_update&)> on_routes)
@@ -64,6 +108,36 @@
   }
 }
 
+void fleet_entry::keep_jobs(kept_settings settings, partition_log& log) {
+  stored_job_port_ = std::make_unique<stored_job_port>(*this);
+  kept_ = std::make_unique<kept_jobs>(std::move(settings), log, *stored_job_port_, log_, metrics_);
+}
+
+kept_jobs& fleet_entry::stored_jobs() {
+  // The lease may have ended while this process stood still.
+  kept_->check_lease(lease_now());
+  return *kept_;
+}
+
+std::size_t fleet_entry::waiting_stored_jobs(const std::string& queue) const {
+  std::size_t jobs = 0;
+  const auto add = [&](const std::vector<queue_count>& counts) {
+    for (const auto& each : counts) {
+      jobs += each.queue == queue ? each.jobs : 0;
+    }
+  };
+  add(scheduler_.waiting_stored_jobs());
+  std::set<std::string> seen; // Two entries may have dialled each other.
+  const auto now = lease_now();
+  for (const auto& each : sessions_) {
+    if (!each->is_agent && now - each->waiting_at < counts_kept &&
+        seen.insert(each->peer.name).second) {
+      add(each->waiting);
+    }
+  }
+  return jobs;
+}
+
 void fleet_entry::set_routes(const route_update& routes) {
   if (routes.version <= routes_.version) {
     return;
@@ -81,6 +155,9 @@
                scheduler_.open_jobs());
     scheduler_.process_stalled(before);
   }
+  if (kept_) {
+    kept_->tick(now);
+  }
   check_sessions(now);
   for (const auto& address : dialer_.due(now)) {
     dial(address);
@@ -101,6 +178,9 @@
       closed(each, silent ? "silent" : "no greeting");
     } else if (each->greeted && now - each->link->last_sent() > settings_.timing.keepalive) {
       each->out.routes_version = routes_.version;
+      if (kept_ && !each->is_agent) {
+        each->out.waiting = scheduler_.waiting_stored_jobs();
+      }
       each->link->send(encode_frame(each->out));
       each->out = {};
     }
@@ -240,6 +320,9 @@
   auto reply = member_frame();
   reply.hello = session_hello{self_, false, 0};
   reply.outstanding = same_agent ? scheduler_.outstanding(from->worker) : std::vector<run_id>{};
+  if (kept_) {
+    reply.claims = kept_->claims();
+  }
   from->link->send(encode_frame(reply));
   log_.write("session_opened", "agent", hello.sender.name, "incarnation", hello.sender.incarnation,
              "same_agent", same_agent, "outstanding", reply.outstanding->size());
@@ -277,13 +360,15 @@
   if (!from->is_agent) {
     add_members(frame->members);
     routes_received(*from, *frame);
+    from->waiting = std::move(frame->waiting);
+    from->waiting_at = now;
     return;
   }
   if (frame->status) {
     scheduler_.worker_reported(from->worker, *frame->status, now);
   }
   for (const auto& end : frame->ends) {
-    scheduler_.run_ended(from->worker, end, now);
+    run_ended(*from, end, now);
   }
   for (const auto& slow : frame->slow) {
     scheduler_.run_is_slow(from->worker, slow, now);
@@ -291,6 +376,13 @@
   run_soon();
 }
 
+void fleet_entry::run_ended(session& from, const run_end& end, monotonic_time now) {
+  const bool current = scheduler_.run_ended(from.worker, end, now);
+  if (end.held && kept_) {
+    kept_->run_ended(from.worker, end, current, now);
+  }
+}
+
 fleet_entry::caller_ticket fleet_entry::submit(fleet_job job, result_handler done) {
   const auto id = job.id;
   const auto ticket = next_ticket_++;
@@ -318,7 +410,7 @@
 }
 
 bool fleet_entry::cancel(std::uint64_t id) {
-  if (!scheduler_.is_open(id)) {
+  if (!is_waited_for(id)) {
     return false;
   }
   scheduler_.cancel(id, lease_now());
@@ -343,6 +435,9 @@
 }
 
 void fleet_entry::run() {
+  if (kept_) {
+    kept_->check_lease(lease_now());
+  }
   scheduler_.pump(lease_now());
   for (auto& [index, order] : scheduler_.take_starts()) {
     if (const auto found = agents_.find(index); found != agents_.end()) {
@@ -379,6 +474,9 @@
                {{"verdict", to_string(result.verdict)}, {"cause", to_string(result.cause)}});
   metrics_.observe("parsleylead_entry_job_seconds", {{"verdict", to_string(result.verdict)}},
                    result.elapsed);
+  if (kept_) {
+    kept_->job_ended(result, lease_now());
+  }
   const auto found = callers_.find(result.id);
   if (found == callers_.end()) {
     return;
--- a/src/fleet/fleet_frame.cpp
+++ b/src/fleet/fleet_frame.cpp
@@ -61,6 +61,7 @@
   out.setDueInMs(order.due_in.count());
   out.setMaxWaitMs(static_cast<std::uint32_t>(order.max_wait.count()));
   out.setPriority(order.priority);
+  out.setEpoch(order.epoch);
 }
 
 start_order read(wire::Start::Reader in) {
@@ -70,7 +71,8 @@
           milliseconds(in.getEstimateMs()),
           milliseconds(in.getDueInMs()),
           milliseconds(in.getMaxWaitMs()),
-          in.getPriority()};
+          in.getPriority(),
+          in.getEpoch()};
 }
 
 void write(wire::WorkerDescription::Builder out, const worker_description& about) {
@@ -130,11 +132,12 @@
   out.setOutcome(static_cast<wire::Outcome>(end.outcome));
   out.setRanMs(static_cast<std::uint32_t>(end.ran.count()));
   out.setWaitedMs(static_cast<std::uint32_t>(end.waited.count()));
+  out.setHeld(end.held);
 }
 
 run_end read(wire::RunEnd::Reader in) {
   return {read(in.getRun()), static_cast<run_outcome>(in.getOutcome()), milliseconds(in.getRanMs()),
-          milliseconds(in.getWaitedMs())};
+          milliseconds(in.getWaitedMs()), in.getHeld()};
 }
 
 void write(wire::SlowRun::Builder out, const slow_run& slow) {
@@ -147,6 +150,33 @@
   return {read(in.getRun()), in.getPercent(), milliseconds(in.getRanMs())};
 }
 
+void write(wire::Claim::Builder out, const partition_claim& claim) {
+  out.setPartition(claim.partition);
+  out.setEpoch(claim.epoch);
+}
+
+partition_claim read(wire::Claim::Reader in) {
+  return {in.getPartition(), in.getEpoch()};
+}
+
+void write(wire::EndNote::Builder out, const end_note& note) {
+  write(out.initRun(), note.run);
+  out.setSuperseded(note.superseded);
+}
+
+end_note read(wire::EndNote::Reader in) {
+  return {read(in.getRun()), in.getSuperseded()};
+}
+
+void write(wire::QueueCount::Builder out, const queue_count& count) {
+  out.setQueue(count.queue);
+  out.setJobs(count.jobs);
+}
+
+queue_count read(wire::QueueCount::Reader in) {
+  return {text(in.getQueue()), in.getJobs()};
+}
+
 template <class List, class Values>
 void write_all(List list, const Values& values) {
   for (unsigned i = 0; i < list.size(); ++i) {
@@ -222,6 +252,9 @@
   read_all(in.getEnds(), frame.ends);
   read_all(in.getSlow(), frame.slow);
   read_all(in.getMembers(), frame.members);
+  read_all(in.getClaims(), frame.claims);
+  read_all(in.getNotes(), frame.notes);
+  read_all(in.getWaiting(), frame.waiting);
   if (in.hasStatus()) {
     frame.status = read(in.getStatus());
   }
@@ -238,7 +271,8 @@
 
 bool fleet_frame::empty() const {
   return !hello && starts.empty() && stops.empty() && moves.empty() && ends.empty() &&
-         slow.empty() && !status && members.empty() && !outstanding && routes.empty() && !leaving;
+         slow.empty() && !status && members.empty() && !outstanding && routes.empty() && !leaving &&
+         claims.empty() && notes.empty() && waiting.empty();
 }
 
 std::string encode_frame(const fleet_frame& frame) {
@@ -265,6 +299,15 @@
   if (!frame.members.empty()) {
     write_all(out.initMembers(count(frame.members.size())), frame.members);
   }
+  if (!frame.claims.empty()) {
+    write_all(out.initClaims(count(frame.claims.size())), frame.claims);
+  }
+  if (!frame.notes.empty()) {
+    write_all(out.initNotes(count(frame.notes.size())), frame.notes);
+  }
+  if (!frame.waiting.empty()) {
+    write_all(out.initWaiting(count(frame.waiting.size())), frame.waiting);
+  }
   if (frame.status) {
     write(out.initStatus(), *frame.status);
   }
--- a/src/fleet/fleet_frame_test.cpp
+++ b/src/fleet/fleet_frame_test.cpp
@@ -19,10 +19,13 @@
                           {3'100, 64, 1},
                           milliseconds(60),
                           milliseconds(-20),
-                          milliseconds(250)});
+                          milliseconds(250),
+                          3,
+                          11});
   frame.stops.push_back({{5, 0, 1}, 2});
   frame.moves.push_back({{6, 0, 1}, 2});
-  frame.ends.push_back({{{7, 0, 1}, 1}, run_outcome::lost, milliseconds(30), milliseconds(4)});
+  frame.ends.push_back(
+      {{{7, 0, 1}, 1}, run_outcome::lost, milliseconds(30), milliseconds(4), true});
   frame.slow.push_back({{{8, 0, 1}, 1}, 12, milliseconds(900)});
   worker_status status;
   status.present = true;
@@ -37,6 +40,9 @@
   frame.routes_version = 12;
   frame.routes = "{}";
   frame.leaving = true;
+  frame.claims = {{3, 12}};
+  frame.notes = {{{{9, 0, 1}, 1}, true}};
+  frame.waiting = {{"queue", 5}};
   return frame;
 }
 
@@ -55,7 +61,12 @@
   CHECK(got->stops == sent.stops);
   CHECK(got->moves == sent.moves);
   REQUIRE(got->ends.size() == 1);
+  CHECK(got->starts[0].epoch == 11);
   CHECK(got->ends[0].outcome == run_outcome::lost);
+  CHECK(got->ends[0].held);
+  CHECK(got->claims == sent.claims);
+  CHECK(got->notes == sent.notes);
+  CHECK(got->waiting == sent.waiting);
   REQUIRE(got->status.has_value());
   CHECK(got->status->about.labels == sent.status->about.labels);
   CHECK(got->status->slowdown == doctest::Approx(1.25));
--- a/src/fleet/fleet_link_test.cpp
+++ b/src/fleet/fleet_link_test.cpp
@@ -52,7 +52,7 @@
     post([done = std::move(done)] { done(true); });
   }
 
-  void list_runs(bool, milliseconds wait,
+  void list_runs(std::uint64_t, bool, milliseconds wait,
                  std::function<void(absl::StatusOr<run_lists>)> done) override {
     if (lost_lists > 0) {
       --lost_lists;
--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -38,6 +38,11 @@
   return double_ms(value).count();
 }
 
+/// The next attempt's number would be one of the next owner.
+bool attempts_used_up(const fleet_job& job, std::uint32_t attempts) {
+  return job.tenure && attempts - job.tenure->attempts_before + 1 >= attempts_per_epoch;
+}
+
 } // namespace
 
 struct fleet_scheduler::worker {
@@ -78,8 +83,11 @@
   /// A run has ended that had started, or may have.
   bool ran = false;
   bool stalled = false;
+  bool suspended = false;
   job_result result;
 
+  bool is_stored() const { return spec.tenure.has_value(); }
+
   bool may_have_run() const { return ran || placed > 0; }
 };
 
@@ -101,7 +109,7 @@
   auto made = std::make_unique<job>();
   auto& owner = *made;
   owner.arrived = now;
-  owner.deadline = now + spec.patience;
+  owner.deadline = spec.tenure ? monotonic_time::max() : now + spec.patience;
   owner.spec = std::move(spec);
   std::vector<milliseconds> chains;
   for (const auto& step : owner.spec.steps) {
@@ -122,6 +130,10 @@
   owner.objective = now + objective;
   owner.late = now + std::chrono::round<milliseconds>(objective * policy_.late_factor);
   jobs_.emplace(owner.spec.id, std::move(made));
+  if (owner.is_stored()) {
+    take_progress(owner);
+    return;
+  }
   for (std::uint32_t step = 0; step < owner.spec.steps.size(); ++step) {
     if (!could_ever_run(owner, step) && !may_still_report(owner.spec.terms.service, now)) {
       finish(owner, job_verdict::not_run, job_cause::no_capable_worker, now);
@@ -142,7 +154,81 @@
   open_steps(owner);
 }
 
+void fleet_scheduler::take_progress(job& owner) {
+  const auto& tenure = *owner.spec.tenure;
+  bool failed = false;
+  for (std::uint32_t step = 0; step < owner.tasks.size(); ++step) {
+    for (std::uint32_t index = 0; index < owner.tasks[step].size(); ++index) {
+      auto& each = owner.tasks[step][index];
+      each.attempts = tenure.attempts_before;
+      if (tenure.progress.empty()) {
+        continue;
+      }
+      const auto& known = tenure.progress.at(step).at(index);
+      each.failures = known.failures;
+      owner.ran = owner.ran || known.ended_attempt > 0;
+      if (known.done) {
+        each.at = task::state::done;
+        --owner.left[step];
+      }
+      failed = failed || (!known.done && known.failures >= owner.spec.terms.max_attempts);
+    }
+  }
+  const auto now = owner.arrived;
+  if (failed) {
+    finish(owner, job_verdict::failed, job_cause::attempts_used_up, now);
+  } else if (std::all_of(owner.left.begin(), owner.left.end(),
+                         [](auto left) { return left == 0; })) {
+    finish(owner, job_verdict::completed, job_cause::none, now);
+  } else {
+    open_steps(owner);
+  }
+}
+
+void fleet_scheduler::suspend(std::uint64_t id) {
+  auto& owner = *jobs_.at(id);
+  owner.suspended = true;
+  backlog_ -= owner.ready;
+  owner.ready = 0;
+  for (std::uint32_t step = 0; step < owner.tasks.size(); ++step) {
+    for (std::uint32_t index = 0; index < owner.tasks[step].size(); ++index) {
+      auto& each = owner.tasks[step][index];
+      if (each.at == task::state::placed && !each.moving) {
+        each.moving = true;
+        stops_.push_back({each.on, {{id, step, index}, each.attempts}, true});
+      }
+    }
+  }
+}
+
+bool fleet_scheduler::is_placed(std::uint64_t id) const {
+  const auto found = jobs_.find(id);
+  return found != jobs_.end() && found->second->placed > 0;
+}
+
+bool fleet_scheduler::has_begun(std::uint64_t id) const {
+  const auto found = jobs_.find(id);
+  return found != jobs_.end() && found->second->may_have_run();
+}
+
+std::vector<queue_count> fleet_scheduler::waiting_stored_jobs() const {
+  std::map<std::string, std::uint32_t> counts;
+  for (const auto& [id, each] : jobs_) {
+    if (each->is_stored() && !each->may_have_run()) {
+      ++counts[each->spec.terms.queue];
+    }
+  }
+  std::vector<queue_count> all;
+  for (const auto& [queue, jobs] : counts) {
+    all.push_back({queue, jobs});
+  }
+  return all;
+}
+
 void fleet_scheduler::open_steps(job& owner) {
+  if (owner.suspended) {
+    return;
+  }
   for (std::uint32_t step = 0; step < owner.spec.steps.size(); ++step) {
     const auto& after = owner.spec.steps[step].after;
     if (!std::all_of(after.begin(), after.end(),
@@ -360,7 +446,7 @@
   ++owner.placed;
   --backlog_;
   ++owner.result.starts;
-  if (each.attempts == 1) {
+  if (each.attempts == 1) { // Restored tasks have waited with an earlier owner.
     owner.result.longest_wait =
         std::max(owner.result.longest_wait, std::chrono::round<milliseconds>(now - owner.arrived));
   }
@@ -371,6 +457,7 @@
   order.payload = owner.spec.payload;
   order.needs = owner.spec.steps[step].needs;
   order.priority = owner.spec.terms.priority;
+  order.epoch = owner.is_stored() ? owner.spec.tenure->epoch : 0;
   order.estimate = owner.spec.steps[step].estimate;
   order.due_in = std::chrono::round<milliseconds>(owner.objective - now - double_ms(where.run_ms));
   order.max_wait = policy_.max_wait;
@@ -389,7 +476,7 @@
   for (std::uint32_t step = 0; step < owner.tasks.size() && owner.ready > 0; ++step) {
     for (std::uint32_t index = 0; index < owner.tasks[step].size(); ++index) {
       auto& each = owner.tasks[step][index];
-      if (each.at != task::state::ready) {
+      if (each.at != task::state::ready || attempts_used_up(owner.spec, each.attempts)) {
         continue;
       }
       const auto where = choose(owner, step, each);
@@ -447,7 +534,11 @@
 
 void fleet_scheduler::run_again(job& owner, std::uint32_t step, std::uint32_t index,
                                 monotonic_time now) {
-  if (owner.stalled) {
+  if (owner.suspended) {
+    owner.tasks[step][index].at = task::state::blocked;
+    return;
+  }
+  if (owner.stalled && !owner.is_stored()) {
     // The caller may have sent the job elsewhere meanwhile; a second run here could overlap.
     finish(owner, job_verdict::unknown, job_cause::process_stalled, now);
     return;
@@ -468,10 +559,10 @@
   open_steps(owner);
 }
 
-void fleet_scheduler::run_ended(worker_index index, const run_end& end, monotonic_time now) {
+bool fleet_scheduler::run_ended(worker_index index, const run_end& end, monotonic_time now) {
   auto* each = find_task(end.run, index);
   if (each == nullptr) {
-    return;
+    return false;
   }
   auto& owner = *jobs_.at(end.run.task.job);
   const auto [id, step, number] = end.run.task;
@@ -482,14 +573,14 @@
   case run_outcome::done:
     each->at = task::state::done;
     task_done(owner, step, now);
-    return;
+    return true;
   case run_outcome::failed:
     ++owner.result.failed_runs;
     each->avoid.push_back(index);
     if (++each->failures >= owner.spec.terms.max_attempts) {
       each->at = task::state::blocked;
       finish(owner, job_verdict::failed, job_cause::attempts_used_up, now);
-      return;
+      return true;
     }
     break;
   case run_outcome::not_started:
@@ -500,6 +591,7 @@
     break;
   }
   run_again(owner, step, number, now);
+  return true;
 }
 
 void fleet_scheduler::run_is_slow(worker_index index, const slow_run& slow, monotonic_time now) {
@@ -564,6 +656,9 @@
   std::vector<std::uint64_t> expired;
   std::vector<std::uint64_t> hopeless;
   for (const auto& [id, each] : jobs_) {
+    if (each->is_stored()) {
+      continue;
+    }
     if (each->deadline <= now) {
       expired.push_back(id);
     } else if (!each->may_have_run() && each->late < now + each->chain) {
--- a/src/fleet/fleet_scheduler_test.cpp
+++ b/src/fleet/fleet_scheduler_test.cpp
@@ -304,5 +304,70 @@
   }
 }
 
+fleet_job make_stored_job(std::uint64_t id, std::uint32_t tasks,
+                          std::uint32_t attempts_before = 0) {
+  auto job = make_job(id, tasks);
+  job.patience = milliseconds(0);
+  job.tenure = job_tenure{4, attempts_before, {}};
+  return job;
+}
+
+TEST_CASE("a stored job goes on where its earlier owner stopped") {
+  // Guards against starts of tasks that were done, attempts that were used, and failures forgotten.
+  fixture fleet(2);
+  auto job = make_stored_job(1, 3, attempts_per_epoch);
+  job.tenure->progress = {{{true, 0, 1}, {false, 2, 2}, {}}};
+  const auto starts = fleet.submit(job);
+  REQUIRE(starts.size() == 2);
+  CHECK(starts[0].order.run == run_id{{1, 0, 1}, attempts_per_epoch + 1});
+  CHECK(starts[0].order.epoch == 4);
+  fleet.end(starts[0], run_outcome::failed, 60); // The third failure of three.
+  const auto results = fleet.scheduler.take_results();
+  REQUIRE(results.size() == 1);
+  CHECK(results[0].verdict == job_verdict::failed);
+}
+
+TEST_CASE("a stored job whose tasks are all done is completed at once") {
+  fixture fleet(1);
+  auto job = make_stored_job(1, 1);
+  job.tenure->progress = {{{true, 0, 1}}};
+  CHECK(fleet.submit(job).empty());
+  REQUIRE(fleet.scheduler.take_results().size() == 1);
+}
+
+TEST_CASE("a stored job waits for workers, however long, and is never refused") {
+  fixture fleet(0);
+  CHECK(fleet.submit(make_stored_job(1, 2)).empty());
+  fleet.scheduler.process_stalled(at_ms(20'000));
+  fleet.scheduler.tick(at_ms(60'000));
+  CHECK(fleet.scheduler.take_results().empty());
+  REQUIRE(fleet.scheduler.waiting_stored_jobs().size() == 1);
+  CHECK(fleet.scheduler.waiting_stored_jobs()[0].jobs == 1);
+  const auto worker = fleet.scheduler.worker_for("agent", "a");
+  fleet.scheduler.session_opened(worker, false, at_ms(60'000));
+  fleet.scheduler.worker_reported(worker, idle_worker(), at_ms(60'000));
+  fleet.scheduler.pump(at_ms(60'000));
+  CHECK(fleet.scheduler.take_starts().size() == 2);
+  CHECK(fleet.scheduler.waiting_stored_jobs().empty());
+}
+
+TEST_CASE("a suspended job stops its runs, hears their ends and starts nothing") {
+  // Guards against a task that runs on while its partition goes to another owner.
+  fixture fleet(2);
+  const auto starts = fleet.submit(make_stored_job(1, 2));
+  REQUIRE(starts.size() == 2);
+  fleet.scheduler.suspend(1);
+  const auto stops = fleet.scheduler.take_stops();
+  REQUIRE(stops.size() == 2);
+  CHECK(stops[0].report_end);
+  fleet.end(starts[0], run_outcome::stopped, 10);
+  CHECK(fleet.scheduler.is_placed(1));
+  fleet.end(starts[1], run_outcome::done, 10);
+  CHECK_FALSE(fleet.scheduler.is_placed(1));
+  fleet.scheduler.tick(at_ms(50));
+  CHECK(fleet.scheduler.take_starts().empty());
+  CHECK(fleet.scheduler.backlog() == 0);
+}
+
 } // namespace
 } // namespace parsleylead
--- /dev/null
+++ b/src/kept/kept_record.cpp
@@ -0,0 +1,180 @@
+#include "parsleylead/kept/kept_record.hpp"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+#include "parsleylead/fleet/format_run.hpp"
+
+namespace parsleylead {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr char submission_mark = 'j';
+constexpr char progress_mark = 'p';
+constexpr std::size_t id_digits = 16;
+
+absl::Status malformed(const std::exception& error) {
+  return absl::InvalidArgumentError(std::string("malformed record: ") + error.what());
+}
+
+json write_step(const job_step& step) {
+  return {{"count", step.count},
+          {"cpu_millis", step.needs.cpu_millis},
+          {"memory_mb", step.needs.memory_mb},
+          {"gpus", step.needs.gpus},
+          {"estimate_ms", step.estimate.count()},
+          {"after", step.after},
+          {"required_label", step.required_label},
+          {"preferred_rack", step.preferred_rack},
+          {"max_per_worker", step.max_per_worker}};
+}
+
+job_step read_step(const json& in) {
+  job_step step;
+  step.count = in.at("count").get<std::uint32_t>();
+  step.needs = {in.at("cpu_millis").get<std::uint32_t>(), in.at("memory_mb").get<std::uint32_t>(),
+                in.at("gpus").get<std::uint32_t>()};
+  step.estimate = milliseconds(in.at("estimate_ms").get<std::int64_t>());
+  step.after = in.at("after").get<std::vector<std::uint32_t>>();
+  step.required_label = in.at("required_label").get<std::string>();
+  step.preferred_rack = in.at("preferred_rack").get<std::string>();
+  step.max_per_worker = in.at("max_per_worker").get<std::uint32_t>();
+  return step;
+}
+
+std::optional<job_verdict> verdict_named(const std::string& name) {
+  for (const auto each : {job_verdict::completed, job_verdict::failed, job_verdict::cancelled}) {
+    if (name == to_string(each)) {
+      return each;
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+std::string submission_key(std::uint64_t job) {
+  return submission_mark + format_job(job);
+}
+
+std::string progress_key(std::uint64_t job) {
+  return progress_mark + format_job(job);
+}
+
+std::optional<kept_key> parse_kept_key(const std::string& key) {
+  if (key.size() != id_digits + 1 || (key[0] != submission_mark && key[0] != progress_mark)) {
+    return std::nullopt;
+  }
+  kept_key parsed;
+  parsed.is_progress = key[0] == progress_mark;
+  const auto* const end = key.data() + key.size();
+  const auto [stop, error] = std::from_chars(key.data() + 1, end, parsed.job, 16);
+  return error == std::errc() && stop == end ? std::optional(parsed) : std::nullopt;
+}
+
+std::string write_submission(const kept_record& record) {
+  if (record.ended) {
+    return json{{"ended", to_string(*record.ended)}}.dump();
+  }
+  const auto& terms = record.job.terms;
+  json steps = json::array();
+  for (const auto& step : record.job.steps) {
+    steps.push_back(write_step(step));
+  }
+  return json{{"queue", terms.queue},
+              {"service", terms.service},
+              {"target_ms", terms.target.count()},
+              {"stretch", terms.stretch},
+              {"max_attempts", terms.max_attempts},
+              {"priority", terms.priority},
+              {"payload", record.job.payload},
+              {"steps", std::move(steps)},
+              {"first_epoch", record.first_epoch}}
+      .dump();
+}
+
+absl::StatusOr<kept_record> parse_kept_submission(std::uint64_t job, const std::string& text) {
+  try {
+    const auto root = json::parse(text);
+    kept_record record;
+    record.job.id = job;
+    if (root.contains("ended")) {
+      record.ended = verdict_named(root.at("ended").get<std::string>());
+      if (!record.ended) {
+        return absl::InvalidArgumentError("malformed record: unknown verdict");
+      }
+      return record;
+    }
+    record.job.terms = {root.at("queue").get<std::string>(),
+                        root.at("service").get<std::string>(),
+                        milliseconds(root.at("target_ms").get<std::int64_t>()),
+                        root.at("stretch").get<double>(),
+                        root.at("max_attempts").get<std::uint32_t>(),
+                        root.at("priority").get<std::uint32_t>()};
+    record.job.payload = root.at("payload").get<std::string>();
+    record.first_epoch = root.at("first_epoch").get<std::uint64_t>();
+    for (const auto& step : root.at("steps")) {
+      record.job.steps.push_back(read_step(step));
+    }
+    record.progress = empty_progress(record.job);
+    return record;
+  } catch (const json::exception& error) {
+    return malformed(error);
+  }
+}
+
+std::string write_progress(const kept_record& record) {
+  // A row for each task that has ended a run: step, index, done, failures, attempt.
+  json rows = json::array();
+  for (std::size_t step = 0; step < record.progress.size(); ++step) {
+    for (std::size_t index = 0; index < record.progress[step].size(); ++index) {
+      const auto& each = record.progress[step][index];
+      if (each != task_progress{}) {
+        rows.push_back({step, index, each.done, each.failures, each.ended_attempt});
+      }
+    }
+  }
+  return rows.dump();
+}
+
+absl::Status parse_kept_progress(const std::string& text, kept_record& record) {
+  try {
+    auto progress = record.progress;
+    for (const auto& row : json::parse(text)) {
+      auto& each = progress.at(row.at(0).get<std::size_t>()).at(row.at(1).get<std::size_t>());
+      each = {row.at(2).get<bool>(), row.at(3).get<std::uint32_t>(),
+              row.at(4).get<std::uint32_t>()};
+    }
+    record.progress = std::move(progress);
+    return absl::OkStatus();
+  } catch (const std::exception& error) { // Also a row for a task that the job does not have.
+    return malformed(error);
+  }
+}
+
+std::string write_owner(const kept_owner& owner) {
+  return json{{"epoch", owner.epoch}, {"member", owner.member}, {"released", owner.released}}
+      .dump();
+}
+
+absl::StatusOr<kept_owner> parse_kept_owner(const std::string& text) {
+  try {
+    const auto root = json::parse(text);
+    return kept_owner{root.at("epoch").get<std::uint64_t>(), root.at("member").get<std::string>(),
+                      root.at("released").get<bool>()};
+  } catch (const json::exception& error) {
+    return malformed(error);
+  }
+}
+
+std::vector<std::vector<task_progress>> empty_progress(const fleet_job& job) {
+  std::vector<std::vector<task_progress>> progress;
+  for (const auto& step : job.steps) {
+    progress.emplace_back(step.count);
+  }
+  return progress;
+}
+
+} // namespace parsleylead
--- /dev/null
+++ b/src/kept/kept_record_test.cpp
@@ -0,0 +1,85 @@
+#include "parsleylead/kept/kept_record.hpp"
+
+#include <doctest/doctest.h>
+
+namespace parsleylead {
+namespace {
+
+using std::chrono::milliseconds;
+
+kept_record make_record() {
+  kept_record record;
+  record.job.id = 0x5c0e7a21d94b36f8ULL;
+  record.job.terms = {"queue", "desk", milliseconds(60), 1.6, 3, 2};
+  record.job.payload = "text with \"quotes\" and \xc3\xa9";
+  record.job.steps.resize(2);
+  record.job.steps[0].count = 3;
+  record.job.steps[0].needs = {3'100, 64, 1};
+  record.job.steps[0].estimate = milliseconds(900);
+  record.job.steps[0].required_label = "a";
+  record.job.steps[0].preferred_rack = "r1-3";
+  record.job.steps[0].max_per_worker = 2;
+  record.job.steps[1].count = 1;
+  record.job.steps[1].after = {0};
+  record.first_epoch = 7;
+  record.progress = empty_progress(record.job);
+  return record;
+}
+
+TEST_CASE("a stored job is read back as it was written") {
+  // Guards against a job that a successor runs with another payload or in another order.
+  auto record = make_record();
+  record.progress[0][2] = {true, 1, 2};
+  auto read = parse_kept_submission(record.job.id, write_submission(record));
+  REQUIRE(read.ok());
+  REQUIRE(parse_kept_progress(write_progress(record), *read).ok());
+  CHECK(read->progress == record.progress);
+  CHECK(read->first_epoch == 7);
+  CHECK(read->job.payload == record.job.payload);
+  CHECK(read->job.terms.queue == "queue");
+  CHECK(read->job.terms.priority == 2);
+  REQUIRE(read->job.steps.size() == 2);
+  CHECK(read->job.steps[0].needs == record.job.steps[0].needs);
+  CHECK(read->job.steps[0].required_label == "a");
+  CHECK(read->job.steps[0].preferred_rack == "r1-3");
+  CHECK(read->job.steps[0].max_per_worker == 2);
+  CHECK(read->job.steps[1].after == std::vector<std::uint32_t>{0});
+  CHECK(write_submission(*read) == write_submission(record));
+}
+
+TEST_CASE("results, owners and keys are read back") {
+  kept_record ended;
+  ended.ended = job_verdict::cancelled;
+  const auto read = parse_kept_submission(1, write_submission(ended));
+  REQUIRE(read.ok());
+  CHECK(read->ended == job_verdict::cancelled);
+  const auto owner = parse_kept_owner(write_owner({9, "10.0.0.1:80", true}));
+  REQUIRE(owner.ok());
+  CHECK(owner->epoch == 9);
+  CHECK(owner->member == "10.0.0.1:80");
+  CHECK(owner->released);
+  const auto key = parse_kept_key(progress_key(0xabcULL));
+  REQUIRE(key.has_value());
+  CHECK(key->job == 0xabcULL);
+  CHECK(key->is_progress);
+  CHECK_FALSE(parse_kept_key(submission_key(1))->is_progress);
+  for (const char* foreign : {"", "owner", "j1", "jzzzzzzzzzzzzzzzz", "x0000000000000001"}) {
+    CHECK_FALSE(parse_kept_key(foreign).has_value());
+  }
+}
+
+TEST_CASE("malformed records are refused and change nothing") {
+  auto record = make_record();
+  for (const char* text : {"", "7", "{}", R"({"ended":"odd"})", R"({"ended":1})"}) {
+    CHECK_FALSE(parse_kept_submission(1, text).ok());
+    CHECK_FALSE(parse_kept_owner(text).ok());
+  }
+  const auto before = record.progress;
+  for (const char* text : {"", "{\"a\":1}", "[[0,9,true,0,1]]", "[[0,0,true,0,1],[0]]"}) {
+    CHECK_FALSE(parse_kept_progress(text, record).ok());
+    CHECK(record.progress == before);
+  }
+}
+
+} // namespace
+} // namespace parsleylead
--- a/src/runs/run_table.cpp
+++ b/src/runs/run_table.cpp
@@ -67,6 +67,79 @@
   foreign_.clear();
 }
 
+void run_table::ends_restarted() {
+  held_.clear();
+  last_end_ = 0;
+}
+
+void run_table::claimed(owner_id owner, const partition_claim& claim, monotonic_time now) {
+  auto& known = claims_[claim.partition];
+  if (claim.epoch < known.epoch) {
+    return;
+  }
+  known = {owner, claim.epoch};
+  std::vector<std::pair<owner_id, run_id>> outdated;
+  for (const auto& [key, each] : runs_) {
+    if (each.order.epoch != 0 && each.order.epoch < claim.epoch &&
+        partition_of(key.job, partitions_) == claim.partition) {
+      outdated.emplace_back(each.owner, each.order.run);
+    }
+  }
+  for (const auto& [of, id] : outdated) {
+    stop(of, id, false, now);
+  }
+  for (const auto& [number, each] : held_) {
+    if (partition_of(each.end.run.task.job, partitions_) == claim.partition) {
+      ends_.push_back({owner, each.end});
+    }
+  }
+}
+
+void run_table::hold_end(std::uint64_t number, run_end end) {
+  end.held = true;
+  held_[number] = {end, false};
+}
+
+void run_table::report_held(const run_end& end) {
+  const auto claim = claims_.find(partition_of(end.run.task.job, partitions_));
+  if (claim != claims_.end()) {
+    ends_.push_back({claim->second.owner, end});
+  }
+}
+
+void run_table::noted(const end_note& note) {
+  const auto found = std::find_if(held_.begin(), held_.end(), [&](const auto& each) {
+    return each.second.end.run == note.run;
+  });
+  if (found == held_.end()) {
+    return;
+  }
+  if (note.superseded) {
+    found->second.superseded = true;
+  } else {
+    held_.erase(found);
+  }
+}
+
+std::uint64_t run_table::confirmable_end() const {
+  return held_.empty() ? last_end_ : held_.begin()->first - 1;
+}
+
+bool run_table::has_superseded_end() const {
+  return std::any_of(held_.begin(), held_.end(),
+                     [](const auto& each) { return each.second.superseded; });
+}
+
+void run_table::release_superseded() {
+  std::erase_if(held_, [](const auto& each) { return each.second.superseded; });
+}
+
+bool run_table::has_unclaimed_end() const {
+  return std::any_of(held_.begin(), held_.end(), [this](const auto& each) {
+    return !claims_.contains(partition_of(each.second.end.run.task.job, partitions_));
+  });
+}
+
 void run_table::end_all(run_outcome outcome, monotonic_time now) {
   while (!runs_.empty()) {
     const auto first = runs_.begin();
@@ -79,6 +152,14 @@
   if (const auto* here = find(order.run); here != nullptr && here->owner == owner) {
     return; // Received before.
   }
+  if (order.epoch != 0) {
+    const auto claim = claims_.find(partition_of(key.job, partitions_));
+    if (claim != claims_.end() && order.epoch < claim->second.epoch) {
+      // The partition has a later owner.
+      ends_.push_back({owner, {order.run, run_outcome::not_started, {}, {}}});
+      return;
+    }
+  }
   if (runs_.contains(key)) {
     // Another run of this task is here: never two at once.
     ends_.push_back({owner, {order.run, run_outcome::not_started, {}, {}}});
@@ -246,8 +327,19 @@
         estimate * ((known->percent - before) / 100.0), now);
   }
   for (const auto& each : finished) {
+    if (each.number <= last_end_ && each.number != 0) {
+      continue; // Listed before.
+    }
+    last_end_ = std::max(last_end_, each.number);
+    const bool final = each.outcome == run_outcome::done || each.outcome == run_outcome::failed;
     const auto found = locate(each.run);
     if (found == runs_.end() || found->second.at == state::waiting) {
+      if (final && each.number != 0) {
+        // Of an earlier agent on this host, perhaps of a stored job: the owner of the partition
+        // tells.
+        hold_end(each.number, {each.run, each.outcome, {}, {}});
+        report_held(held_[each.number].end);
+      }
       continue;
     }
     auto& known = found->second;
@@ -257,7 +349,7 @@
                    estimate * ((100.0 - known.percent) / 100.0), now);
     }
     count_end(each.outcome, now);
-    finish(found, each.outcome, now);
+    finish(found, each.outcome, now, final && known.order.epoch != 0 ? each.number : 0);
   }
   observed_ = now;
   if (!complete) {
@@ -293,7 +385,8 @@
   }
 }
 
-void run_table::finish(run_map::iterator at, run_outcome outcome, monotonic_time now) {
+void run_table::finish(run_map::iterator at, run_outcome outcome, monotonic_time now,
+                       std::uint64_t number) {
   auto& each = at->second;
   if (each.at == state::waiting) {
     queued_cpu_millis_ -= each.order.needs.cpu_millis;
@@ -305,11 +398,16 @@
   const auto began = each.at == state::waiting ? now : each.began;
   const run_end end{each.order.run, outcome,
                     ran ? std::chrono::round<milliseconds>(now - each.began) : milliseconds{0},
-                    std::chrono::round<milliseconds>(began - each.added)};
+                    std::chrono::round<milliseconds>(began - each.added), number != 0};
+  if (number != 0) {
+    hold_end(number, end);
+  }
   // An abandoned run's end is kept too: its owner may ask for it when its session resumes.
   remember({each.owner, end}, now);
   if (!each.abandoned) {
     ends_.push_back({each.owner, end});
+  } else if (end.held) {
+    report_held(end);
   }
   runs_.erase(at);
 }
--- a/src/runs/run_table_test.cpp
+++ b/src/runs/run_table_test.cpp
@@ -308,5 +308,107 @@
   }));
 }
 
+/// An order for a task of a stored job, and a run of it that the worker has confirmed.
+start_order make_stored_order(std::uint64_t job, std::uint64_t epoch) {
+  auto order = make_order(job);
+  order.epoch = epoch;
+  return order;
+}
+
+void run_stored(run_table& table, std::uint64_t job, std::uint64_t epoch) {
+  table.add(entry, make_stored_order(job, epoch), at_ms(0));
+  table.pump(at_ms(0));
+  table.take_calls();
+  table.start_answered({{job, 0, 0}, 1}, start_answer::started, at_ms(1));
+}
+
+TEST_CASE("the worker keeps the end of a stored job until its owner has noted it") {
+  // Guards against a second start of a task that was done: whoever dies, the worker lists the end.
+  auto table = make_table();
+  run_stored(table, 1, 5);
+  table.observe({}, {{{{1, 0, 0}, 1}, run_outcome::done, 7}}, true, at_ms(50), at_ms(60));
+  const auto ends = table.take_ends();
+  REQUIRE(ends.size() == 1);
+  CHECK(ends[0].end.held);
+  CHECK(table.confirmable_end() == 6);
+  // Listed again, it is not reported again.
+  table.observe({}, {{{{1, 0, 0}, 1}, run_outcome::done, 7}}, true, at_ms(60), at_ms(70));
+  CHECK(table.take_ends().empty());
+  table.noted({{{1, 0, 0}, 1}, false});
+  CHECK(table.confirmable_end() == 7);
+}
+
+TEST_CASE("ends of jobs that are not stored, and of stopped runs, are confirmed at once") {
+  auto table = make_table();
+  table.add(entry, make_order(1), at_ms(0));
+  table.pump(at_ms(0));
+  table.start_answered({{1, 0, 0}, 1}, start_answer::started, at_ms(1));
+  run_stored(table, 2, 5);
+  table.observe({},
+                {{{{1, 0, 0}, 1}, run_outcome::done, 1}, {{{2, 0, 0}, 1}, run_outcome::stopped, 2}},
+                true, at_ms(50), at_ms(60));
+  CHECK(table.confirmable_end() == 2);
+}
+
+TEST_CASE("a new owner of a partition is told all held ends, also those of an earlier agent") {
+  auto table = make_table();
+  run_stored(table, 1, 5);
+  table.stop_owner(entry, at_ms(10)); // The owner is gone; the run ends before its stop.
+  table.observe({},
+                {{{{1, 0, 0}, 1}, run_outcome::done, 1}, {{{9, 0, 0}, 3}, run_outcome::failed, 2}},
+                true, at_ms(50), at_ms(60));
+  CHECK(table.take_ends().empty());
+  CHECK(table.has_unclaimed_end());
+  CHECK(table.confirmable_end() == 0);
+  table.claimed(other_entry, {0, 6}, at_ms(70));
+  const auto ends = table.take_ends();
+  REQUIRE(ends.size() == 2);
+  CHECK(ends[0].owner == other_entry);
+  CHECK(ends[0].end.outcome == run_outcome::done);
+  CHECK(ends[1].end.run == run_id{{9, 0, 0}, 3});
+  CHECK_FALSE(table.has_unclaimed_end());
+}
+
+TEST_CASE("a claim stops the runs of earlier owners and refuses their orders") {
+  // Guards against two runs of a task, for an owner that does not know yet that it was replaced.
+  auto table = make_table();
+  run_stored(table, 1, 5);
+  table.claimed(other_entry, {0, 6}, at_ms(10));
+  CHECK(stopped(table) == std::vector<run_id>{{{1, 0, 0}, 1}});
+  table.add(entry, make_stored_order(2, 5), at_ms(20));
+  table.pump(at_ms(20));
+  CHECK(started(table).empty());
+  const auto ends = table.take_ends();
+  REQUIRE(ends.size() == 1);
+  CHECK(ends[0].end.outcome == run_outcome::not_started);
+  // A late claim of the earlier owner changes nothing.
+  table.claimed(entry, {0, 5}, at_ms(30));
+  table.add(other_entry, make_stored_order(3, 6), at_ms(30));
+  table.pump(at_ms(30));
+  CHECK(started(table).size() == 1);
+}
+
+TEST_CASE("an end that nobody may take note of stays until all leases have ended") {
+  auto table = make_table();
+  run_stored(table, 1, 5);
+  table.observe({}, {{{{1, 0, 0}, 1}, run_outcome::done, 1}}, true, at_ms(50), at_ms(60));
+  table.noted({{{1, 0, 0}, 1}, true});
+  CHECK(table.has_superseded_end());
+  CHECK(table.confirmable_end() == 0);
+  table.release_superseded();
+  CHECK(table.confirmable_end() == 1);
+}
+
+TEST_CASE("a new life of the worker numbers its ends anew") {
+  auto table = make_table();
+  run_stored(table, 1, 5);
+  table.observe({}, {{{{1, 0, 0}, 1}, run_outcome::done, 9}}, true, at_ms(50), at_ms(60));
+  table.ends_restarted();
+  CHECK(table.confirmable_end() == 0);
+  run_stored(table, 2, 5);
+  table.observe({}, {{{{2, 0, 0}, 1}, run_outcome::done, 1}}, true, at_ms(70), at_ms(80));
+  CHECK(table.holds_ends());
+}
+
 } // namespace
 } // namespace parsleylead
