Number ends anew in each life of a worker, stop orders of replaced owners; soak stored jobs

Lists tell the worker's life now, and after a missed list nothing is confirmed. Second cause: an agent that knows a later claim returned an earlier owner's orders at once, and the owner sent them again at once; it tells the owner the claim now.

--- a/include/parsleylead/fleet/fleet_agent.hpp
+++ b/include/parsleylead/fleet/fleet_agent.hpp
@@ -82,6 +82,8 @@
   /// Asks for the lists at once, beside the request that waits for ends.
   void look();
   void take_lists(const run_lists& lists, monotonic_time requested);
+  /// Ends are numbered anew in each life of the worker, whichever message tells of it first.
+  void note_life(std::int64_t life);
   void list_failed(const absl::Status& status, monotonic_time now);
   /// Lets the lease of a worker without runs end, if it holds ends that nobody may take note of.
   void end_lease_if_superseded(monotonic_time now);
@@ -108,6 +110,8 @@
   std::optional<worker_announcement> worker_;
   /// The newest announcement, also of a worker that has left.
   std::optional<worker_announcement> newest_;
+  /// Life of the worker in which its ends were listed last; 0 before the first list.
+  std::int64_t life_ = 0;
   owner_id next_owner_ = 1;
   bool listing_ = false;
   bool looking_ = false;
--- a/include/parsleylead/fleet/worker_port.hpp
+++ b/include/parsleylead/fleet/worker_port.hpp
@@ -33,6 +33,8 @@
   std::vector<finished_run> finished;
   /// The worker listed all of its ends.
   bool complete = true;
+  /// `worker_announcement::life` of the worker that answered; 0 if it does not say.
+  std::int64_t life = 0;
 };
 
 /// The calls that an agent makes to its worker. Used on the loop's thread only; each callback is
--- a/include/parsleylead/kept/kept_jobs.hpp
+++ b/include/parsleylead/kept/kept_jobs.hpp
@@ -100,6 +100,8 @@
   void run_ended(worker_index worker, const run_end& end, bool current, monotonic_time now);
   /// A job that was handed to the port has ended there.
   void job_ended(const job_result& result, monotonic_time now);
+  /// An agent knows a claim of another owner.
+  void claim_seen(const partition_claim& claim, monotonic_time now);
   /// Partitions that are held now, for a new session of an agent.
   std::vector<partition_claim> claims() const;
 
--- a/include/parsleylead/runs/run_table.hpp
+++ b/include/parsleylead/runs/run_table.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -98,6 +99,8 @@
   /// The owner holds a partition of stored jobs. Runs of earlier epochs there are stopped, and all
   /// held ends of the partition are reported to it. Claims older than a known one are ignored.
   void claimed(owner_id owner, const partition_claim& claim, monotonic_time now);
+  /// The claim that makes an order of an earlier owner void, if there is one.
+  std::optional<partition_claim> later_claim(const start_order& order) const;
   /// A held end is stored, or of no use.
   void noted(const end_note& note);
   /// The worker may forget ends up to this number.
--- a/src/fleet/fleet_agent.cpp
+++ b/src/fleet/fleet_agent.cpp
@@ -226,6 +226,10 @@
     table_.stop(from.owner, run, true, now);
   }
   for (auto& order : frame->starts) {
+    if (const auto later = table_.later_claim(order)) {
+      // The sender does not know yet that the partition has another owner.
+      from.out.claims.push_back(*later);
+    }
     table_.add(from.owner, std::move(order), now);
   }
   flush_soon();
@@ -250,7 +254,7 @@
     table_.worker_began(announced.capacity, now);
   }
   if (fresh) {
-    table_.ends_restarted();
+    note_life(announced.life);
     // A new life under the same id may already run what was started since it began: its next list
     // shows which runs are lost.
     port_.attach(announced);
@@ -308,7 +312,9 @@
     extended_ = now;
   }
   const auto wait = extend ? settings_.list_interval : milliseconds{0};
-  port_.list_runs(table_.confirmable_end(), extend, wait,
+  // After a miss the worker may have begun a new life, whose ends nobody has seen yet.
+  const auto confirmed = list_missed_ ? 0 : table_.confirmable_end();
+  port_.list_runs(confirmed, extend, wait,
                   [this, now, alive = std::weak_ptr<int>(alive_)](absl::StatusOr<run_lists> lists) {
                     if (alive.expired()) {
                       return;
@@ -362,7 +368,7 @@
     return;
   }
   look_again_ = false;
-  port_.list_runs(table_.confirmable_end(), false, milliseconds{0},
+  port_.list_runs(0, false, milliseconds{0},
                   [this, now = lease_now(),
                    alive = std::weak_ptr<int>(alive_)](absl::StatusOr<run_lists> lists) {
                     if (alive.expired()) {
@@ -378,8 +384,17 @@
                   });
 }
 
+void fleet_agent::note_life(std::int64_t life) {
+  if (life != 0 && life != life_) {
+    log_.write("worker_life", "life", life, "previous", life_);
+    life_ = life;
+    table_.ends_restarted();
+  }
+}
+
 void fleet_agent::take_lists(const run_lists& lists, monotonic_time requested) {
   const auto now = lease_now();
+  note_life(lists.life);
   last_listed_ = now;
   list_missed_ = false;
   refused_once_ = false;
--- a/src/fleet/fleet_entry.cpp
+++ b/src/fleet/fleet_entry.cpp
@@ -367,6 +367,11 @@
   if (frame->status) {
     scheduler_.worker_reported(from->worker, *frame->status, now);
   }
+  for (const auto& claim : frame->claims) {
+    if (kept_) {
+      kept_->claim_seen(claim, now);
+    }
+  }
   for (const auto& end : frame->ends) {
     run_ended(*from, end, now);
   }
--- a/src/fleet/fleet_link_test.cpp
+++ b/src/fleet/fleet_link_test.cpp
@@ -69,6 +69,7 @@
         lists.active.push_back({each->run, 50});
       }
       lists.finished = std::exchange(ended_, {});
+      lists.life = life;
       done(lists);
     });
   }
@@ -77,6 +78,8 @@
   void crash() {
     active_.clear();
     ended_.clear();
+    last_end_ = 0;
+    ++life;
   }
 
   bool is_active(const run_id& run) const {
@@ -89,6 +92,7 @@
   int starts = 0;
   int stops = 0;
   int lost_lists = 0;
+  std::int64_t life = 1;
 
 private:
   struct running {
@@ -100,12 +104,13 @@
 
   void end(const run_id& run, run_outcome how) {
     active_.erase(run.task);
-    ended_.push_back({run, how});
+    ended_.push_back({run, how, ++last_end_});
   }
 
   asio::io_context& io_;
   std::map<task_key, std::unique_ptr<running>> active_;
   std::vector<finished_run> ended_;
+  std::uint64_t last_end_ = 0;
 };
 
 worker_announcement announcement() {
@@ -261,6 +266,21 @@
   CHECK(fleet.worker.is_active({{2, 0, 0}, 1}));
 }
 
+TEST_CASE("ends of a reborn worker count from its first list on") {
+  // Guards against runs that are taken for lost, and started again, because the numbers of their
+  // ends were known from the life before. Found by the soak, seed 1001.
+  small_fleet fleet;
+  std::optional<job_result> first;
+  fleet.entry->submit(make_job(1, 6), [&](const job_result& got) { first = got; });
+  REQUIRE(fleet.run_until([&] { return first.has_value(); }));
+  fleet.worker.crash();
+  std::optional<job_result> second;
+  fleet.entry->submit(make_job(2, 3), [&](const job_result& got) { second = got; });
+  REQUIRE(fleet.run_until([&] { return second.has_value(); }));
+  CHECK(second->lost_runs == 0);
+  CHECK(fleet.worker.starts == 9);
+}
+
 TEST_CASE("late announcements of the worker are ignored") {
   // Guards against a worker that is taken out, or back, by a message that was held up.
   small_fleet fleet;
--- a/src/kept/kept_jobs.cpp
+++ b/src/kept/kept_jobs.cpp
@@ -169,6 +169,15 @@
   }
 }
 
+void kept_jobs::claim_seen(const partition_claim& claim, monotonic_time now) {
+  now_ = now;
+  const auto found = partitions_.find(claim.partition);
+  if (found != partitions_.end() && found->second->epoch != 0 &&
+      found->second->epoch < claim.epoch) {
+    give_up(claim.partition, "an agent knows a later owner", kept_answer::unknown);
+  }
+}
+
 void kept_jobs::tick(monotonic_time now) {
   check_lease(now);
   finish_releases(now);
--- a/src/kept/kept_jobs_test.cpp
+++ b/src/kept/kept_jobs_test.cpp
@@ -398,6 +398,19 @@
   CHECK(one.port.notes.empty());
 }
 
+TEST_CASE("an owner gives up when an agent knows a later one") {
+  // Guards against an owner that keeps sending orders which agents refuse at once.
+  fake_log log;
+  owner one(log, "one");
+  one.play(100);
+  one.submit();
+  one.jobs->claim_seen({0, 1}, at_ms(one.now));
+  CHECK(one.jobs->owns(job_id));
+  one.jobs->claim_seen({0, 2}, at_ms(one.now));
+  CHECK_FALSE(one.jobs->owns(job_id));
+  CHECK(one.port.running.empty());
+}
+
 TEST_CASE("an owner that cannot renew stops its jobs when its lease ends") {
   fake_log log;
   owner one(log, "one");
--- a/src/runs/run_table.cpp
+++ b/src/runs/run_table.cpp
@@ -95,6 +95,14 @@
   }
 }
 
+std::optional<partition_claim> run_table::later_claim(const start_order& order) const {
+  const auto partition = partition_of(order.run.task.job, partitions_);
+  const auto claim = claims_.find(partition);
+  const bool later =
+      order.epoch != 0 && claim != claims_.end() && order.epoch < claim->second.epoch;
+  return later ? std::optional(partition_claim{partition, claim->second.epoch}) : std::nullopt;
+}
+
 void run_table::hold_end(std::uint64_t number, run_end end) {
   end.held = true;
   held_[number] = {end, false};
@@ -152,13 +160,9 @@
   if (const auto* here = find(order.run); here != nullptr && here->owner == owner) {
     return; // Received before.
   }
-  if (order.epoch != 0) {
-    const auto claim = claims_.find(partition_of(key.job, partitions_));
-    if (claim != claims_.end() && order.epoch < claim->second.epoch) {
-      // The partition has a later owner.
-      ends_.push_back({owner, {order.run, run_outcome::not_started, {}, {}}});
-      return;
-    }
+  if (later_claim(order)) {
+    ends_.push_back({owner, {order.run, run_outcome::not_started, {}, {}}});
+    return;
   }
   if (runs_.contains(key)) {
     // Another run of this task is here: never two at once.
--- a/src/runs/run_table_test.cpp
+++ b/src/runs/run_table_test.cpp
@@ -381,6 +381,8 @@
   const auto ends = table.take_ends();
   REQUIRE(ends.size() == 1);
   CHECK(ends[0].end.outcome == run_outcome::not_started);
+  CHECK(table.later_claim(make_stored_order(2, 5)) == partition_claim{0, 6});
+  CHECK_FALSE(table.later_claim(make_order(2)).has_value());
   // A late claim of the earlier owner changes nothing.
   table.claimed(entry, {0, 5}, at_ms(30));
   table.add(other_entry, make_stored_order(3, 6), at_ms(30));
--- a/standins/standin-platform/store_service.cpp
+++ b/standins/standin-platform/store_service.cpp
@@ -15,6 +15,8 @@
 using std::chrono::steady_clock;
 
 constexpr milliseconds tick_interval{10};
+// The real store lists 500; a short page makes tests read several.
+constexpr std::size_t max_listed = 100;
 constexpr std::size_t length_bytes = 4;
 constexpr std::size_t offset_bytes = 8;
 
@@ -41,8 +43,12 @@
 }
 
 void store_service::put(const std::string& name, const std::string& key, const std::string& value) {
-  auto& to = topics_[name];
-  to.newest[key] = {to.end(), value};
+  auto& to = topics_[name.find('/') == std::string::npos ? name + "/0" : name];
+  if (value.empty()) {
+    to.newest.erase(key);
+  } else {
+    to.newest[key] = {to.end(), value};
+  }
   to.records.push_back({key, value});
 }
 
@@ -72,7 +78,7 @@
   }
   const auto& target = exchange->request().target;
   const auto path = target.substr(0, target.find('?'));
-  const auto name = parameter(target, "topic");
+  const auto name = parameter(target, "topic") + "/" + parameter(target, "part");
   if (path == "/log-append") {
     append(exchange, name);
   } else if (path == "/log-newest") {
@@ -80,14 +86,47 @@
   } else if (path == "/log-read") {
     const milliseconds wait(number(parameter(target, "wait_ms")));
     read({exchange, name, number(parameter(target, "from")), steady_clock::now() + wait}, true);
+  } else {
+    handle_group(exchange, path);
+  }
+}
+
+void store_service::handle_group(const std::shared_ptr<web_exchange>& exchange,
+                                 const std::string& path) {
+  const auto now = steady_clock::now();
+  const auto body = json::parse(exchange->request().body, nullptr, false);
+  json result = json::object();
+  if (path == "/log-join") {
+    json rows = json::array();
+    for (const auto number : group_.join(body["member"].get<std::string>(),
+                                         milliseconds(body["ttl_ms"].get<std::int64_t>()),
+                                         body["generation"].get<std::uint64_t>(), now)) {
+      rows.push_back({body["topics"][0], number, 0});
+    }
+    result = {{"generation", group_.generation()}, {"parts", rows}};
+  } else if (path == "/log-leave") {
+    group_.leave(body["member"].get<std::string>(), now);
+  } else if (path == "/log-owners") {
+    json rows = json::array();
+    for (std::size_t i = 0; i < group_.holders().size(); ++i) {
+      rows.push_back({"topic", i, group_.holders()[i], 0});
+    }
+    result = {{"parts", rows}};
   } else {
     exchange->respond({404, {}, "{}"});
+    return;
   }
+  answer(exchange, {200, {}, result.dump()});
 }
 
 void store_service::append(const std::shared_ptr<web_exchange>& exchange, const std::string& name) {
   std::string_view body = exchange->request().body;
   const auto offset = topics_[name].end();
+  const auto expected = parameter(exchange->request().target, "at");
+  if (!expected.empty() && number(expected) != offset) {
+    answer(exchange, {412, {}, json{{"end", offset}}.dump()});
+    return;
+  }
   while (body.size() > length_bytes) {
     const auto length = read_big_endian(body.substr(0, length_bytes));
     const auto bytes = body.substr(length_bytes, length);
@@ -100,14 +139,20 @@
 
 void store_service::read_newest(const std::shared_ptr<web_exchange>& exchange,
                                 const std::string& name) {
+  const auto after = parameter(exchange->request().target, "after");
+  const auto& newest = topics_[name].newest;
+  auto at = after.empty() ? newest.begin() : newest.upper_bound(after);
   json items = json::array();
-  for (const auto& [key, value] : topics_[name].newest) {
+  for (; at != newest.end() && items.size() < max_listed; ++at) {
+    const auto& [key, value] = *at;
     items.push_back(
         {{"key", key}, {"value", encode_base64(value.second)}, {"offset", value.first}});
   }
-  answer(
-      exchange,
-      {200, {}, json{{"items", items}, {"has_more", false}, {"end", topics_[name].end()}}.dump()});
+  answer(exchange,
+         {200,
+          {},
+          json{{"items", items}, {"has_more", at != newest.end()}, {"end", topics_[name].end()}}
+              .dump()});
 }
 
 void store_service::read(const waiting_read& request, bool may_wait) {
--- a/standins/standin-platform/store_service.hpp
+++ b/standins/standin-platform/store_service.hpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "group_service.hpp"
 #include "parsleylead/base/endpoint.hpp"
 #include "parsleylead/web/web_server.hpp"
 
@@ -26,16 +27,21 @@
   lost,
 };
 
-/// A test double of the platform's store, written from its protocol page: keyed topics with one
-/// partition, the newest records, reads that wait. Used on the loop's thread only.
+/// A test double of the platform's store, written from its protocol page: keyed topics with
+/// partitions, appends at an expected end, the newest records, reads that wait, one group. Used on
+/// the loop's thread only.
 class store_service {
 public:
+  static constexpr std::uint32_t partitions = 8;
+
   explicit store_service(asio::io_context& io);
 
   absl::Status listen(const endpoint& address) { return server_.listen(address); }
   void set_mode(answer_mode mode) { mode_ = mode; }
   /// What an operator writes.
   void put(const std::string& topic, const std::string& key, const std::string& value);
+  /// Gives the group's partitions to other members, without a word to the old ones.
+  void deal_partitions_anew() { group_.deal_anew(std::chrono::steady_clock::now()); }
   /// Deletes the history; the newest record of each key stays.
   void forget_history();
 
@@ -59,6 +65,7 @@
   };
 
   void handle(const std::shared_ptr<web_exchange>& exchange);
+  void handle_group(const std::shared_ptr<web_exchange>& exchange, const std::string& path);
   void append(const std::shared_ptr<web_exchange>& exchange, const std::string& name);
   void read(const waiting_read& request, bool may_wait);
   void read_newest(const std::shared_ptr<web_exchange>& exchange, const std::string& name);
@@ -67,7 +74,9 @@
 
   web_server server_;
   asio::steady_timer timer_;
+  /// By topic and partition, as "topic/number".
   std::map<std::string, topic> topics_;
+  group_service group_{partitions};
   std::list<waiting_read> reads_;
   std::vector<std::shared_ptr<web_exchange>> unanswered_;
   answer_mode mode_ = answer_mode::normal;
--- a/standins/standin-platform/worker_service.cpp
+++ b/standins/standin-platform/worker_service.cpp
@@ -181,6 +181,11 @@
     extend(order["until_ms"].get<std::int64_t>());
   }
   const auto seen = order["ack_cursor"].get<std::uint64_t>();
+  for (const auto& each : ends_) {
+    if (each.number <= seen && each.how == "done" && !each.lapsed) {
+      observer_.done_noted(each.task);
+    }
+  }
   std::erase_if(ends_, [seen](const end& each) { return each.number <= seen; });
   const milliseconds wait(order.value("wait_ms", 0));
   if (roll(faults_.lose_answers)) {
@@ -216,7 +221,7 @@
   runs_.erase(task);
   auto& ended = ended_runs_[task];
   ended = std::max(ended, number);
-  ends_.push_back({++last_end_, task, number, how});
+  ends_.push_back({++last_end_, task, number, how, false});
   observer_.run_ended(id_, task, how);
 }
 
@@ -253,6 +258,9 @@
       over.emplace_back(task, roll(faults_.fail_runs) ? "failed" : "done");
     }
   }
+  for (auto& each : ends_) {
+    each.lapsed = each.lapsed || lapsed;
+  }
   for (const auto& [task, how] : over) {
     finish(task, how);
   }
--- a/standins/standin-platform/worker_service.hpp
+++ b/standins/standin-platform/worker_service.hpp
@@ -38,6 +38,9 @@
   /// `how` is one of the worker's words for ends.
   virtual void run_ended(const std::string& worker, const std::string& task,
                          const std::string& how) = 0;
+  /// The worker may forget that a run was done: its agent has taken note of the end, and no lease
+  /// has lapsed since the run ended.
+  virtual void done_noted(const std::string& task) = 0;
   virtual void overloaded(const std::string& worker) = 0;
 };
 
@@ -72,6 +75,8 @@
     std::string task;
     std::uint64_t run = 0;
     std::string how;
+    /// The worker's lease has lapsed since.
+    bool lapsed = false;
   };
   struct waiting_list {
     std::shared_ptr<web_exchange> exchange;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -2,6 +2,8 @@
 
 #include <gflags/gflags.h>
 
+#include <unistd.h>
+
 #include <chrono>
 #include <cstdio>
 #include <filesystem>
@@ -31,7 +33,8 @@
        ++seed) {
     soak_options options;
     options.binary = FLAGS_binary;
-    options.directory = FLAGS_directory + "/" + std::to_string(seed);
+    options.directory =
+        FLAGS_directory + "/" + std::to_string(seed) + "-" + std::to_string(getpid());
     options.seed = seed;
     options.duration = std::chrono::seconds(FLAGS_seconds);
     options.entries = FLAGS_entries;
@@ -42,10 +45,10 @@
     const bool good = report.violations.empty();
     (good ? passed : failed) += 1;
     std::printf("seed %llu: %s, %zu faults, %zu jobs: %zu completed, %zu failed, %zu refused, "
-                "%zu unanswered; %zu starts\n",
+                "%zu unanswered, %zu stored; %zu starts\n",
                 static_cast<unsigned long long>(seed), good ? "passed" : "FAILED", report.faults,
                 report.jobs, report.completed, report.failed, report.refused, report.unanswered,
-                report.starts);
+                report.stored, report.starts);
     for (const auto& each : report.violations) {
       std::printf("  violation: %s\n", each.c_str());
     }
--- a/tests/soak/soak_judge.cpp
+++ b/tests/soak/soak_judge.cpp
@@ -1,10 +1,15 @@
 #include "soak_judge.hpp"
 
+#include <algorithm>
+
 namespace parsleylead::soak {
 namespace {
 
 using std::chrono::milliseconds;
 
+// Failed runs of a task after which its job has failed; the soak's routes say so.
+constexpr int max_attempts = 4;
+
 std::string job_of(const std::string& task) {
   return task.substr(0, task.find('.'));
 }
@@ -32,6 +37,31 @@
   }
 }
 
+void soak_judge::shown_failed(const std::string& job) {
+  const auto& failures = jobs_.at(job).failures;
+  if (std::none_of(failures.begin(), failures.end(),
+                   [](const auto& each) { return each.second >= max_attempts; })) {
+    violation("job " + job + " is shown as failed without cause");
+  }
+}
+
+std::vector<std::string> soak_judge::accepted_jobs() const {
+  std::vector<std::string> accepted;
+  for (const auto& [name, record] : jobs_) {
+    if (record.accepted) {
+      accepted.push_back(name);
+    }
+  }
+  return accepted;
+}
+
+void soak_judge::done_noted(const std::string& task) {
+  noted_.insert(task);
+  if (repeated_.contains(task)) {
+    violation("the end of task " + task + " was taken note of after the task was started again");
+  }
+}
+
 void soak_judge::refused(const std::string& job) {
   auto& record = jobs_.at(job);
   record.refused = true;
@@ -55,6 +85,13 @@
   if (found->second.refused && !again_.contains(found->first)) {
     violation("task " + task + " was started after its job was refused");
   }
+  // Jobs that need not be stored may run again from the start when they are sent again.
+  if (found->second.accepted && found->second.done.contains(task)) {
+    repeated_.insert(task);
+    if (noted_.contains(task)) {
+      violation("task " + task + " was started after its end was taken note of");
+    }
+  }
   const auto [at, added] =
       running_.emplace(task, active_run{worker, std::chrono::steady_clock::now()});
   if (!added) {
@@ -73,6 +110,8 @@
   }
   if (how == "done") {
     jobs_[job_of(task)].done.insert(task);
+  } else if (how == "failed") {
+    ++jobs_[job_of(task)].failures[task];
   }
 }
 
--- a/tests/soak/soak_judge.hpp
+++ b/tests/soak/soak_judge.hpp
@@ -18,6 +18,12 @@
   void completed(const std::string& job);
   /// The caller was told that nothing of this submission ran.
   void refused(const std::string& job);
+  /// The caller was told that the job is stored.
+  void accepted(const std::string& job) { jobs_.at(job).accepted = true; }
+  /// A stored job is shown as failed.
+  void shown_failed(const std::string& job);
+  /// Stored jobs that were accepted, and not cancelled.
+  std::vector<std::string> accepted_jobs() const;
   /// The caller asks another entry for the same job.
   void sent_again(const std::string& job) { again_.insert(job); }
 
@@ -25,6 +31,7 @@
                    const std::string& payload) override;
   void run_ended(const std::string& worker, const std::string& task,
                  const std::string& how) override;
+  void done_noted(const std::string& task) override;
   void overloaded(const std::string& worker) override;
 
   /// Records a broken promise with its time.
@@ -38,10 +45,15 @@
     std::uint32_t tasks = 0;
     bool started = false;
     bool refused = false;
+    bool accepted = false;
+    std::map<std::string, int> failures;
     std::set<std::string> done;
   };
 
   std::map<std::string, job_record> jobs_;
+  std::set<std::string> noted_;
+  /// Tasks that were started after a run of them was done.
+  std::set<std::string> repeated_;
   std::set<std::string> again_;
   struct active_run {
     std::string worker;
--- a/tests/soak/soak_site.cpp
+++ b/tests/soak/soak_site.cpp
@@ -38,6 +38,16 @@
 constexpr milliseconds drain_limit{2'000};
 constexpr int connections_for_each_client = 64;
 
+// Stored jobs have to end within this time after all faults are healed and the load has ended.
+constexpr milliseconds finish_limit{14'000};
+// A job that has to be stored is sent again this often while nobody says yes or no.
+constexpr int max_resends = 4;
+
+/// Every third job has to be stored.
+bool is_stored(std::uint64_t id) {
+  return id % 3 == 0;
+}
+
 constexpr std::uint64_t networks = 200;
 
 /// Runs with different seeds have addresses of their own, so that they can be played side by side.
@@ -103,14 +113,16 @@
   made->entry = entry;
   made->name = (entry ? "entry-" : "agent-") + std::to_string(host);
   const auto ip = entry ? entry_ip(host) : agent_ip(host);
-  json settings{{"node_name", made->name},
-                {"ip", ip},
-                {"zone", "z"},
-                {"internal_ports", {link_port, link_port + 5}},
-                {"seeds", json::array()},
-                {"platform", {{"address", to_string(store_address())}}},
-                {"bounds", {{"hold_max_ms", 1000}, {"grace_s", 6}}},
-                {"limits", {{"memory_mb", 128}, {"max_fds", 4096}}}};
+  json settings{
+      {"node_name", made->name},
+      {"ip", ip},
+      {"zone", "z"},
+      {"internal_ports", {link_port, link_port + 5}},
+      {"seeds", json::array()},
+      {"platform",
+       {{"address", to_string(store_address())}, {"parts", standin::store_service::partitions}}},
+      {"bounds", {{"hold_max_ms", 1000}, {"grace_s", 6}}},
+      {"limits", {{"memory_mb", 128}, {"max_fds", 4096}}}};
   const auto at = [&ip](std::uint16_t port) { return ip + ":" + std::to_string(port); };
   if (entry) {
     settings["bind_addresses"] = {{"frontend", at(callers_port)}, {"ready", at(readiness_port)}};
@@ -225,7 +237,7 @@
   auto& worker = *workers_[roll(options_.agents)];
   auto& path = *relays_[roll(options_.entries)];
   const milliseconds span(300 + roll(2'500));
-  switch (roll(12)) {
+  switch (roll(13)) {
   case 0:
   case 1:
   case 2:
@@ -262,6 +274,10 @@
     store_.forget_history();
     publish_routes();
     break;
+  case 12:
+    log("store deals partitions anew");
+    store_.deal_partitions_anew();
+    break;
   case 9:
     log("crash " + worker.id());
     worker.crash();
@@ -311,7 +327,7 @@
     judge_.sent_again(name);
   }
   const json body{{"spec", payload},
-                  {"best_effort", true},
+                  {"best_effort", !is_stored(id)},
                   {"steps", json::array({{{"count", tasks},
                                           {"cpu", 1'000 + id % 3'000},
                                           {"mem_mb", 64},
@@ -328,15 +344,21 @@
 
 void soak_site::answered(std::uint64_t id, std::uint32_t tasks, int attempt,
                          const absl::StatusOr<web_response>& response) {
-  if (!response.ok()) {
-    if (attempt == 0) {
-      later(resend_after, [this, id, tasks] { submit(id, tasks, 1); });
+  const auto name = format_job(id);
+  if (!response.ok() || (is_stored(id) && response->status == 504)) {
+    if (attempt < (is_stored(id) ? max_resends : 1)) {
+      later(resend_after, [this, id, tasks, attempt] { submit(id, tasks, attempt + 1); });
     } else {
       ++report_.unanswered;
     }
     return;
   }
-  const auto name = format_job(id);
+  if (is_stored(id) && response->status == 200) {
+    ++report_.stored;
+    judge_.accepted(name);
+    unfinished_.insert(name);
+    return;
+  }
   if (response->status == 200 && response->body.find("completed") != std::string::npos) {
     ++report_.completed;
     judge_.completed(name);
@@ -352,6 +374,40 @@
   }
 }
 
+void soak_site::ask_for(const std::string& job) {
+  clients_[roll(options_.entries)]->call(
+      {"GET", "/q1/" + job, {{"host", "soak.example"}}, ""}, caller_patience,
+      [this, job](const absl::StatusOr<web_response>& response) {
+        if (!response.ok() || !unfinished_.contains(job)) {
+          return;
+        }
+        if (response->status == 410) {
+          judge_.violation("stored job " + job + " is not known");
+          unfinished_.erase(job);
+        } else if (response->body.find("completed") != std::string::npos) {
+          judge_.completed(job);
+          unfinished_.erase(job);
+        } else if (response->body.find("failed") != std::string::npos) {
+          judge_.shown_failed(job);
+          unfinished_.erase(job);
+        }
+      });
+}
+
+void soak_site::check_stored_jobs() {
+  const auto end = steady_clock::now() + finish_limit;
+  while (!unfinished_.empty() && steady_clock::now() < end) {
+    for (const auto& job : std::vector<std::string>(unfinished_.begin(), unfinished_.end())) {
+      ask_for(job);
+    }
+    restart_ended();
+    run_for(milliseconds(500));
+  }
+  for (const auto& job : unfinished_) {
+    judge_.violation("stored job " + job + " has not ended");
+  }
+}
+
 void soak_site::heal() {
   injecting_ = false;
   run_for(milliseconds(3'500)); // Until the last faults have ended by themselves.
@@ -398,6 +454,7 @@
                      std::to_string(routes_limit.count()) + " ms");
   }
   run_for(caller_patience);
+  check_stored_jobs();
   std::size_t left = 0;
   for (const auto& each : workers_) {
     left += each->running();
--- a/tests/soak/soak_site.hpp
+++ b/tests/soak/soak_site.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -36,6 +37,8 @@
   std::size_t failed = 0;
   std::size_t refused = 0;
   std::size_t unanswered = 0;
+  /// Jobs that were accepted as stored.
+  std::size_t stored = 0;
   std::size_t starts = 0;
   std::size_t faults = 0;
   std::vector<std::string> violations;
@@ -82,7 +85,11 @@
   void submit(std::uint64_t id, std::uint32_t tasks, int attempt);
   void answered(std::uint64_t id, std::uint32_t tasks, int attempt,
                 const absl::StatusOr<web_response>& response);
+  void answered_stored(std::uint64_t id, int status);
   void check_recovery();
+  /// Every job that was accepted as stored has to end, and is shown so.
+  void check_stored_jobs();
+  void ask_for(const std::string& job);
   void log(const std::string& line);
   int roll(int below) { return std::uniform_int_distribution<int>(0, below - 1)(random_); }
 
@@ -101,6 +108,8 @@
   std::string path_prefix_;
   bool loading_ = false;
   bool injecting_ = false;
+  /// Stored jobs that have not been seen to end.
+  std::set<std::string> unfinished_;
   soak_report report_;
 };
 
