--- a/include/parsleylead/kept/kept_record.hpp
+++ b/include/parsleylead/kept/kept_record.hpp
@@ -19,7 +19,8 @@
   std::uint64_t first_epoch = 0;
   /// By step and task.
   std::vector<std::vector<task_progress>> progress;
-  /// Set once the job has ended; `job` then has only its id.
+  /// Set once the job has ended; of `job` and `progress` only the id and the attempts are kept
+  /// then.
   std::optional<job_verdict> ended;
 };
 
--- a/src/fleet/fleet_agent.cpp
+++ b/src/fleet/fleet_agent.cpp
@@ -349,17 +349,20 @@
 
 void fleet_agent::end_lease_if_superseded(monotonic_time now) {
   if (!table_.has_superseded_end()) {
+    ending_lease_ = false;
     return;
   }
+  // Nothing is started from here on, so that nothing but `extended_` keeps the lease.
+  table_.set_suspended(true);
   if (ending_lease_ && now > lease_end()) {
     ending_lease_ = false;
     table_.release_superseded();
+    table_.set_suspended(suspected_);
     log_.write("superseded_ends_released", "worker", worker_->id);
   } else if (!ending_lease_ && table_.running() == 0) {
     ending_lease_ = true;
     log_.write("lease_not_extended", "worker", worker_->id, "cause", "superseded ends");
   }
-  table_.set_suspended(suspected_ || table_.has_superseded_end());
 }
 
 void fleet_agent::look() {
@@ -458,6 +461,7 @@
     if (order == nullptr) {
       continue;
     }
+    extended_ = now; // The order extends the lease of everything on the worker.
     port_.start(*order, [this, run = call.run, alive](start_answer answer) {
       if (alive.expired()) {
         return;
--- a/src/fleet/fleet_entry.cpp
+++ b/src/fleet/fleet_entry.cpp
@@ -296,6 +296,8 @@
     return;
   }
   add_members({hello.sender});
+  // Only entries with a link are passed on to agents: this one is new among them.
+  members_changed_ = members_changed_ || !from->dialled.empty();
   if (from->dialled.empty()) {
     auto reply = member_frame();
     reply.hello = session_hello{self_, false, 0};
--- a/src/fleet/fleet_link_test.cpp
+++ b/src/fleet/fleet_link_test.cpp
@@ -306,6 +306,21 @@
   CHECK_FALSE(fleet.run_until([&] { return fleet.entry->has_worker(); }, milliseconds(200)));
 }
 
+TEST_CASE("agents learn of a new entry as soon as another entry has a link to it") {
+  // Guards against an entry without workers for as long as agents do not read the store. Found by a
+  // hunted day on which entries were added.
+  small_fleet fleet;
+  fleet_entry_settings settings;
+  settings.name = "entry-2";
+  settings.incarnation = 2;
+  settings.listen = free_address(fleet.io);
+  fleet_entry added(fleet.io, settings, fleet.log, fleet.metrics, [](const route_update&) {});
+  REQUIRE(added.start().ok());
+  added.add_members({{"", 0, to_string(fleet.address), ""}});
+  // The members travel without a change every five seconds only.
+  CHECK(fleet.run_until([&] { return added.has_worker(); }, milliseconds(2'500)));
+}
+
 TEST_CASE("entries learn newer routes from each other") {
   // Guards against an old configuration at an entry that cannot read the store.
   asio::io_context io;
--- a/src/kept/kept_jobs.cpp
+++ b/src/kept/kept_jobs.cpp
@@ -595,6 +595,7 @@
       } else if (job.closing) {
         auto closed = kept_record{};
         closed.ended = job.closing;
+        closed.progress = job.record.progress;
         each.sent_records.push_back({submission_key(what.job), write_submission(closed)});
         each.sent_records.push_back({progress_key(what.job), ""});
       } else if (!job.stored) {
@@ -761,7 +762,7 @@
     return;
   }
   --open_jobs_;
-  job.record = {};
+  job.record.job = {};
   job.record.ended = job.closing;
   each.ended.emplace_back(now_ + settings_.keep_ended, id);
   events_.write("stored_job_ended", "job", format_job(id), "verdict", to_string(*job.closing));
@@ -803,28 +804,31 @@
   }
   const auto id = end.run.task.job;
   const auto found = each->jobs.find(id);
-  const bool open = found != each->jobs.end() && !found->second.record.ended &&
-                    end.run.task.step < found->second.record.progress.size() &&
-                    end.run.task.index < found->second.record.progress[end.run.task.step].size();
-  if (!open) {
-    port_.note(worker, {end.run, false});
+  if (found == each->jobs.end() || end.run.task.step >= found->second.record.progress.size() ||
+      end.run.task.index >= found->second.record.progress[end.run.task.step].size()) {
+    port_.note(worker, {end.run, false}); // Of no stored job.
     return;
   }
   auto& job = found->second;
   auto& task = job.record.progress[end.run.task.step][end.run.task.index];
-  if (task.done || end.run.attempt <= task.ended_attempt) {
-    // Stored, or about to be: the changes of a partition are stored in their order.
-  } else if (is_current || !job.running) {
-    task.ended_attempt = end.run.attempt;
-    task.done = end.outcome == run_outcome::done;
-    task.failures += task.done ? 0 : 1;
-  } else {
-    // The task was started again, as its agent could not be reached.
-    const bool superseded = end.outcome == run_outcome::done;
-    events_.write("end_ignored", "run", format_run(end.run), "outcome", to_string(end.outcome));
+  const bool done = end.outcome == run_outcome::done;
+  const bool is_open = !job.record.ended && !task.done;
+  // The task was started again before this end was known, as its agent could not be reached.
+  const bool superseded =
+      done && (end.run.attempt < task.ended_attempt ||
+               (is_open && job.running && !is_current && end.run.attempt > task.ended_attempt));
+  if (superseded || job.record.ended) {
+    events_.write("end_after_restart", "run", format_run(end.run), "outcome",
+                  to_string(end.outcome), "superseded", superseded);
     port_.note(worker, {end.run, superseded});
     return;
   }
+  if (is_open && end.run.attempt > task.ended_attempt && (is_current || !job.running)) {
+    task.ended_attempt = end.run.attempt;
+    task.done = done;
+    task.failures += done ? 0 : 1;
+  }
+  // Otherwise it is stored, or about to be: the changes of a partition are stored in their order.
   queue_change(*each,
                {id, false, now, now,
                 [this, worker, run = end.run](bool) {
--- a/src/kept/kept_record.cpp
+++ b/src/kept/kept_record.cpp
@@ -76,7 +76,15 @@
 
 std::string write_submission(const kept_record& record) {
   if (record.ended) {
-    return json{{"ended", to_string(*record.ended)}}.dump();
+    json attempts = json::array();
+    for (const auto& step : record.progress) {
+      json row = json::array();
+      for (const auto& each : step) {
+        row.push_back(each.ended_attempt);
+      }
+      attempts.push_back(std::move(row));
+    }
+    return json{{"ended", to_string(*record.ended)}, {"attempts", std::move(attempts)}}.dump();
   }
   const auto& terms = record.job.terms;
   json steps = json::array();
@@ -105,6 +113,12 @@
       if (!record.ended) {
         return absl::InvalidArgumentError("malformed record: unknown verdict");
       }
+      for (const auto& row : root.at("attempts")) {
+        auto& step = record.progress.emplace_back();
+        for (const auto& attempt : row) {
+          step.push_back({true, 0, attempt.get<std::uint32_t>()});
+        }
+      }
       return record;
     }
     record.job.terms = {root.at("queue").get<std::string>(),
--- a/src/runs/run_table.cpp
+++ b/src/runs/run_table.cpp
@@ -122,8 +122,8 @@
   if (found == held_.end()) {
     return;
   }
-  if (note.superseded) {
-    found->second.superseded = true;
+  if (note.superseded || found->second.superseded) {
+    found->second.superseded = true; // For good, whatever a later owner knows.
   } else {
     held_.erase(found);
   }
--- a/src/runs/run_table_test.cpp
+++ b/src/runs/run_table_test.cpp
@@ -396,6 +396,7 @@
   table.observe({}, {{{{1, 0, 0}, 1}, run_outcome::done, 1}}, true, at_ms(50), at_ms(60));
   table.noted({{{1, 0, 0}, 1}, true});
   CHECK(table.has_superseded_end());
+  table.noted({{{1, 0, 0}, 1}, false}); // By an owner that knows less.
   CHECK(table.confirmable_end() == 0);
   table.release_superseded();
   CHECK(table.confirmable_end() == 1);
