--- /dev/null
+++ b/cmd/parsleysim/main.cpp
@@ -0,0 +1,56 @@
+// Plays a site's load against the scheduling decisions, without a network, and compares them with a
+// scheduler that knows everything.
+//
+//   parsleysim --workers 69 --entries 12 --loads 1,1.3,1.6 --seeds 3
+
+#include <gflags/gflags.h>
+
+#include <charconv>
+#include <cstdio>
+#include <string>
+
+#include "parsleylead/simulation/fleet_simulation.hpp"
+#include "parsleylead/tool/command_line.hpp"
+
+DEFINE_int32(workers, 69, "Number of workers.");
+DEFINE_int32(entries, 12, "Number of entries.");
+DEFINE_string(loads, "0.8,1,1.3,1.6,2", "Factors on the rates of all kinds, separated by commas.");
+DEFINE_uint64(seeds, 2, "Seeds that are played, from 1 on.");
+DEFINE_uint64(seconds, 6, "Time of arrivals.");
+
+namespace {
+
+constexpr int exit_usage = 2;
+
+void print(const char* policy, double load, std::uint64_t seed,
+           const parsleylead::simulation_result& result) {
+  std::printf("%-12s %5.2f %4llu %7zu %8zu %6zu %8zu %6.3f %5.2f\n", policy, load,
+              static_cast<unsigned long long>(seed), result.jobs, result.on_time, result.late,
+              result.refused, result.worth, result.busy_share);
+  std::fflush(stdout);
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+  using namespace parsleylead;
+  gflags::SetUsageMessage("plays a site's load against the scheduling decisions");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  std::printf("policy        load seed    jobs  on time   late  refused  worth  busy\n");
+  for (const auto& text : split_list(FLAGS_loads)) {
+    simulated_site site;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), site.load);
+    if (error != std::errc() || end != text.data() + text.size() || site.load <= 0) {
+      std::fprintf(stderr, "parsleysim: --loads: not a number above 0: %s\n", text.c_str());
+      return exit_usage;
+    }
+    site.workers = FLAGS_workers;
+    site.entries = FLAGS_entries;
+    site.arrivals = std::chrono::seconds(FLAGS_seconds);
+    for (site.seed = 1; site.seed <= FLAGS_seeds; ++site.seed) {
+      print("fleet", site.load, site.seed, simulate_fleet(site));
+      print("all-knowing", site.load, site.seed, simulate_all_knowing(site));
+    }
+  }
+  return 0;
+}
--- a/standins/standin-relay/relay.cpp
+++ b/standins/standin-relay/relay.cpp
@@ -46,6 +46,10 @@
     }
   }
 
+  void silence(relay_direction lost) {
+    (lost == relay_direction::to_target ? upward_ : downward_).silent = true;
+  }
+
   void close() {
     asio::error_code ignored;
     client_.close(ignored);
@@ -60,6 +64,7 @@
     explicit direction(asio::io_context& io) : timer(io) {}
     std::array<char, chunk_bytes> buffer{};
     asio::steady_timer timer;
+    bool silent = false;
   };
 
   void set_no_delay() {
@@ -78,7 +83,7 @@
 
   void on_read(tcp::socket& from, tcp::socket& to, direction& way, const asio::error_code& error,
                std::size_t count) {
-    if (silent_) {
+    if (silent_ || way.silent) {
       // A lost connection hides the other side's close as well.
       owner_.stats_.bytes_swallowed += count;
       if (!error) {
@@ -142,6 +147,13 @@
   silence_open();
 }
 
+void relay::silence_one_way(relay_direction lost) {
+  lost_direction_ = lost;
+  for (const auto& connection : open_connections()) {
+    connection->silence(lost);
+  }
+}
+
 void relay::cut_open() {
   for (const auto& connection : open_connections()) {
     connection->close();
@@ -155,6 +167,7 @@
 
 void relay::heal() {
   silence_new_ = false;
+  lost_direction_.reset();
   refuse_new_ = false;
 }
 
@@ -186,6 +199,9 @@
   if (silence_new_) {
     connection->silence();
   }
+  if (lost_direction_) {
+    connection->silence(*lost_direction_);
+  }
   connection->start();
   std::erase_if(connections_, [](const auto& weak) { return weak.expired(); });
   connections_.push_back(connection);
--- a/standins/standin-relay/relay.hpp
+++ b/standins/standin-relay/relay.hpp
@@ -3,7 +3,9 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <chrono>
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "parsleylead/base/endpoint.hpp"
@@ -12,6 +14,9 @@
 
 class relay_connection;
 
+/// Direction of bytes through a relay.
+enum class relay_direction : std::uint8_t { to_target, to_client };
+
 /// Counts of a relay since its start.
 struct relay_stats {
   std::size_t accepted = 0;
@@ -36,6 +41,10 @@
   /// As `silence_open`, and new connections are accepted but silent too, until `heal`.
   void silence_all();
 
+  /// Bytes of one direction are lost, on open connections for good and on new ones until `heal`;
+  /// the other direction works.
+  void silence_one_way(relay_direction lost);
+
   /// Closes every open connection; new connections work.
   void cut_open();
 
@@ -65,6 +74,7 @@
   std::vector<std::weak_ptr<relay_connection>> connections_;
   std::chrono::milliseconds delay_{0};
   bool silence_new_ = false;
+  std::optional<relay_direction> lost_direction_;
   bool refuse_new_ = false;
   relay_stats stats_;
 };
--- a/tests/soak/soak_judge.cpp
+++ b/tests/soak/soak_judge.cpp
@@ -9,6 +9,8 @@
 
 // Failed runs of a task after which its job has failed; the soak's routes say so.
 constexpr int max_attempts = 4;
+// Tasks of a cancelled job are no longer started after this time.
+constexpr milliseconds cancel_limit{3'000};
 
 std::string job_of(const std::string& task) {
   return task.substr(0, task.find('.'));
@@ -37,6 +39,10 @@
   }
 }
 
+void soak_judge::cancelled(const std::string& job) {
+  jobs_.at(job).cancelled = std::chrono::steady_clock::now();
+}
+
 void soak_judge::shown_failed(const std::string& job) {
   const auto& failures = jobs_.at(job).failures;
   if (std::none_of(failures.begin(), failures.end(),
@@ -48,7 +54,7 @@
 std::vector<std::string> soak_judge::accepted_jobs() const {
   std::vector<std::string> accepted;
   for (const auto& [name, record] : jobs_) {
-    if (record.accepted) {
+    if (record.accepted && !record.cancelled) {
       accepted.push_back(name);
     }
   }
@@ -85,6 +91,10 @@
   if (found->second.refused && !again_.contains(found->first)) {
     violation("task " + task + " was started after its job was refused");
   }
+  if (found->second.cancelled &&
+      std::chrono::steady_clock::now() - *found->second.cancelled > cancel_limit) {
+    violation("task " + task + " was started long after its job was cancelled");
+  }
   // Jobs that need not be stored may run again from the start when they are sent again.
   if (found->second.accepted && found->second.done.contains(task)) {
     repeated_.insert(task);
--- a/tests/soak/soak_judge.hpp
+++ b/tests/soak/soak_judge.hpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -20,6 +21,8 @@
   void refused(const std::string& job);
   /// The caller was told that the job is stored.
   void accepted(const std::string& job) { jobs_.at(job).accepted = true; }
+  /// The caller was told that the job is cancelled.
+  void cancelled(const std::string& job);
   /// A stored job is shown as failed.
   void shown_failed(const std::string& job);
   /// Stored jobs that were accepted, and not cancelled.
@@ -46,6 +49,7 @@
     bool started = false;
     bool refused = false;
     bool accepted = false;
+    std::optional<std::chrono::steady_clock::time_point> cancelled;
     std::map<std::string, int> failures;
     std::set<std::string> done;
   };
--- a/tests/soak/soak_site.cpp
+++ b/tests/soak/soak_site.cpp
@@ -43,6 +43,9 @@
 // A job that has to be stored is sent again this often while nobody says yes or no.
 constexpr int max_resends = 4;
 
+// One job in so many is cancelled, of those that have to be stored.
+constexpr std::uint64_t cancelled_share = 15;
+
 /// Every third job has to be stored.
 bool is_stored(std::uint64_t id) {
   return id % 3 == 0;
@@ -237,7 +240,7 @@
   auto& worker = *workers_[roll(options_.agents)];
   auto& path = *relays_[roll(options_.entries)];
   const milliseconds span(300 + roll(2'500));
-  switch (roll(13)) {
+  switch (roll(14)) {
   case 0:
   case 1:
   case 2:
@@ -274,6 +277,12 @@
     store_.forget_history();
     publish_routes();
     break;
+  case 13:
+    log("cut the links of an entry one way");
+    path.silence_one_way(roll(2) == 0 ? standin::relay_direction::to_target
+                                      : standin::relay_direction::to_client);
+    later(span, [&path] { path.heal(); });
+    break;
   case 12:
     log("store deals partitions anew");
     store_.deal_partitions_anew();
@@ -357,6 +366,9 @@
     ++report_.stored;
     judge_.accepted(name);
     unfinished_.insert(name);
+    if (id % cancelled_share == 0) {
+      later(milliseconds(roll(400)), [this, name] { cancel(name); });
+    }
     return;
   }
   if (response->status == 200 && response->body.find("completed") != std::string::npos) {
@@ -384,6 +396,9 @@
         if (response->status == 410) {
           judge_.violation("stored job " + job + " is not known");
           unfinished_.erase(job);
+        } else if (response->body.find("cancelled") != std::string::npos) {
+          judge_.cancelled(job); // The answer to the cancellation was lost.
+          unfinished_.erase(job);
         } else if (response->body.find("completed") != std::string::npos) {
           judge_.completed(job);
           unfinished_.erase(job);
@@ -394,6 +409,19 @@
       });
 }
 
+void soak_site::cancel(const std::string& job) {
+  clients_[roll(options_.entries)]->call(
+      {"DELETE", "/q1/" + job, {{"host", "soak.example"}}, ""}, caller_patience,
+      [this, job](const absl::StatusOr<web_response>& response) {
+        if (response.ok() && response->status == 410) {
+          judge_.violation("stored job " + job + " is not known");
+        } else if (response.ok() && response->body.find("cancelled") != std::string::npos) {
+          judge_.cancelled(job);
+          unfinished_.erase(job);
+        }
+      });
+}
+
 void soak_site::check_stored_jobs() {
   const auto end = steady_clock::now() + finish_limit;
   while (!unfinished_.empty() && steady_clock::now() < end) {
--- a/tests/soak/soak_site.hpp
+++ b/tests/soak/soak_site.hpp
@@ -90,6 +90,7 @@
   /// Every job that was accepted as stored has to end, and is shown so.
   void check_stored_jobs();
   void ask_for(const std::string& job);
+  void cancel(const std::string& job);
   void log(const std::string& line);
   int roll(int below) { return std::uniform_int_distribution<int>(0, below - 1)(random_); }
 
