Send placed orders before the list of outstanding runs; log lasting backlogs; judge notes by run

- Found by reading: an order that was placed and not sent when its agent opened a new session was listed as outstanding, returned by the agent as unknown, and sent and started after that.
No test shows it: it takes two ready handlers of one turn of the loop.

--- a/include/parsleylead/fleet/fleet_entry.hpp
+++ b/include/parsleylead/fleet/fleet_entry.hpp
@@ -100,6 +100,7 @@
   void routes_received(session& from, const fleet_frame& frame);
   void closed(const std::shared_ptr<session>& from, const std::string& cause);
   void check_sessions(monotonic_time now);
+  void note_backlog(monotonic_time now);
   void gossip(monotonic_time now);
   void announce_routes();
   fleet_frame member_frame() const;
@@ -128,6 +129,7 @@
   route_update routes_{-1, ""};
   monotonic_time last_tick_{};
   monotonic_time last_gossip_{};
+  monotonic_time backlog_since_{};
   bool members_changed_ = false;
   bool run_posted_ = false;
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
--- a/include/parsleylead/fleet/fleet_scheduler.hpp
+++ b/include/parsleylead/fleet/fleet_scheduler.hpp
@@ -32,7 +32,7 @@
   std::chrono::duration<double, std::milli> remote_round_trip{3.0};
   /// An agent returns an order that it had no room for after this time: reports of other entries'
   /// orders may be that old.
-  std::chrono::milliseconds max_wait{60};
+  std::chrono::milliseconds max_wait{20};
   /// Workers whose latest runs failed more often get a task only if no other worker is left.
   double max_failure_share = 0.5;
   /// A slow run is moved if it saves at least this time.
@@ -115,6 +115,8 @@
   /// Stored jobs without a started task, by queue.
   std::vector<queue_count> waiting_stored_jobs() const;
   std::size_t backlog() const { return backlog_; }
+  /// What this entry believes of each worker, as one line for the log.
+  std::string describe_workers() const;
   bool has_worker() const;
 
 private:
--- a/src/fleet/fleet_entry.cpp
+++ b/src/fleet/fleet_entry.cpp
@@ -15,6 +15,8 @@
 
 // Counts of waiting jobs come with each keepalive of an entry; older ones are no longer true.
 constexpr milliseconds counts_kept{1'000};
+// A backlog that lasts this long is logged, with what this entry believes of the workers.
+constexpr milliseconds backlog_notice{1'000};
 // A connection has to say who it is within this time.
 constexpr milliseconds hello_timeout{2'000};
 
@@ -165,9 +167,20 @@
   gossip(now);
   scheduler_.tick(now);
   run();
+  note_backlog(now);
   call_after(tick_timer_, settings_.timing.tick, [this] { tick(); });
 }
 
+void fleet_entry::note_backlog(monotonic_time now) {
+  if (scheduler_.backlog() == 0) {
+    backlog_since_ = now;
+  } else if (now - backlog_since_ > backlog_notice) {
+    backlog_since_ = now;
+    log_.write("backlog_lasts", "tasks", scheduler_.backlog(), "jobs", scheduler_.open_jobs(),
+               "workers", scheduler_.describe_workers());
+  }
+}
+
 void fleet_entry::check_sessions(monotonic_time now) {
   const auto all = sessions_;
   for (const auto& each : all) {
@@ -306,6 +319,9 @@
 }
 
 void fleet_entry::agent_greeted(const std::shared_ptr<session>& from, const session_hello& hello) {
+  // Orders that are placed and not sent yet must not arrive behind the list of outstanding runs:
+  // the agent returns what it does not know of that list, and would start it afterwards.
+  run();
   const auto now = lease_now();
   from->worker = scheduler_.worker_for(hello.sender.name, hello.sender.availability_zone);
   const auto older = agents_.find(from->worker);
--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -352,6 +352,23 @@
   }));
 }
 
+std::string fleet_scheduler::describe_workers() const {
+  std::string text;
+  for (const auto& each : workers_) {
+    const auto& status = each->status;
+    const bool usable = each->session && status.present && status.accepting;
+    text += (text.empty() ? "" : " ") + each->agent + (usable ? ":" : ":unusable:") +
+            std::to_string(static_cast<std::int64_t>(free_cpu(*each))) + "/" +
+            std::to_string(status.about.capacity.cpu_millis) +
+            ":committed=" + std::to_string(status.committed.cpu_millis) +
+            ":queued=" + std::to_string(status.queued_cpu_millis) +
+            ":own=" + std::to_string(each->own_cpu) +
+            ":reported_own=" + std::to_string(status.own_cpu_millis) +
+            ":runs=" + std::to_string(each->runs.size());
+  }
+  return text;
+}
+
 bool fleet_scheduler::may_still_report(const std::string& service, monotonic_time now) const {
   return now - first_used_ < policy_.first_report_wait &&
          std::none_of(workers_.begin(), workers_.end(), [&](const auto& each) {
--- a/standins/standin-platform/main.cpp
+++ b/standins/standin-platform/main.cpp
@@ -35,11 +35,11 @@
     std::printf("%s starts %s run %llu\n", worker.c_str(), task.c_str(),
                 static_cast<unsigned long long>(run));
   }
-  void run_ended(const std::string& worker, const std::string& task,
+  void run_ended(const std::string& worker, const std::string& task, std::uint64_t /*run*/,
                  const std::string& how) override {
     std::printf("%s ends %s %s\n", worker.c_str(), task.c_str(), how.c_str());
   }
-  void done_noted(const std::string& task) override {
+  void done_noted(const std::string& task, std::uint64_t /*run*/) override {
     std::printf("end of %s is noted\n", task.c_str());
   }
   void overloaded(const std::string& worker) override {
--- a/standins/standin-platform/worker_service.cpp
+++ b/standins/standin-platform/worker_service.cpp
@@ -44,7 +44,7 @@
 void worker_service::crash() {
   while (!runs_.empty()) {
     const auto task = runs_.begin()->first;
-    observer_.run_ended(id_, task, "crashed");
+    observer_.run_ended(id_, task, runs_.begin()->second.number, "crashed");
     runs_.erase(task);
   }
   ended_runs_.clear();
@@ -183,7 +183,7 @@
   const auto seen = order["ack_cursor"].get<std::uint64_t>();
   for (const auto& each : ends_) {
     if (each.number <= seen && each.how == "done" && !each.lapsed) {
-      observer_.done_noted(each.task);
+      observer_.done_noted(each.task, each.run);
     }
   }
   std::erase_if(ends_, [seen](const end& each) { return each.number <= seen; });
@@ -222,7 +222,7 @@
   auto& ended = ended_runs_[task];
   ended = std::max(ended, number);
   ends_.push_back({++last_end_, task, number, how, false});
-  observer_.run_ended(id_, task, how);
+  observer_.run_ended(id_, task, number, how);
 }
 
 void worker_service::announce() {
--- a/standins/standin-platform/worker_service.hpp
+++ b/standins/standin-platform/worker_service.hpp
@@ -36,11 +36,11 @@
   virtual void run_started(const std::string& worker, const std::string& task, std::uint64_t run,
                            const std::string& payload) = 0;
   /// `how` is one of the worker's words for ends.
-  virtual void run_ended(const std::string& worker, const std::string& task,
+  virtual void run_ended(const std::string& worker, const std::string& task, std::uint64_t run,
                          const std::string& how) = 0;
   /// The worker may forget that a run was done: its agent has taken note of the end, and no lease
   /// has lapsed since the run ended.
-  virtual void done_noted(const std::string& task) = 0;
+  virtual void done_noted(const std::string& task, std::uint64_t run) = 0;
   virtual void overloaded(const std::string& worker) = 0;
 };
 
--- a/tests/soak/soak_judge.cpp
+++ b/tests/soak/soak_judge.cpp
@@ -32,10 +32,12 @@
 
 void soak_judge::completed(const std::string& job) {
   const auto& record = jobs_.at(job);
-  if (record.done.size() != record.tasks) {
-    violation("job " + job + " was answered as completed with " +
-              std::to_string(record.done.size()) + " of " + std::to_string(record.tasks) +
-              " tasks done");
+  const auto done = static_cast<std::size_t>(
+      std::count_if(record.done.begin(), record.done.end(),
+                    [](const auto& each) { return !each.second.empty(); }));
+  if (done != record.tasks) {
+    violation("job " + job + " was answered as completed with " + std::to_string(done) + " of " +
+              std::to_string(record.tasks) + " tasks done");
   }
 }
 
@@ -61,9 +63,9 @@
   return accepted;
 }
 
-void soak_judge::done_noted(const std::string& task) {
+void soak_judge::done_noted(const std::string& task, std::uint64_t run) {
   noted_.insert(task);
-  if (repeated_.contains(task)) {
+  if (repeated_.contains({task, run})) {
     violation("the end of task " + task + " was taken note of after the task was started again");
   }
 }
@@ -96,8 +98,10 @@
     violation("task " + task + " was started long after its job was cancelled");
   }
   // Jobs that need not be stored may run again from the start when they are sent again.
-  if (found->second.accepted && found->second.done.contains(task)) {
-    repeated_.insert(task);
+  if (found->second.accepted) {
+    for (const auto done : found->second.done[task]) {
+      repeated_.emplace(task, done);
+    }
     if (noted_.contains(task)) {
       violation("task " + task + " was started after its end was taken note of");
     }
@@ -113,13 +117,13 @@
   }
 }
 
-void soak_judge::run_ended(const std::string& worker, const std::string& task,
+void soak_judge::run_ended(const std::string& worker, const std::string& task, std::uint64_t run,
                            const std::string& how) {
   if (const auto at = running_.find(task); at != running_.end() && at->second.worker == worker) {
     running_.erase(at);
   }
   if (how == "done") {
-    jobs_[job_of(task)].done.insert(task);
+    jobs_[job_of(task)].done[task].insert(run);
   } else if (how == "failed") {
     ++jobs_[job_of(task)].failures[task];
   }
--- a/tests/soak/soak_judge.hpp
+++ b/tests/soak/soak_judge.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "standin-platform/worker_service.hpp"
@@ -32,9 +33,9 @@
 
   void run_started(const std::string& worker, const std::string& task, std::uint64_t run,
                    const std::string& payload) override;
-  void run_ended(const std::string& worker, const std::string& task,
+  void run_ended(const std::string& worker, const std::string& task, std::uint64_t run,
                  const std::string& how) override;
-  void done_noted(const std::string& task) override;
+  void done_noted(const std::string& task, std::uint64_t run) override;
   void overloaded(const std::string& worker) override;
 
   /// Records a broken promise with its time.
@@ -51,13 +52,14 @@
     bool accepted = false;
     std::optional<std::chrono::steady_clock::time_point> cancelled;
     std::map<std::string, int> failures;
-    std::set<std::string> done;
+    /// Runs that ended as done, by task.
+    std::map<std::string, std::set<std::uint64_t>> done;
   };
 
   std::map<std::string, job_record> jobs_;
   std::set<std::string> noted_;
-  /// Tasks that were started after a run of them was done.
-  std::set<std::string> repeated_;
+  /// Runs that were done before another run of their task was started.
+  std::set<std::pair<std::string, std::uint64_t>> repeated_;
   std::set<std::string> again_;
   struct active_run {
     std::string worker;
