--- a/include/parsleylead/kept/kept_jobs.hpp
+++ b/include/parsleylead/durable/durable_jobs.hpp
@@ -13,15 +13,15 @@
 #include <vector>
 
 #include "parsleylead/base/time.hpp"
-#include "parsleylead/kept/kept_port.hpp"
-#include "parsleylead/kept/kept_record.hpp"
+#include "parsleylead/durable/durable_port.hpp"
+#include "parsleylead/durable/durable_record.hpp"
 #include "parsleylead/observe/event_log.hpp"
 #include "parsleylead/observe/metrics_registry.hpp"
 #include "parsleylead/store/partition_log.hpp"
 
 namespace parsleylead {
 
-struct kept_settings {
+struct durable_settings {
   /// This process in the group of owners; others reach it by this name.
   std::string member;
   std::string topic = "keyed.jobs";
@@ -46,8 +46,8 @@
   std::function<monotonic_time()> clock = lease_now;
 };
 
-/// Answer to a call about a stored job.
-enum class kept_answer : std::uint8_t {
+/// Answer to a call about a durable job.
+enum class durable_answer : std::uint8_t {
   /// The job is stored.
   accepted,
   pending,
@@ -64,24 +64,24 @@
   unknown,
 };
 
-const char* to_string(kept_answer answer);
+const char* to_string(durable_answer answer);
 
-/// The stored jobs of one entry. Jobs are shared out by partitions of the store's topic; each
+/// The durable jobs of one entry. Jobs are shared out by partitions of the store's topic; each
 /// partition has one owner at a time, chosen by the store's group and made safe by two things: an
 /// owner appends only at the end that it knows, so that an earlier owner's appends fail; and agents
 /// refuse orders of epochs older than the newest claim that they know. A job is answered as
 /// accepted once it is stored, an end is noted to its agent once it is stored, and a result is
 /// shown once it is stored. Used on the loop's thread only.
-class kept_jobs {
+class durable_jobs {
 public:
-  using reply = std::function<void(kept_answer)>;
+  using reply = std::function<void(durable_answer)>;
 
   /// The references must outlive the object.
-  kept_jobs(kept_settings settings, partition_log& log, kept_port& port, event_log& events,
-            metrics_registry& metrics);
-  ~kept_jobs();
-  kept_jobs(const kept_jobs&) = delete;
-  kept_jobs& operator=(const kept_jobs&) = delete;
+  durable_jobs(durable_settings settings, partition_log& log, durable_port& port, event_log& events,
+               metrics_registry& metrics);
+  ~durable_jobs();
+  durable_jobs(const durable_jobs&) = delete;
+  durable_jobs& operator=(const durable_jobs&) = delete;
 
   /// Handles what is due; to be called every few ten milliseconds.
   void tick(monotonic_time now);
@@ -92,7 +92,7 @@
   /// Stores and runs a job, or tells what is known of it. `job` has no tenure.
   void submit(fleet_job job, monotonic_time now, const reply& done);
   void cancel(std::uint64_t job, monotonic_time now, const reply& done);
-  kept_answer query(std::uint64_t job) const;
+  durable_answer query(std::uint64_t job) const;
   /// Whether this entry answers for the job.
   bool owns(std::uint64_t job) const;
 
@@ -116,7 +116,7 @@
   bool has_left() const { return left_; }
 
 private:
-  struct kept_job;
+  struct durable_job;
   struct partition;
   struct change;
   struct pending_reply;
@@ -133,7 +133,7 @@
   void renew(monotonic_time now);
   void take_share(const group_share& share, monotonic_time sent, monotonic_time now);
   /// `sent_submissions` is answered to callers whose job is in an append without an answer.
-  void give_up(partition_number number, const std::string& cause, kept_answer sent_submissions);
+  void give_up(partition_number number, const std::string& cause, durable_answer sent_submissions);
   void release(partition& each, monotonic_time now);
   void finish_releases(monotonic_time now);
   void finish_leave();
@@ -143,7 +143,7 @@
   void claimed(partition& each, std::uint64_t end, monotonic_time now);
   void restore(partition& each, const std::vector<keyed_record>& records);
   void start_restored(partition& each);
-  void start(partition& each, kept_job& job);
+  void start(partition& each, durable_job& job);
 
   void close(partition& each, std::uint64_t id);
   void queue_change(partition& each, change what, monotonic_time now,
@@ -157,9 +157,9 @@
   void expire_waiting(monotonic_time now);
   void forget_ended(partition& each, monotonic_time now);
 
-  kept_settings settings_;
+  durable_settings settings_;
   partition_log& log_;
-  kept_port& port_;
+  durable_port& port_;
   event_log& events_;
   metrics_registry& metrics_;
   std::map<partition_number, std::unique_ptr<partition>> partitions_;
--- a/include/parsleylead/kept/kept_port.hpp
+++ b/include/parsleylead/durable/durable_port.hpp
@@ -9,11 +9,11 @@
 
 namespace parsleylead {
 
-/// What the owner of stored jobs needs from the entry that runs them. Used on the loop's thread
+/// What the owner of durable jobs needs from the entry that runs them. Used on the loop's thread
 /// only.
-class kept_port {
+class durable_port {
 public:
-  virtual ~kept_port() = default;
+  virtual ~durable_port() = default;
 
   /// Precondition: the job has a tenure and is not open.
   virtual void run(fleet_job job) = 0;
--- a/include/parsleylead/kept/kept_record.hpp
+++ b/include/parsleylead/durable/durable_record.hpp
@@ -12,7 +12,7 @@
 namespace parsleylead {
 
 /// A job as its owner stores it: what the caller submitted, and what has become of it.
-struct kept_record {
+struct durable_record {
   /// Without `tenure`.
   fleet_job job;
   /// Epoch of the partition in which the job was accepted.
@@ -24,8 +24,8 @@
   std::optional<job_verdict> ended;
 };
 
-/// Who owns a partition of stored jobs.
-struct kept_owner {
+/// Who owns a partition of durable jobs.
+struct durable_owner {
   std::uint64_t epoch = 0;
   std::string member;
   /// The owner has given the partition up, and nothing of it runs.
@@ -39,21 +39,21 @@
 std::string submission_key(std::uint64_t job);
 std::string progress_key(std::uint64_t job);
 /// The job that a key belongs to, and whether it is the key of its progress.
-struct kept_key {
+struct durable_key {
   std::uint64_t job = 0;
   bool is_progress = false;
 };
-std::optional<kept_key> parse_kept_key(const std::string& key);
+std::optional<durable_key> parse_durable_key(const std::string& key);
 
-std::string write_submission(const kept_record& record);
-std::string write_progress(const kept_record& record);
-std::string write_owner(const kept_owner& owner);
+std::string write_submission(const durable_record& record);
+std::string write_progress(const durable_record& record);
+std::string write_owner(const durable_owner& owner);
 
 /// Errors: kInvalidArgument for bytes that are no such record.
-absl::StatusOr<kept_record> parse_kept_submission(std::uint64_t job, const std::string& text);
+absl::StatusOr<durable_record> parse_durable_submission(std::uint64_t job, const std::string& text);
 /// Adds the progress to a record. Errors: kInvalidArgument; the record is unchanged then.
-absl::Status parse_kept_progress(const std::string& text, kept_record& record);
-absl::StatusOr<kept_owner> parse_kept_owner(const std::string& text);
+absl::Status parse_durable_progress(const std::string& text, durable_record& record);
+absl::StatusOr<durable_owner> parse_durable_owner(const std::string& text);
 
 /// Progress without any run, in the shape of the job's steps.
 std::vector<std::vector<task_progress>> empty_progress(const fleet_job& job);
--- a/include/parsleylead/fleet/fleet_agent.hpp
+++ b/include/parsleylead/fleet/fleet_agent.hpp
@@ -38,7 +38,7 @@
   /// Pause before the next request for lists while ends wait for their owners: the worker then
   /// answers at once. An owner stores an end within two of these.
   std::chrono::milliseconds held_list_interval{10};
-  /// Partitions of stored jobs; the same at all entries.
+  /// Partitions of durable jobs; the same at all entries.
   std::uint32_t partitions = 1;
   /// A worker whose lists cannot be had for this long gets no new runs.
   std::chrono::milliseconds suspect_after{200};
--- a/include/parsleylead/fleet/fleet_entry.hpp
+++ b/include/parsleylead/fleet/fleet_entry.hpp
@@ -14,11 +14,11 @@
 #include "absl/status/status.h"
 #include "parsleylead/base/endpoint.hpp"
 #include "parsleylead/base/time.hpp"
+#include "parsleylead/durable/durable_jobs.hpp"
 #include "parsleylead/fleet/fleet_frame.hpp"
 #include "parsleylead/fleet/fleet_scheduler.hpp"
 #include "parsleylead/fleet/link_timing.hpp"
 #include "parsleylead/fleet/member_dialer.hpp"
-#include "parsleylead/kept/kept_jobs.hpp"
 #include "parsleylead/link/frame_link.hpp"
 #include "parsleylead/observe/event_log.hpp"
 #include "parsleylead/observe/metrics_registry.hpp"
@@ -67,13 +67,13 @@
   caller_ticket submit(fleet_job job, result_handler done);
   /// One caller of the job has left; the job is stopped when the last one has.
   void abandon(std::uint64_t id, caller_ticket caller);
-  /// Keeps stored jobs from now on. Precondition: `start` has not been called. `log` must outlive
+  /// Keeps durable jobs from now on. Precondition: `start` has not been called. `log` must outlive
   /// the entry.
-  void keep_jobs(kept_settings settings, partition_log& log);
-  /// The stored jobs, for calls of callers. Precondition: `keep_jobs` was called.
-  kept_jobs& stored_jobs();
-  /// Stored jobs of the queue that have not begun, at all linked entries.
-  std::size_t waiting_stored_jobs(const std::string& queue) const;
+  void enable_durable_jobs(durable_settings settings, partition_log& log);
+  /// The durable jobs, for calls of callers. Precondition: `enable_durable_jobs` was called.
+  durable_jobs& durable();
+  /// Durable jobs of the queue that have not begun, at all linked entries.
+  std::size_t waiting_durable_jobs(const std::string& queue) const;
   /// Stops a job that callers wait for, and answers all of them. Returns whether there was one.
   bool cancel(std::uint64_t id);
 
@@ -88,7 +88,7 @@
 
 private:
   struct session;
-  struct stored_job_port;
+  struct durable_job_port;
 
   void tick();
   void accepted(std::shared_ptr<frame_link> link);
@@ -119,8 +119,8 @@
   frame_acceptor acceptor_;
   member_dialer dialer_;
   fleet_scheduler scheduler_;
-  std::unique_ptr<stored_job_port> stored_job_port_;
-  std::unique_ptr<kept_jobs> kept_;
+  std::unique_ptr<durable_job_port> durable_job_port_;
+  std::unique_ptr<durable_jobs> durable_;
   std::vector<std::shared_ptr<session>> sessions_;
   std::map<worker_index, std::shared_ptr<session>> agents_;
   std::map<worker_index, std::uint64_t> agent_incarnations_;
--- a/include/parsleylead/fleet/fleet_frame.hpp
+++ b/include/parsleylead/fleet/fleet_frame.hpp
@@ -60,11 +60,11 @@
   /// The routes of that version; empty if the receiver has them.
   std::string routes;
   bool leaving = false;
-  /// Partitions of stored jobs that the sender owns, sent first in each session and when it claims
+  /// Partitions of durable jobs that the sender owns, sent first in each session and when it claims
   /// one.
   std::vector<partition_claim> claims;
   std::vector<end_note> notes;
-  /// Stored jobs of the sender that have not begun.
+  /// Durable jobs of the sender that have not begun.
   std::vector<queue_count> waiting;
 
   bool empty() const;
--- a/include/parsleylead/fleet/fleet_job.hpp
+++ b/include/parsleylead/fleet/fleet_job.hpp
@@ -41,7 +41,7 @@
   std::uint32_t priority = 0;
 };
 
-/// What is known of one task of a stored job.
+/// What is known of one task of a durable job.
 struct task_progress {
   bool done = false;
   /// Runs that ended as failed.
@@ -56,7 +56,7 @@
 /// that an agent returns, they last an hour.
 inline constexpr std::uint32_t attempts_per_epoch = 1U << 16U;
 
-/// What the owner of a stored job adds to it.
+/// What the owner of a durable job adds to it.
 struct job_tenure {
   std::uint64_t epoch = 0;
   /// Attempts up to this number may have been used by earlier owners.
@@ -72,9 +72,9 @@
   /// Passed to each task as it is.
   std::string payload;
   std::vector<job_step> steps;
-  /// The caller waits at most this long for the answer. Not used for stored jobs.
+  /// The caller waits at most this long for the answer. Not used for durable jobs.
   std::chrono::milliseconds patience{0};
-  /// For a stored job: it is never refused or given up for its time.
+  /// For a durable job: it is never refused or given up for its time.
   std::optional<job_tenure> tenure;
 };
 
--- a/include/parsleylead/fleet/fleet_scheduler.hpp
+++ b/include/parsleylead/fleet/fleet_scheduler.hpp
@@ -112,8 +112,8 @@
   std::size_t open_jobs() const { return jobs_.size(); }
   /// Jobs of the queue without a started task.
   std::size_t waiting_jobs(const std::string& queue) const;
-  /// Stored jobs without a started task, by queue.
-  std::vector<queue_count> waiting_stored_jobs() const;
+  /// Durable jobs without a started task, by queue.
+  std::vector<queue_count> waiting_durable_jobs() const;
   std::size_t backlog() const { return backlog_; }
   /// What this entry believes of each worker, as one line for the log.
   std::string describe_workers() const;
--- a/include/parsleylead/fleet/run_types.hpp
+++ b/include/parsleylead/fleet/run_types.hpp
@@ -79,11 +79,11 @@
   std::chrono::milliseconds max_wait{0};
   /// The operators' order of importance: 0 comes first.
   std::uint32_t priority = 0;
-  /// Tenure in which the owner of a stored job gives this order; 0 for other jobs.
+  /// Tenure in which the owner of a durable job gives this order; 0 for other jobs.
   std::uint64_t epoch = 0;
 };
 
-/// Part of all stored jobs that has one owner at a time.
+/// Part of all durable jobs that has one owner at a time.
 using partition_number = std::uint32_t;
 
 /// One owner's tenure of a partition. Epochs of a partition rise with each owner.
@@ -94,7 +94,7 @@
   bool operator==(const partition_claim&) const = default;
 };
 
-/// The partition of a stored job. Precondition: `partitions` > 0. Thread-safe.
+/// The partition of a durable job. Precondition: `partitions` > 0. Thread-safe.
 inline partition_number partition_of(std::uint64_t job, std::uint32_t partitions) {
   constexpr std::uint64_t mix = 0x9e3779b97f4a7c15ULL; // 2^64 divided by the golden ratio
   return static_cast<partition_number>(((job * mix) >> 32U) % partitions);
--- a/include/parsleylead/runs/run_table.hpp
+++ b/include/parsleylead/runs/run_table.hpp
@@ -68,11 +68,11 @@
 /// lists the run, or until the worker has confirmed a stop of it, which makes the worker reject the
 /// run from then on, and a list taken after that confirmation does not show it.
 ///
-/// Ends of stored jobs (with an epoch) are held at the worker until the owner of their partition
+/// Ends of durable jobs (with an epoch) are held at the worker until the owner of their partition
 /// has noted them: whatever happens to this process or to the owner, the worker lists them again.
 class run_table {
 public:
-  /// `partitions`: number of partitions of stored jobs.
+  /// `partitions`: number of partitions of durable jobs.
   explicit run_table(std::uint32_t partitions = 1) : partitions_(partitions) {}
 
   /// Another worker than before, which runs nothing of this table. Every run ends as lost.
@@ -96,7 +96,7 @@
   /// stops what is not listed and reports again what ended or never arrived.
   void reconcile(owner_id owner, const std::vector<run_id>& outstanding, monotonic_time now);
 
-  /// The owner holds a partition of stored jobs. Runs of earlier epochs there are stopped, and all
+  /// The owner holds a partition of durable jobs. Runs of earlier epochs there are stopped, and all
   /// held ends of the partition are reported to it. Claims older than a known one are ignored.
   void claimed(owner_id owner, const partition_claim& claim, monotonic_time now);
   /// The claim that makes an order of an earlier owner void, if there is one.
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -34,7 +34,7 @@
   maxWaitMs @5 :UInt32;
   # The operators' order of importance: 0 comes first.
   priority @6 :UInt32;
-  # Tenure of the owner of a stored job; 0 for other jobs.
+  # Tenure of the owner of a durable job; 0 for other jobs.
   epoch @7 :UInt64;
 }
 
@@ -141,9 +141,9 @@
   moves @11 :List(RunId);
   slow @12 :List(SlowRun);
   payloads @13 :List(Text);
-  # Partitions of stored jobs that the sender owns.
+  # Partitions of durable jobs that the sender owns.
   claims @14 :List(Claim);
   notes @15 :List(EndNote);
-  # Stored jobs of the sender that have not begun.
+  # Durable jobs of the sender that have not begun.
   waiting @16 :List(QueueCount);
 }
--- a/src/kept/kept_appends.cpp
+++ b/src/durable/durable_appends.cpp
@@ -1,10 +1,10 @@
-// Stored jobs: what is written to the store, and what follows from its answers.
+// Durable jobs: what is written to the store, and what follows from its answers.
 
 #include <algorithm>
 #include <set>
 #include <utility>
 
-#include "kept_state.hpp"
+#include "durable_state.hpp"
 
 namespace parsleylead {
 namespace {
@@ -19,14 +19,15 @@
 
 } // namespace
 
-void kept_jobs::queue_change(partition& each, change what, monotonic_time now, milliseconds delay) {
+void durable_jobs::queue_change(partition& each, change what, monotonic_time now,
+                                milliseconds delay) {
   what.queued = now;
   what.due = now + delay;
   each.changes.push_back(std::move(what));
   flush(each, now);
 }
 
-void kept_jobs::flush(partition& each, monotonic_time now) {
+void durable_jobs::flush(partition& each, monotonic_time now) {
   if (each.busy || now < each.retry_at) {
     return;
   }
@@ -57,7 +58,7 @@
       if (job.forgotten) {
         each.sent_records.push_back({submission_key(what.job), ""});
       } else if (job.closing) {
-        auto closed = kept_record{};
+        auto closed = durable_record{};
         closed.ended = job.closing;
         closed.progress = job.record.progress;
         each.sent_records.push_back({submission_key(what.job), write_submission(closed)});
@@ -78,7 +79,7 @@
   append(each);
 }
 
-void kept_jobs::append(partition& each) {
+void durable_jobs::append(partition& each) {
   each.busy = true;
   log_.append(topic_of(each.number), each.end, each.sent_records,
               [this, number = each.number, serial = each.serial,
@@ -91,7 +92,7 @@
               });
 }
 
-void kept_jobs::append_answered(partition& each, const absl::StatusOr<std::uint64_t>& end) {
+void durable_jobs::append_answered(partition& each, const absl::StatusOr<std::uint64_t>& end) {
   if (end.ok()) {
     appended(each, *end);
     return;
@@ -101,7 +102,7 @@
     if (each.sent_unknown) {
       check_appended(each);
     } else {
-      give_up(each.number, "another owner has appended", kept_answer::refused);
+      give_up(each.number, "another owner has appended", durable_answer::refused);
     }
     return;
   }
@@ -119,7 +120,7 @@
 }
 
 /// The end has moved: either by an attempt of ours without an answer, or by another owner.
-void kept_jobs::check_appended(partition& each) {
+void durable_jobs::check_appended(partition& each) {
   each.busy = true;
   log_.read_records(
       topic_of(each.number), each.end,
@@ -139,12 +140,12 @@
           appended(*at, at->end + sent.size());
         } else {
           give_up(number, readable ? "another owner has appended" : "the end cannot be read",
-                  readable ? kept_answer::refused : kept_answer::unknown);
+                  readable ? durable_answer::refused : durable_answer::unknown);
         }
       });
 }
 
-void kept_jobs::appended(partition& each, std::uint64_t end) {
+void durable_jobs::appended(partition& each, std::uint64_t end) {
   each.end = end;
   each.sent_unknown = false;
   if (std::exchange(each.failing, false)) {
@@ -162,7 +163,7 @@
 }
 
 /// Nothing of the append was done, and nothing will be.
-void kept_jobs::append_refused(partition& each) {
+void durable_jobs::append_refused(partition& each) {
   std::vector<change> refused;
   for (auto& what : each.sent) {
     if (what.is_submission) {
@@ -177,7 +178,7 @@
   }
 }
 
-void kept_jobs::expire_waiting(monotonic_time now) {
+void durable_jobs::expire_waiting(monotonic_time now) {
   for (const auto& [number, each] : partitions_) {
     if (each->changes.empty()) {
       continue;
@@ -196,11 +197,11 @@
   while (!waiting_.empty() && (waiting_.front()->answered || waiting_.front()->deadline <= now)) {
     const auto each = waiting_.front();
     waiting_.pop_front();
-    each->answer(kept_answer::unknown);
+    each->answer(durable_answer::unknown);
   }
 }
 
-void kept_jobs::forget_ended(partition& each, monotonic_time now) {
+void durable_jobs::forget_ended(partition& each, monotonic_time now) {
   while (each.owned() && !each.ended.empty() && each.ended.front().first <= now) {
     const auto id = each.ended.front().second;
     each.ended.pop_front();
--- a/src/kept/kept_calls.cpp
+++ b/src/durable/durable_calls.cpp
@@ -1,9 +1,9 @@
-// Stored jobs: calls of callers, ends of runs, and who owns what.
+// Durable jobs: calls of callers, ends of runs, and who owns what.
 
 #include <algorithm>
 #include <utility>
 
-#include "kept_state.hpp"
+#include "durable_state.hpp"
 #include "parsleylead/fleet/format_run.hpp"
 
 namespace parsleylead {
@@ -20,49 +20,49 @@
 
 } // namespace
 
-const char* to_string(kept_answer answer) {
+const char* to_string(durable_answer answer) {
   switch (answer) {
-  case kept_answer::accepted:
+  case durable_answer::accepted:
     return "accepted";
-  case kept_answer::pending:
+  case durable_answer::pending:
     return "pending";
-  case kept_answer::running:
+  case durable_answer::running:
     return "running";
-  case kept_answer::completed:
+  case durable_answer::completed:
     return "completed";
-  case kept_answer::failed:
+  case durable_answer::failed:
     return "failed";
-  case kept_answer::cancelled:
+  case durable_answer::cancelled:
     return "cancelled";
-  case kept_answer::no_such_job:
+  case durable_answer::no_such_job:
     return "no_such_job";
-  case kept_answer::not_owner:
+  case durable_answer::not_owner:
     return "not_owner";
-  case kept_answer::refused:
+  case durable_answer::refused:
     return "refused";
   default:
     return "unknown";
   }
 }
 
-void kept_jobs::submit(fleet_job job, monotonic_time now, const reply& done) {
+void durable_jobs::submit(fleet_job job, monotonic_time now, const reply& done) {
   now_ = now;
   auto* each = find_partition(job.id);
   if (each == nullptr) {
-    done(kept_answer::not_owner);
+    done(durable_answer::not_owner);
     return;
   }
   const auto id = job.id;
   const auto known = each->jobs.find(id);
   if (known != each->jobs.end() && known->second.stored) {
-    done(kept_answer::accepted);
+    done(durable_answer::accepted);
     return;
   }
   // A change that waits behind a failing append would only be refused later.
   if (known == each->jobs.end() && (open_jobs_ >= settings_.max_open_jobs || each->failing)) {
     events_.write("job_refused", "job", format_job(id), "open_jobs", open_jobs_, "store_failing",
                   each->failing);
-    done(kept_answer::refused);
+    done(durable_answer::refused);
     return;
   }
   auto waiting = std::make_shared<pending_reply>(
@@ -97,25 +97,25 @@
                   }
                   events_.write(stored ? "job_accepted" : "job_refused", "job", format_job(id),
                                 "partition", at->number, "epoch", at->epoch);
-                  metrics_.add("parsleylead_entry_stored_jobs_total",
+                  metrics_.add("parsleylead_entry_durable_jobs_total",
                                {{"answer", stored ? "accepted" : "refused"}});
                   for (const auto& caller : callers) {
-                    caller->answer(stored ? kept_answer::accepted : kept_answer::refused);
+                    caller->answer(stored ? durable_answer::accepted : durable_answer::refused);
                   }
                 }},
                now);
 }
 
-void kept_jobs::cancel(std::uint64_t id, monotonic_time now, const reply& done) {
+void durable_jobs::cancel(std::uint64_t id, monotonic_time now, const reply& done) {
   now_ = now;
   auto* each = find_partition(id);
   if (each == nullptr) {
-    done(kept_answer::not_owner);
+    done(durable_answer::not_owner);
     return;
   }
   const auto found = each->jobs.find(id);
   if (found == each->jobs.end() || found->second.forgotten) {
-    done(kept_answer::no_such_job);
+    done(durable_answer::no_such_job);
     return;
   }
   auto& job = found->second;
@@ -124,7 +124,7 @@
     return;
   }
   if (!job.stored) {
-    done(kept_answer::unknown); // Its submission is not answered yet.
+    done(durable_answer::unknown); // Its submission is not answered yet.
     return;
   }
   auto waiting = std::make_shared<pending_reply>(
@@ -145,7 +145,7 @@
 }
 
 /// The job's result is stored.
-void kept_jobs::close(partition& each, std::uint64_t id) {
+void durable_jobs::close(partition& each, std::uint64_t id) {
   auto& job = each.jobs.at(id);
   if (std::exchange(job.running, false)) {
     port_.drop(id);
@@ -157,38 +157,38 @@
   job.record.job = {};
   job.record.ended = job.closing;
   each.ended.emplace_back(now_ + settings_.keep_ended, id);
-  events_.write("stored_job_ended", "job", format_job(id), "verdict", to_string(*job.closing));
+  events_.write("durable_job_ended", "job", format_job(id), "verdict", to_string(*job.closing));
 }
 
-kept_answer kept_jobs::query(std::uint64_t id) const {
+durable_answer durable_jobs::query(std::uint64_t id) const {
   const auto* each = find_partition(id);
   if (each == nullptr) {
-    return kept_answer::not_owner;
+    return durable_answer::not_owner;
   }
   const auto found = each->jobs.find(id);
   if (found == each->jobs.end() || found->second.forgotten) {
-    return kept_answer::no_such_job;
+    return durable_answer::no_such_job;
   }
   const auto& job = found->second;
   if (job.record.ended) {
     switch (*job.record.ended) {
     case job_verdict::completed:
-      return kept_answer::completed;
+      return durable_answer::completed;
     case job_verdict::failed:
-      return kept_answer::failed;
+      return durable_answer::failed;
     default:
-      return kept_answer::cancelled;
+      return durable_answer::cancelled;
     }
   }
   if (!job.stored) {
-    return kept_answer::unknown;
+    return durable_answer::unknown;
   }
   const bool begun = job.closing || port_.has_begun(id) || job.record.first_epoch != each->epoch;
-  return begun ? kept_answer::running : kept_answer::pending;
+  return begun ? durable_answer::running : durable_answer::pending;
 }
 
-void kept_jobs::run_ended(worker_index worker, const run_end& end, bool is_current,
-                          monotonic_time now) {
+void durable_jobs::run_ended(worker_index worker, const run_end& end, bool is_current,
+                             monotonic_time now) {
   now_ = now;
   auto* each = find_held(end.run.task.job);
   if (each == nullptr) {
@@ -198,7 +198,7 @@
   const auto found = each->jobs.find(id);
   if (found == each->jobs.end() || end.run.task.step >= found->second.record.progress.size() ||
       end.run.task.index >= found->second.record.progress[end.run.task.step].size()) {
-    port_.note(worker, {end.run, false}); // Of no stored job.
+    port_.note(worker, {end.run, false}); // Of no durable job.
     return;
   }
   auto& job = found->second;
@@ -229,7 +229,7 @@
                now, progress_delay);
 }
 
-void kept_jobs::job_ended(const job_result& result, monotonic_time now) {
+void durable_jobs::job_ended(const job_result& result, monotonic_time now) {
   now_ = now;
   const bool final =
       result.verdict == job_verdict::completed || result.verdict == job_verdict::failed;
@@ -255,8 +255,8 @@
                now);
 }
 
-void kept_jobs::find_holder(std::uint64_t job, monotonic_time now,
-                            const std::function<void(std::optional<std::string>)>& done) {
+void durable_jobs::find_holder(std::uint64_t job, monotonic_time now,
+                               const std::function<void(std::optional<std::string>)>& done) {
   const auto answer = [this, number = partition_number_of(job), done](monotonic_time at) {
     const auto found = std::find_if(holders_.begin(), holders_.end(), [number](const auto& each) {
       return each.partition == number;
--- a/src/kept/kept_jobs.cpp
+++ b/src/durable/durable_jobs.cpp
@@ -1,11 +1,11 @@
-// Stored jobs: the group of owners, and claims and releases of partitions.
+// Durable jobs: the group of owners, and claims and releases of partitions.
 
 #include <algorithm>
 #include <iterator>
 #include <set>
 #include <utility>
 
-#include "kept_state.hpp"
+#include "durable_state.hpp"
 #include "parsleylead/fleet/format_run.hpp"
 
 namespace parsleylead {
@@ -18,42 +18,42 @@
 
 } // namespace
 
-kept_jobs::kept_jobs(kept_settings settings, partition_log& log, kept_port& port, event_log& events,
-                     metrics_registry& metrics)
+durable_jobs::durable_jobs(durable_settings settings, partition_log& log, durable_port& port,
+                           event_log& events, metrics_registry& metrics)
     : settings_(std::move(settings)), log_(log), port_(port), events_(events), metrics_(metrics) {}
 
-kept_jobs::~kept_jobs() = default;
+durable_jobs::~durable_jobs() = default;
 
-partition_number kept_jobs::partition_number_of(std::uint64_t job) const {
+partition_number durable_jobs::partition_number_of(std::uint64_t job) const {
   return partition_of(job, settings_.partitions);
 }
 
-kept_jobs::partition* kept_jobs::find_partition(std::uint64_t job) {
+durable_jobs::partition* durable_jobs::find_partition(std::uint64_t job) {
   const auto found = partitions_.find(partition_number_of(job));
   return found != partitions_.end() && found->second->owned() ? found->second.get() : nullptr;
 }
 
-const kept_jobs::partition* kept_jobs::find_partition(std::uint64_t job) const {
+const durable_jobs::partition* durable_jobs::find_partition(std::uint64_t job) const {
   const auto found = partitions_.find(partition_number_of(job));
   return found != partitions_.end() && found->second->owned() ? found->second.get() : nullptr;
 }
 
-kept_jobs::partition* kept_jobs::find_held(std::uint64_t job) {
+durable_jobs::partition* durable_jobs::find_held(std::uint64_t job) {
   const auto found = partitions_.find(partition_number_of(job));
   return found != partitions_.end() && found->second->writable() ? found->second.get() : nullptr;
 }
 
-kept_jobs::partition* kept_jobs::current(partition_number number, std::uint64_t serial) {
+durable_jobs::partition* durable_jobs::current(partition_number number, std::uint64_t serial) {
   const auto found = partitions_.find(number);
   return found != partitions_.end() && found->second->serial == serial ? found->second.get()
                                                                        : nullptr;
 }
 
-bool kept_jobs::owns(std::uint64_t job) const {
+bool durable_jobs::owns(std::uint64_t job) const {
   return find_partition(job) != nullptr;
 }
 
-std::vector<partition_claim> kept_jobs::claims() const {
+std::vector<partition_claim> durable_jobs::claims() const {
   std::vector<partition_claim> all;
   for (const auto& [number, each] : partitions_) {
     if (each->owned()) {
@@ -63,26 +63,26 @@
   return all;
 }
 
-void kept_jobs::check_lease(monotonic_time now) {
+void durable_jobs::check_lease(monotonic_time now) {
   now_ = now;
   if (!partitions_.empty() && now > lease_until_) {
     events_.write("ownership_lapsed", "partitions", partitions_.size());
     while (!partitions_.empty()) {
-      give_up(partitions_.begin()->first, "lease ended", kept_answer::unknown);
+      give_up(partitions_.begin()->first, "lease ended", durable_answer::unknown);
     }
   }
 }
 
-void kept_jobs::claim_seen(const partition_claim& claim, monotonic_time now) {
+void durable_jobs::claim_seen(const partition_claim& claim, monotonic_time now) {
   now_ = now;
   const auto found = partitions_.find(claim.partition);
   if (found != partitions_.end() && found->second->epoch != 0 &&
       found->second->epoch < claim.epoch) {
-    give_up(claim.partition, "an agent knows a later owner", kept_answer::unknown);
+    give_up(claim.partition, "an agent knows a later owner", durable_answer::unknown);
   }
 }
 
-void kept_jobs::tick(monotonic_time now) {
+void durable_jobs::tick(monotonic_time now) {
   check_lease(now);
   finish_releases(now);
   const bool releasing = std::any_of(partitions_.begin(), partitions_.end(), [](const auto& each) {
@@ -101,7 +101,7 @@
   expire_waiting(now);
 }
 
-void kept_jobs::renew(monotonic_time now) {
+void durable_jobs::renew(monotonic_time now) {
   renewing_ = true;
   next_renewal_ = now + settings_.renewal;
   log_.join(settings_.group, settings_.member, settings_.topic, settings_.lease, generation_,
@@ -121,7 +121,7 @@
             });
 }
 
-void kept_jobs::take_share(const group_share& share, monotonic_time sent, monotonic_time now) {
+void durable_jobs::take_share(const group_share& share, monotonic_time sent, monotonic_time now) {
   now_ = now;
   lease_until_ = sent + settings_.lease;
   generation_ = share.generation;
@@ -142,8 +142,8 @@
   }
 }
 
-void kept_jobs::give_up(partition_number number, const std::string& cause,
-                        kept_answer sent_submissions) {
+void durable_jobs::give_up(partition_number number, const std::string& cause,
+                           durable_answer sent_submissions) {
   const auto found = partitions_.find(number);
   const auto gone = std::move(found->second);
   partitions_.erase(found);
@@ -160,12 +160,12 @@
     open_jobs_ -= job.record.ended ? 0 : 1;
     for (const auto& each : job.submitters) {
       // What was never sent cannot take effect.
-      each->answer(sent.contains(id) ? sent_submissions : kept_answer::refused);
+      each->answer(sent.contains(id) ? sent_submissions : durable_answer::refused);
     }
   }
 }
 
-void kept_jobs::release(partition& each, monotonic_time now) {
+void durable_jobs::release(partition& each, monotonic_time now) {
   if (each.at == partition::stage::releasing) {
     return;
   }
@@ -182,7 +182,7 @@
   }
 }
 
-void kept_jobs::finish_releases(monotonic_time now) {
+void durable_jobs::finish_releases(monotonic_time now) {
   std::vector<partition_number> over;
   for (const auto& [number, each] : partitions_) {
     if (each->at != partition::stage::releasing) {
@@ -203,19 +203,19 @@
                    alive = std::weak_ptr<int>(alive_)](const absl::StatusOr<std::uint64_t>& end) {
                     if (!alive.expired() && current(number, serial) != nullptr) {
                       give_up(number, end.ok() ? "released" : std::string(end.status().message()),
-                              kept_answer::unknown);
+                              durable_answer::unknown);
                       finish_leave();
                     }
                   });
     }
   }
   for (const auto number : over) {
-    give_up(number, "release took too long", kept_answer::unknown);
+    give_up(number, "release took too long", durable_answer::unknown);
   }
   finish_leave();
 }
 
-void kept_jobs::leave(monotonic_time now) {
+void durable_jobs::leave(monotonic_time now) {
   leaving_ = true;
   for (const auto& [number, each] : partitions_) {
     release(*each, now);
@@ -223,7 +223,7 @@
   finish_releases(now);
 }
 
-void kept_jobs::finish_leave() {
+void durable_jobs::finish_leave() {
   if (!leaving_ || left_ || !partitions_.empty()) {
     return;
   }
@@ -237,7 +237,7 @@
              });
 }
 
-void kept_jobs::read(partition_number number, std::uint64_t serial, const std::string& after) {
+void durable_jobs::read(partition_number number, std::uint64_t serial, const std::string& after) {
   log_.read_newest(topic_of(number), after,
                    [this, number, serial, after,
                     alive = std::weak_ptr<int>(alive_)](absl::StatusOr<keyed_snapshot> snapshot) {
@@ -249,7 +249,7 @@
                        events_.write("partition_not_read", "partition", number, "cause",
                                      std::string(snapshot.status().message()));
                        // The next renewal reads it again.
-                       give_up(number, "not read", kept_answer::unknown);
+                       give_up(number, "not read", durable_answer::unknown);
                        return;
                      }
                      if (after.empty()) {
@@ -269,7 +269,7 @@
                    });
 }
 
-void kept_jobs::claim(partition& each, monotonic_time now) {
+void durable_jobs::claim(partition& each, monotonic_time now) {
   each.at = partition::stage::claiming;
   each.epoch = 1;
   each.previous_released = true;
@@ -277,7 +277,7 @@
     if (record.key != owner_key) {
       continue;
     }
-    if (const auto owner = parse_kept_owner(record.value); owner.ok()) {
+    if (const auto owner = parse_durable_owner(record.value); owner.ok()) {
       each.epoch = owner->epoch + 1;
       each.previous_released = owner->released;
     } else {
@@ -290,9 +290,9 @@
   append(each);
 }
 
-void kept_jobs::claimed(partition& each, std::uint64_t end, monotonic_time now) {
+void durable_jobs::claimed(partition& each, std::uint64_t end, monotonic_time now) {
   if (now > lease_until_) {
-    give_up(each.number, "claimed too late", kept_answer::unknown);
+    give_up(each.number, "claimed too late", durable_answer::unknown);
     return;
   }
   each.end = end;
@@ -305,21 +305,21 @@
   port_.announce({{each.number, each.epoch}});
 }
 
-void kept_jobs::restore(partition& each, const std::vector<keyed_record>& records) {
+void durable_jobs::restore(partition& each, const std::vector<keyed_record>& records) {
   const auto skip = [this](const keyed_record& record, const absl::Status& status) {
     events_.write("job_record_skipped", "key", record.key, "cause", std::string(status.message()));
   };
   for (const auto& record : records) {
-    const auto key = parse_kept_key(record.key);
+    const auto key = parse_durable_key(record.key);
     if (!key || key->is_progress) {
       continue;
     }
-    auto parsed = parse_kept_submission(key->job, record.value);
+    auto parsed = parse_durable_submission(key->job, record.value);
     if (!parsed.ok()) {
       skip(record, parsed.status());
       continue;
     }
-    kept_job job;
+    durable_job job;
     job.stored = true;
     job.record = std::move(*parsed);
     open_jobs_ += job.record.ended ? 0 : 1;
@@ -329,18 +329,19 @@
     each.jobs.emplace(key->job, std::move(job));
   }
   for (const auto& record : records) {
-    const auto key = parse_kept_key(record.key);
+    const auto key = parse_durable_key(record.key);
     const auto found = key && key->is_progress ? each.jobs.find(key->job) : each.jobs.end();
     if (found == each.jobs.end() || found->second.record.ended) {
       continue;
     }
-    if (const auto status = parse_kept_progress(record.value, found->second.record); !status.ok()) {
+    if (const auto status = parse_durable_progress(record.value, found->second.record);
+        !status.ok()) {
       skip(record, status);
     }
   }
 }
 
-void kept_jobs::start_restored(partition& each) {
+void durable_jobs::start_restored(partition& each) {
   each.at = partition::stage::open;
   each.clean = true;
   for (auto& [id, job] : each.jobs) {
@@ -352,7 +353,7 @@
   }
 }
 
-void kept_jobs::start(partition& each, kept_job& job) {
+void durable_jobs::start(partition& each, durable_job& job) {
   job.running = true;
   auto spec = job.record.job;
   const auto before = (each.epoch - job.record.first_epoch) * attempts_per_epoch;
--- a/src/kept/kept_jobs_test.cpp
+++ b/src/durable/durable_jobs_test.cpp
@@ -1,6 +1,6 @@
-// Owners of stored jobs against a store and a scheduler that are test doubles, in simulated time.
+// Owners of durable jobs against a store and a scheduler that are test doubles, in simulated time.
 
-#include "parsleylead/kept/kept_jobs.hpp"
+#include "parsleylead/durable/durable_jobs.hpp"
 
 #include <doctest/doctest.h>
 
@@ -142,7 +142,7 @@
   void later(std::function<void()> what) { answers.push_back(std::move(what)); }
 };
 
-class fake_port : public kept_port {
+class fake_port : public durable_port {
 public:
   void run(fleet_job job) override { running[job.id] = std::move(job); }
   void drop(std::uint64_t job) override {
@@ -187,10 +187,10 @@
   return result;
 }
 
-/// One entry's stored jobs, at a time that the test moves.
+/// One entry's durable jobs, at a time that the test moves.
 struct owner {
   owner(fake_log& log, const std::string& name) : log(log) {
-    kept_settings settings;
+    durable_settings settings;
     settings.member = name;
     settings.clock = [this] { return at_ms(now); };
     jobs.emplace(settings, log, port, events, metrics);
@@ -206,17 +206,17 @@
     log.deliver();
   }
 
-  std::optional<kept_answer> submit(fleet_job job = make_job()) {
-    auto got = std::make_shared<std::optional<kept_answer>>();
-    jobs->submit(std::move(job), at_ms(now), [got](kept_answer answer) { *got = answer; });
+  std::optional<durable_answer> submit(fleet_job job = make_job()) {
+    auto got = std::make_shared<std::optional<durable_answer>>();
+    jobs->submit(std::move(job), at_ms(now), [got](durable_answer answer) { *got = answer; });
     answers.push_back(got);
     play(100);
     return *got;
   }
 
-  std::optional<kept_answer> cancel() {
-    auto got = std::make_shared<std::optional<kept_answer>>();
-    jobs->cancel(job_id, at_ms(now), [got](kept_answer answer) { *got = answer; });
+  std::optional<durable_answer> cancel() {
+    auto got = std::make_shared<std::optional<durable_answer>>();
+    jobs->cancel(job_id, at_ms(now), [got](durable_answer answer) { *got = answer; });
     play(100);
     return *got;
   }
@@ -229,8 +229,8 @@
   fake_port port;
   event_log events{"test"};
   metrics_registry metrics;
-  std::optional<kept_jobs> jobs;
-  std::vector<std::shared_ptr<std::optional<kept_answer>>> answers;
+  std::optional<durable_jobs> jobs;
+  std::vector<std::shared_ptr<std::optional<durable_answer>>> answers;
   std::int64_t now = 10'000;
 };
 
@@ -239,20 +239,20 @@
   owner one(log, "one");
   one.play(100);
   REQUIRE(one.jobs->owns(job_id));
-  std::optional<kept_answer> got;
-  one.jobs->submit(make_job(), at_ms(one.now), [&](kept_answer answer) { got = answer; });
+  std::optional<durable_answer> got;
+  one.jobs->submit(make_job(), at_ms(one.now), [&](durable_answer answer) { got = answer; });
   CHECK_FALSE(got.has_value());
   CHECK(one.port.running.empty());
   log.deliver();
-  CHECK(got == kept_answer::accepted);
+  CHECK(got == durable_answer::accepted);
   REQUIRE(one.port.running.contains(job_id));
   CHECK(one.port.running[job_id].tenure->epoch == 1);
   CHECK(one.port.running[job_id].tenure->attempts_before == 0);
   CHECK(log.newest().contains(submission_key(job_id)));
-  CHECK(one.jobs->query(job_id) == kept_answer::pending);
-  CHECK(one.jobs->query(5) == kept_answer::no_such_job);
+  CHECK(one.jobs->query(job_id) == durable_answer::pending);
+  CHECK(one.jobs->query(5) == durable_answer::no_such_job);
   // The same job again is one job.
-  CHECK(one.submit() == kept_answer::accepted);
+  CHECK(one.submit() == durable_answer::accepted);
   CHECK(one.port.running.size() == 1);
 }
 
@@ -262,11 +262,11 @@
   owner one(log, "one");
   one.play(100);
   log.how = fake_log::mode::busy;
-  CHECK(one.submit() == kept_answer::refused);
+  CHECK(one.submit() == durable_answer::refused);
   log.how = fake_log::mode::normal;
   one.play(500);
   CHECK_FALSE(log.newest().contains(submission_key(job_id)));
-  CHECK(one.jobs->query(job_id) == kept_answer::no_such_job);
+  CHECK(one.jobs->query(job_id) == durable_answer::no_such_job);
 }
 
 TEST_CASE("an append whose answer is lost is found by reading, and the job runs once") {
@@ -277,7 +277,7 @@
   one.submit();
   log.how = fake_log::mode::normal;
   one.play(200);
-  CHECK(*one.answers.back() == kept_answer::accepted);
+  CHECK(*one.answers.back() == durable_answer::accepted);
   CHECK(one.port.running.size() == 1);
   CHECK(std::count_if(log.records.begin(), log.records.end(),
                       [](const auto& each) { return each.key == submission_key(job_id); }) == 1);
@@ -291,7 +291,7 @@
   log.how = fake_log::mode::silent;
   one.submit();
   one.play(2'500);
-  CHECK(*one.answers.back() == kept_answer::unknown);
+  CHECK(*one.answers.back() == durable_answer::unknown);
 }
 
 TEST_CASE("an end is noted only once it is stored, and a result shown only once it is stored") {
@@ -312,10 +312,10 @@
   one.end(make_end(1, 1));
   one.jobs->job_ended(make_result(), at_ms(one.now));
   one.play(200);
-  CHECK(one.jobs->query(job_id) == kept_answer::running);
+  CHECK(one.jobs->query(job_id) == durable_answer::running);
   log.how = fake_log::mode::normal;
   one.play(200);
-  CHECK(one.jobs->query(job_id) == kept_answer::completed);
+  CHECK(one.jobs->query(job_id) == durable_answer::completed);
   CHECK(one.port.notes.size() == 2);
   CHECK_FALSE(log.newest().contains(progress_key(job_id)));
 }
@@ -337,7 +337,7 @@
   CHECK(two.port.announced[0] == partition_claim{0, 2});
   two.play(3'600);
   CHECK(two.port.running.empty());
-  CHECK(two.jobs->query(job_id) == kept_answer::running);
+  CHECK(two.jobs->query(job_id) == durable_answer::running);
   two.play(200);
   REQUIRE(two.port.running.contains(job_id));
   const auto& tenure = *two.port.running[job_id].tenure;
@@ -388,7 +388,7 @@
   one.end(make_end(1, 1));
   one.jobs->job_ended(make_result(), at_ms(one.now));
   one.play(200);
-  CHECK(one.jobs->query(job_id) == kept_answer::completed);
+  CHECK(one.jobs->query(job_id) == durable_answer::completed);
   one.end(make_end(0, 1), false);
   REQUIRE(one.port.notes.size() == 3);
   CHECK(one.port.notes[2].superseded);
@@ -446,7 +446,7 @@
   CHECK(one.port.running.contains(job_id));
   one.play(1'000);
   CHECK(one.port.running.empty());
-  CHECK(one.jobs->query(job_id) == kept_answer::not_owner);
+  CHECK(one.jobs->query(job_id) == durable_answer::not_owner);
   log.how = fake_log::mode::normal;
   one.play(6'000);
   CHECK(one.port.running.contains(job_id));
@@ -474,7 +474,7 @@
   CHECK(one.port.suspended == std::vector<std::uint64_t>{job_id});
   one.play(100);
   CHECK_FALSE(one.jobs->has_left());
-  CHECK(one.jobs->query(job_id) == kept_answer::not_owner);
+  CHECK(one.jobs->query(job_id) == durable_answer::not_owner);
   one.end(make_end(0, 1)); // It was done before the stop arrived.
   one.port.placed = false;
   one.play(200);
@@ -513,14 +513,14 @@
   fake_log log;
   owner one(log, "one");
   one.play(4'000);
-  std::optional<kept_answer> sent;
-  std::optional<kept_answer> waiting;
-  one.jobs->submit(make_job(), at_ms(one.now), [&](kept_answer answer) { sent = answer; });
-  one.jobs->submit(make_job(5), at_ms(one.now), [&](kept_answer answer) { waiting = answer; });
+  std::optional<durable_answer> sent;
+  std::optional<durable_answer> waiting;
+  one.jobs->submit(make_job(), at_ms(one.now), [&](durable_answer answer) { sent = answer; });
+  one.jobs->submit(make_job(5), at_ms(one.now), [&](durable_answer answer) { waiting = answer; });
   one.jobs->leave(at_ms(one.now));
   one.jobs->tick(at_ms(one.now += 1'100)); // The store answers nothing for the whole release.
-  CHECK(sent == kept_answer::unknown);
-  CHECK(waiting == kept_answer::refused);
+  CHECK(sent == durable_answer::unknown);
+  CHECK(waiting == durable_answer::refused);
 }
 
 TEST_CASE("a cancelled job is stopped once that is stored, and stays cancelled") {
@@ -528,9 +528,9 @@
   owner one(log, "one");
   one.play(100);
   one.submit();
-  CHECK(one.cancel() == kept_answer::cancelled);
+  CHECK(one.cancel() == durable_answer::cancelled);
   CHECK(one.port.running.empty());
-  CHECK(one.cancel() == kept_answer::cancelled);
+  CHECK(one.cancel() == durable_answer::cancelled);
   // A late end of a run is noted and changes nothing.
   one.end(make_end(0, 1), false);
   CHECK(one.port.notes.size() == 1);
@@ -538,9 +538,9 @@
   owner two(log, "two");
   two.now = one.now;
   two.play(5'000);
-  CHECK(two.jobs->query(job_id) == kept_answer::cancelled);
+  CHECK(two.jobs->query(job_id) == durable_answer::cancelled);
   CHECK(two.port.running.empty());
-  CHECK(two.submit() == kept_answer::accepted);
+  CHECK(two.submit() == durable_answer::accepted);
   CHECK(two.port.running.empty());
 }
 
@@ -554,9 +554,9 @@
   one.end(make_end(1, 1));
   one.jobs->job_ended(make_result(), at_ms(one.now));
   one.play(130'000);
-  CHECK(one.jobs->query(job_id) == kept_answer::completed);
+  CHECK(one.jobs->query(job_id) == durable_answer::completed);
   one.play(25'000);
-  CHECK(one.jobs->query(job_id) == kept_answer::no_such_job);
+  CHECK(one.jobs->query(job_id) == durable_answer::no_such_job);
   CHECK(log.newest().size() == 1); // The owner's record.
 }
 
@@ -569,8 +569,8 @@
                  {submission_key(3), R"({"ended":"failed","attempts":[[1]]})"}};
   owner one(log, "one");
   one.play(200);
-  CHECK(one.jobs->query(3) == kept_answer::failed);
-  CHECK(one.jobs->query(1) == kept_answer::no_such_job);
+  CHECK(one.jobs->query(3) == durable_answer::failed);
+  CHECK(one.jobs->query(1) == durable_answer::no_such_job);
   REQUIRE(one.port.announced.size() == 1);
   CHECK(one.port.announced[0].epoch == 5);
 }
--- a/src/kept/kept_record.cpp
+++ b/src/durable/durable_record.cpp
@@ -1,4 +1,4 @@
-#include "parsleylead/kept/kept_record.hpp"
+#include "parsleylead/durable/durable_record.hpp"
 
 #include <charconv>
 #include <nlohmann/json.hpp>
@@ -63,18 +63,18 @@
   return progress_mark + format_job(job);
 }
 
-std::optional<kept_key> parse_kept_key(const std::string& key) {
+std::optional<durable_key> parse_durable_key(const std::string& key) {
   if (key.size() != id_digits + 1 || (key[0] != submission_mark && key[0] != progress_mark)) {
     return std::nullopt;
   }
-  kept_key parsed;
+  durable_key parsed;
   parsed.is_progress = key[0] == progress_mark;
   const auto* const end = key.data() + key.size();
   const auto [stop, error] = std::from_chars(key.data() + 1, end, parsed.job, 16);
   return error == std::errc() && stop == end ? std::optional(parsed) : std::nullopt;
 }
 
-std::string write_submission(const kept_record& record) {
+std::string write_submission(const durable_record& record) {
   if (record.ended) {
     json attempts = json::array();
     for (const auto& step : record.progress) {
@@ -103,10 +103,11 @@
       .dump();
 }
 
-absl::StatusOr<kept_record> parse_kept_submission(std::uint64_t job, const std::string& text) {
+absl::StatusOr<durable_record> parse_durable_submission(std::uint64_t job,
+                                                        const std::string& text) {
   try {
     const auto root = json::parse(text);
-    kept_record record;
+    durable_record record;
     record.job.id = job;
     if (root.contains("ended")) {
       record.ended = verdict_named(root.at("ended").get<std::string>());
@@ -139,7 +140,7 @@
   }
 }
 
-std::string write_progress(const kept_record& record) {
+std::string write_progress(const durable_record& record) {
   // A row for each task that has ended a run: step, index, done, failures, attempt.
   json rows = json::array();
   for (std::size_t step = 0; step < record.progress.size(); ++step) {
@@ -153,7 +154,7 @@
   return rows.dump();
 }
 
-absl::Status parse_kept_progress(const std::string& text, kept_record& record) {
+absl::Status parse_durable_progress(const std::string& text, durable_record& record) {
   try {
     auto progress = record.progress;
     for (const auto& row : json::parse(text)) {
@@ -168,16 +169,16 @@
   }
 }
 
-std::string write_owner(const kept_owner& owner) {
+std::string write_owner(const durable_owner& owner) {
   return json{{"epoch", owner.epoch}, {"member", owner.member}, {"released", owner.released}}
       .dump();
 }
 
-absl::StatusOr<kept_owner> parse_kept_owner(const std::string& text) {
+absl::StatusOr<durable_owner> parse_durable_owner(const std::string& text) {
   try {
     const auto root = json::parse(text);
-    return kept_owner{root.at("epoch").get<std::uint64_t>(), root.at("member").get<std::string>(),
-                      root.at("released").get<bool>()};
+    return durable_owner{root.at("epoch").get<std::uint64_t>(),
+                         root.at("member").get<std::string>(), root.at("released").get<bool>()};
   } catch (const json::exception& error) {
     return malformed(error);
   }
--- a/src/kept/kept_record_test.cpp
+++ b/src/durable/durable_record_test.cpp
@@ -1,4 +1,4 @@
-#include "parsleylead/kept/kept_record.hpp"
+#include "parsleylead/durable/durable_record.hpp"
 
 #include <doctest/doctest.h>
 
@@ -7,8 +7,8 @@
 
 using std::chrono::milliseconds;
 
-kept_record make_record() {
-  kept_record record;
+durable_record make_record() {
+  durable_record record;
   record.job.id = 0x5c0e7a21d94b36f8ULL;
   record.job.terms = {"queue", "desk", milliseconds(60), 1.6, 3, 2};
   record.job.payload = "text with \"quotes\" and \xc3\xa9";
@@ -26,13 +26,13 @@
   return record;
 }
 
-TEST_CASE("a stored job is read back as it was written") {
+TEST_CASE("a durable job is read back as it was written") {
   // Guards against a job that a successor runs with another payload or in another order.
   auto record = make_record();
   record.progress[0][2] = {true, 1, 2};
-  auto read = parse_kept_submission(record.job.id, write_submission(record));
+  auto read = parse_durable_submission(record.job.id, write_submission(record));
   REQUIRE(read.ok());
-  REQUIRE(parse_kept_progress(write_progress(record), *read).ok());
+  REQUIRE(parse_durable_progress(write_progress(record), *read).ok());
   CHECK(read->progress == record.progress);
   CHECK(read->first_epoch == 7);
   CHECK(read->job.payload == record.job.payload);
@@ -48,26 +48,26 @@
 }
 
 TEST_CASE("results, owners and keys are read back") {
-  kept_record ended;
+  durable_record ended;
   ended.ended = job_verdict::cancelled;
   ended.progress = {{{true, 2, 5}, {}}};
-  const auto read = parse_kept_submission(1, write_submission(ended));
+  const auto read = parse_durable_submission(1, write_submission(ended));
   REQUIRE(read.ok());
   CHECK(read->ended == job_verdict::cancelled);
   REQUIRE(read->progress.size() == 1);
   CHECK(read->progress[0][0].ended_attempt == 5);
-  const auto owner = parse_kept_owner(write_owner({9, "10.0.0.1:80", true}));
+  const auto owner = parse_durable_owner(write_owner({9, "10.0.0.1:80", true}));
   REQUIRE(owner.ok());
   CHECK(owner->epoch == 9);
   CHECK(owner->member == "10.0.0.1:80");
   CHECK(owner->released);
-  const auto key = parse_kept_key(progress_key(0xabcULL));
+  const auto key = parse_durable_key(progress_key(0xabcULL));
   REQUIRE(key.has_value());
   CHECK(key->job == 0xabcULL);
   CHECK(key->is_progress);
-  CHECK_FALSE(parse_kept_key(submission_key(1))->is_progress);
+  CHECK_FALSE(parse_durable_key(submission_key(1))->is_progress);
   for (const char* foreign : {"", "owner", "j1", "jzzzzzzzzzzzzzzzz", "x0000000000000001"}) {
-    CHECK_FALSE(parse_kept_key(foreign).has_value());
+    CHECK_FALSE(parse_durable_key(foreign).has_value());
   }
 }
 
@@ -75,12 +75,12 @@
   auto record = make_record();
   for (const char* text :
        {"", "7", "{}", R"({"ended":"odd"})", R"({"ended":1})", R"({"ended":"failed"})"}) {
-    CHECK_FALSE(parse_kept_submission(1, text).ok());
-    CHECK_FALSE(parse_kept_owner(text).ok());
+    CHECK_FALSE(parse_durable_submission(1, text).ok());
+    CHECK_FALSE(parse_durable_owner(text).ok());
   }
   const auto before = record.progress;
   for (const char* text : {"", "{\"a\":1}", "[[0,9,true,0,1]]", "[[0,0,true,0,1],[0]]"}) {
-    CHECK_FALSE(parse_kept_progress(text, record).ok());
+    CHECK_FALSE(parse_durable_progress(text, record).ok());
     CHECK(record.progress == before);
   }
 }
--- a/src/kept/kept_state.hpp
+++ b/src/durable/durable_state.hpp
@@ -10,26 +10,26 @@
 #include <utility>
 #include <vector>
 
-#include "parsleylead/kept/kept_jobs.hpp"
+#include "parsleylead/durable/durable_jobs.hpp"
 
-// What `kept_jobs` has in memory; for its source files only.
+// What `durable_jobs` has in memory; for its source files only.
 
 namespace parsleylead {
 
-struct kept_jobs::pending_reply {
+struct durable_jobs::pending_reply {
   reply done;
   monotonic_time deadline;
   bool answered = false;
 
-  void answer(kept_answer what) {
+  void answer(durable_answer what) {
     if (!std::exchange(answered, true)) {
       done(what);
     }
   }
 };
 
-struct kept_jobs::kept_job {
-  kept_record record;
+struct durable_jobs::durable_job {
+  durable_record record;
   /// The submission is in the store.
   bool stored = false;
   /// Handed to the port and not ended there.
@@ -40,7 +40,7 @@
   std::vector<std::shared_ptr<pending_reply>> submitters;
 };
 
-struct kept_jobs::change {
+struct durable_jobs::change {
   std::uint64_t job = 0;
   bool is_submission = false;
   monotonic_time queued{};
@@ -49,7 +49,7 @@
   std::function<void(bool stored)> then;
 };
 
-struct kept_jobs::partition {
+struct durable_jobs::partition {
   enum class stage : std::uint8_t { reading, claiming, settling, open, releasing };
   partition_number number = 0;
   /// Tells this tenure from others of this process, for late answers of the store.
@@ -61,7 +61,7 @@
   bool previous_released = true;
   monotonic_time settled{};
   monotonic_time release_until{};
-  std::unordered_map<std::uint64_t, kept_job> jobs;
+  std::unordered_map<std::uint64_t, durable_job> jobs;
   std::deque<std::pair<monotonic_time, std::uint64_t>> ended;
   std::deque<change> changes;
   std::vector<change> sent;
--- a/src/fleet/fleet_agent.cpp
+++ b/src/fleet/fleet_agent.cpp
@@ -79,7 +79,7 @@
   }
   last_tick_ = now;
   check_sessions(now);
-  // Ends of stored jobs have to reach the owner, whichever entry that is.
+  // Ends of durable jobs have to reach the owner, whichever entry that is.
   dialer_.set_max_links(table_.has_unclaimed_end() ? dialer_.known() : settings_.max_sessions);
   for (const auto& address : dialer_.due(now)) {
     dial(address);
--- a/src/fleet/fleet_entry.cpp
+++ b/src/fleet/fleet_entry.cpp
@@ -37,9 +37,9 @@
   fleet_frame out;
 };
 
-/// Runs stored jobs on the entry's scheduler.
-struct fleet_entry::stored_job_port : kept_port {
-  explicit stored_job_port(fleet_entry& of) : entry(of) {}
+/// Runs durable jobs on the entry's scheduler.
+struct fleet_entry::durable_job_port : durable_port {
+  explicit durable_job_port(fleet_entry& of) : entry(of) {}
 
   void run(fleet_job job) override {
     // A caller may have used the id for a job that need not be stored.
@@ -110,25 +110,26 @@
   }
 }
 
-void fleet_entry::keep_jobs(kept_settings settings, partition_log& log) {
-  stored_job_port_ = std::make_unique<stored_job_port>(*this);
-  kept_ = std::make_unique<kept_jobs>(std::move(settings), log, *stored_job_port_, log_, metrics_);
+void fleet_entry::enable_durable_jobs(durable_settings settings, partition_log& log) {
+  durable_job_port_ = std::make_unique<durable_job_port>(*this);
+  durable_ =
+      std::make_unique<durable_jobs>(std::move(settings), log, *durable_job_port_, log_, metrics_);
 }
 
-kept_jobs& fleet_entry::stored_jobs() {
+durable_jobs& fleet_entry::durable() {
   // The lease may have ended while this process stood still.
-  kept_->check_lease(lease_now());
-  return *kept_;
+  durable_->check_lease(lease_now());
+  return *durable_;
 }
 
-std::size_t fleet_entry::waiting_stored_jobs(const std::string& queue) const {
+std::size_t fleet_entry::waiting_durable_jobs(const std::string& queue) const {
   std::size_t jobs = 0;
   const auto add = [&](const std::vector<queue_count>& counts) {
     for (const auto& each : counts) {
       jobs += each.queue == queue ? each.jobs : 0;
     }
   };
-  add(scheduler_.waiting_stored_jobs());
+  add(scheduler_.waiting_durable_jobs());
   std::set<std::string> seen; // Two entries may have dialled each other.
   const auto now = lease_now();
   for (const auto& each : sessions_) {
@@ -157,8 +158,8 @@
                scheduler_.open_jobs());
     scheduler_.process_stalled(before);
   }
-  if (kept_) {
-    kept_->tick(now);
+  if (durable_) {
+    durable_->tick(now);
   }
   check_sessions(now);
   for (const auto& address : dialer_.due(now)) {
@@ -191,8 +192,8 @@
       closed(each, silent ? "silent" : "no greeting");
     } else if (each->greeted && now - each->link->last_sent() > settings_.timing.keepalive) {
       each->out.routes_version = routes_.version;
-      if (kept_ && !each->is_agent) {
-        each->out.waiting = scheduler_.waiting_stored_jobs();
+      if (durable_ && !each->is_agent) {
+        each->out.waiting = scheduler_.waiting_durable_jobs();
       }
       each->link->send(encode_frame(each->out));
       each->out = {};
@@ -338,8 +339,8 @@
   auto reply = member_frame();
   reply.hello = session_hello{self_, false, 0};
   reply.outstanding = same_agent ? scheduler_.outstanding(from->worker) : std::vector<run_id>{};
-  if (kept_) {
-    reply.claims = kept_->claims();
+  if (durable_) {
+    reply.claims = durable_->claims();
   }
   from->link->send(encode_frame(reply));
   log_.write("session_opened", "agent", hello.sender.name, "incarnation", hello.sender.incarnation,
@@ -386,8 +387,8 @@
     scheduler_.worker_reported(from->worker, *frame->status, now);
   }
   for (const auto& claim : frame->claims) {
-    if (kept_) {
-      kept_->claim_seen(claim, now);
+    if (durable_) {
+      durable_->claim_seen(claim, now);
     }
   }
   for (const auto& end : frame->ends) {
@@ -401,8 +402,8 @@
 
 void fleet_entry::run_ended(session& from, const run_end& end, monotonic_time now) {
   const bool current = scheduler_.run_ended(from.worker, end, now);
-  if (end.held && kept_) {
-    kept_->run_ended(from.worker, end, current, now);
+  if (end.held && durable_) {
+    durable_->run_ended(from.worker, end, current, now);
   }
 }
 
@@ -410,7 +411,7 @@
   const auto id = job.id;
   const auto ticket = next_ticket_++;
   if (scheduler_.is_open(id) && !is_waited_for(id)) {
-    // A stored job has this id: joined to it, a caller that leaves would cancel it.
+    // A durable job has this id: joined to it, a caller that leaves would cancel it.
     log_.write("job_id_in_use", "job", format_job(id));
     job_result in_use;
     in_use.id = id;
@@ -467,8 +468,8 @@
 }
 
 void fleet_entry::run() {
-  if (kept_) {
-    kept_->check_lease(lease_now());
+  if (durable_) {
+    durable_->check_lease(lease_now());
   }
   scheduler_.pump(lease_now());
   for (auto& [index, order] : scheduler_.take_starts()) {
@@ -506,8 +507,8 @@
                {{"verdict", to_string(result.verdict)}, {"cause", to_string(result.cause)}});
   metrics_.observe("parsleylead_entry_job_seconds", {{"verdict", to_string(result.verdict)}},
                    result.elapsed);
-  if (kept_) {
-    kept_->job_ended(result, lease_now());
+  if (durable_) {
+    durable_->job_ended(result, lease_now());
   }
   const auto found = callers_.find(result.id);
   if (found == callers_.end()) {
--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -86,7 +86,7 @@
   bool suspended = false;
   job_result result;
 
-  bool is_stored() const { return spec.tenure.has_value(); }
+  bool is_durable() const { return spec.tenure.has_value(); }
 
   bool may_have_run() const { return ran || placed > 0; }
 };
@@ -130,7 +130,7 @@
   owner.objective = now + objective;
   owner.late = now + std::chrono::round<milliseconds>(objective * policy_.late_factor);
   jobs_.emplace(owner.spec.id, std::move(made));
-  if (owner.is_stored()) {
+  if (owner.is_durable()) {
     take_progress(owner);
     return;
   }
@@ -211,10 +211,10 @@
   return found != jobs_.end() && found->second->may_have_run();
 }
 
-std::vector<queue_count> fleet_scheduler::waiting_stored_jobs() const {
+std::vector<queue_count> fleet_scheduler::waiting_durable_jobs() const {
   std::map<std::string, std::uint32_t> counts;
   for (const auto& [id, each] : jobs_) {
-    if (each->is_stored() && !each->may_have_run()) {
+    if (each->is_durable() && !each->may_have_run()) {
       ++counts[each->spec.terms.queue];
     }
   }
@@ -475,7 +475,7 @@
   order.payload = owner.spec.payload;
   order.needs = owner.spec.steps[step].needs;
   order.priority = owner.spec.terms.priority;
-  order.epoch = owner.is_stored() ? owner.spec.tenure->epoch : 0;
+  order.epoch = owner.is_durable() ? owner.spec.tenure->epoch : 0;
   order.estimate = owner.spec.steps[step].estimate;
   order.due_in = std::chrono::round<milliseconds>(owner.objective - now - double_ms(where.run_ms));
   order.max_wait = policy_.max_wait;
@@ -556,7 +556,7 @@
   if (owner.suspended) {
     return;
   }
-  if (owner.stalled && !owner.is_stored()) {
+  if (owner.stalled && !owner.is_durable()) {
     // The caller may have sent the job elsewhere meanwhile; a second run here could overlap.
     finish(owner, job_verdict::unknown, job_cause::process_stalled, now);
     return;
@@ -674,7 +674,7 @@
   std::vector<std::uint64_t> expired;
   std::vector<std::uint64_t> hopeless;
   for (const auto& [id, each] : jobs_) {
-    if (each->is_stored()) {
+    if (each->is_durable()) {
       continue;
     }
     if (each->deadline <= now) {
--- a/src/fleet/fleet_scheduler_test.cpp
+++ b/src/fleet/fleet_scheduler_test.cpp
@@ -320,18 +320,18 @@
   CHECK(fleet.submit(make_job(2, 1), 2'100).size() == 1);
 }
 
-fleet_job make_stored_job(std::uint64_t id, std::uint32_t tasks,
-                          std::uint32_t attempts_before = 0) {
+fleet_job make_durable_job(std::uint64_t id, std::uint32_t tasks,
+                           std::uint32_t attempts_before = 0) {
   auto job = make_job(id, tasks);
   job.patience = milliseconds(0);
   job.tenure = job_tenure{4, attempts_before, {}};
   return job;
 }
 
-TEST_CASE("a stored job goes on where its earlier owner stopped") {
+TEST_CASE("a durable job goes on where its earlier owner stopped") {
   // Guards against starts of tasks that were done, attempts that were used, and failures forgotten.
   fixture fleet(2);
-  auto job = make_stored_job(1, 3, attempts_per_epoch);
+  auto job = make_durable_job(1, 3, attempts_per_epoch);
   job.tenure->progress = {{{true, 0, 1}, {false, 2, 2}, {}}};
   const auto starts = fleet.submit(job);
   REQUIRE(starts.size() == 2);
@@ -343,34 +343,34 @@
   CHECK(results[0].verdict == job_verdict::failed);
 }
 
-TEST_CASE("a stored job whose tasks are all done is completed at once") {
+TEST_CASE("a durable job whose tasks are all done is completed at once") {
   fixture fleet(1);
-  auto job = make_stored_job(1, 1);
+  auto job = make_durable_job(1, 1);
   job.tenure->progress = {{{true, 0, 1}}};
   CHECK(fleet.submit(job).empty());
   REQUIRE(fleet.scheduler.take_results().size() == 1);
 }
 
-TEST_CASE("a stored job waits for workers, however long, and is never refused") {
+TEST_CASE("a durable job waits for workers, however long, and is never refused") {
   fixture fleet(0);
-  CHECK(fleet.submit(make_stored_job(1, 2)).empty());
+  CHECK(fleet.submit(make_durable_job(1, 2)).empty());
   fleet.scheduler.process_stalled(at_ms(20'000));
   fleet.scheduler.tick(at_ms(60'000));
   CHECK(fleet.scheduler.take_results().empty());
-  REQUIRE(fleet.scheduler.waiting_stored_jobs().size() == 1);
-  CHECK(fleet.scheduler.waiting_stored_jobs()[0].jobs == 1);
+  REQUIRE(fleet.scheduler.waiting_durable_jobs().size() == 1);
+  CHECK(fleet.scheduler.waiting_durable_jobs()[0].jobs == 1);
   const auto worker = fleet.scheduler.worker_for("agent", "a");
   fleet.scheduler.session_opened(worker, false, at_ms(60'000));
   fleet.scheduler.worker_reported(worker, idle_worker(), at_ms(60'000));
   fleet.scheduler.pump(at_ms(60'000));
   CHECK(fleet.scheduler.take_starts().size() == 2);
-  CHECK(fleet.scheduler.waiting_stored_jobs().empty());
+  CHECK(fleet.scheduler.waiting_durable_jobs().empty());
 }
 
 TEST_CASE("a suspended job stops its runs, hears their ends and starts nothing") {
   // Guards against a task that runs on while its partition goes to another owner.
   fixture fleet(2);
-  const auto starts = fleet.submit(make_stored_job(1, 2));
+  const auto starts = fleet.submit(make_durable_job(1, 2));
   REQUIRE(starts.size() == 2);
   fleet.scheduler.suspend(1);
   const auto stops = fleet.scheduler.take_stops();
--- a/src/runs/run_table.cpp
+++ b/src/runs/run_table.cpp
@@ -345,7 +345,7 @@
     const auto found = locate(each.run);
     if (found == runs_.end() || found->second.at == state::waiting) {
       if (final && each.number != 0) {
-        // Of an earlier agent on this host, perhaps of a stored job: the owner of the partition
+        // Of an earlier agent on this host, perhaps of a durable job: the owner of the partition
         // tells.
         hold_end(each.number, {each.run, each.outcome, {}, {}});
         report_held(held_[each.number].end);
--- a/src/runs/run_table_test.cpp
+++ b/src/runs/run_table_test.cpp
@@ -308,7 +308,7 @@
   }));
 }
 
-/// An order for a task of a stored job, and a run of it that the worker has confirmed.
+/// An order for a task of a durable job, and a run of it that the worker has confirmed.
 start_order make_stored_order(std::uint64_t job, std::uint64_t epoch) {
   auto order = make_order(job);
   order.epoch = epoch;
@@ -322,7 +322,7 @@
   table.start_answered({{job, 0, 0}, 1}, start_answer::started, at_ms(1));
 }
 
-TEST_CASE("the worker keeps the end of a stored job until its owner has noted it") {
+TEST_CASE("the worker keeps the end of a durable job until its owner has noted it") {
   // Guards against a second start of a task that was done: whoever dies, the worker lists the end.
   auto table = make_table();
   run_stored(table, 1, 5);
--- a/tests/soak/soak_judge.hpp
+++ b/tests/soak/soak_judge.hpp
@@ -24,9 +24,9 @@
   void accepted(const std::string& job) { jobs_.at(job).accepted = true; }
   /// The caller was told that the job is cancelled.
   void cancelled(const std::string& job);
-  /// A stored job is shown as failed.
+  /// A durable job is shown as failed.
   void shown_failed(const std::string& job);
-  /// Stored jobs that were accepted, and not cancelled.
+  /// Durable jobs that were accepted, and not cancelled.
   std::vector<std::string> accepted_jobs() const;
   /// The caller asks another entry for the same job.
   void sent_again(const std::string& job) { again_.insert(job); }
--- a/tests/soak/soak_site.cpp
+++ b/tests/soak/soak_site.cpp
@@ -38,7 +38,7 @@
 constexpr milliseconds drain_limit{2'000};
 constexpr int connections_for_each_client = 64;
 
-// Stored jobs have to end within this time after all faults are healed and the load has ended.
+// Durable jobs have to end within this time after all faults are healed and the load has ended.
 constexpr milliseconds finish_limit{14'000};
 // A job that has to be stored is sent again this often while nobody says yes or no.
 constexpr int max_resends = 4;
@@ -394,7 +394,7 @@
           return;
         }
         if (response->status == 410) {
-          judge_.violation("stored job " + job + " is not known");
+          judge_.violation("durable job " + job + " is not known");
           unfinished_.erase(job);
         } else if (response->body.find("cancelled") != std::string::npos) {
           judge_.cancelled(job); // The answer to the cancellation was lost.
@@ -414,7 +414,7 @@
       {"DELETE", "/q1/" + job, {{"host", "soak.example"}}, ""}, caller_patience,
       [this, job](const absl::StatusOr<web_response>& response) {
         if (response.ok() && response->status == 410) {
-          judge_.violation("stored job " + job + " is not known");
+          judge_.violation("durable job " + job + " is not known");
         } else if (response.ok() && response->body.find("cancelled") != std::string::npos) {
           judge_.cancelled(job);
           unfinished_.erase(job);
@@ -422,7 +422,7 @@
       });
 }
 
-void soak_site::check_stored_jobs() {
+void soak_site::check_durable_jobs() {
   const auto end = steady_clock::now() + finish_limit;
   while (!unfinished_.empty() && steady_clock::now() < end) {
     for (const auto& job : std::vector<std::string>(unfinished_.begin(), unfinished_.end())) {
@@ -432,7 +432,7 @@
     run_for(milliseconds(500));
   }
   for (const auto& job : unfinished_) {
-    judge_.violation("stored job " + job + " has not ended");
+    judge_.violation("durable job " + job + " has not ended");
   }
 }
 
@@ -483,7 +483,7 @@
   }
   // A job of the last moment may be sent again and run once more.
   run_for(caller_patience + resend_after + caller_patience);
-  check_stored_jobs();
+  check_durable_jobs();
   std::size_t left = 0;
   for (const auto& each : workers_) {
     left += each->running();
--- a/tests/soak/soak_site.hpp
+++ b/tests/soak/soak_site.hpp
@@ -88,7 +88,7 @@
   void answered_stored(std::uint64_t id, int status);
   void check_recovery();
   /// Every job that was accepted as stored has to end, and is shown so.
-  void check_stored_jobs();
+  void check_durable_jobs();
   void ask_for(const std::string& job);
   void cancel(const std::string& job);
   void log(const std::string& line);
@@ -109,7 +109,7 @@
   std::string path_prefix_;
   bool loading_ = false;
   bool injecting_ = false;
-  /// Stored jobs that have not been seen to end.
+  /// Durable jobs that have not been seen to end.
   std::set<std::string> unfinished_;
   soak_report report_;
 };
