Give room back in one place; save repeated work on the path of best-effort jobs

A turn of an entry reads the clock once, results that a caller waits for no longer ask for a durable job, the counts of waiting durable jobs are made once for all peers of a turn, and orders without an epoch look up no claim. Removed: a flag that followed from the partition's stage, and a parameter that was set before.

--- a/include/parsleylead/durable/durable_jobs.hpp
+++ b/include/parsleylead/durable/durable_jobs.hpp
@@ -143,7 +143,7 @@
 
   void read(partition_number number, std::uint64_t serial, const std::string& after);
   void claim(partition& each, monotonic_time now);
-  void claimed(partition& each, std::uint64_t end, monotonic_time now);
+  void claimed(partition& each, monotonic_time now);
   void restore(partition& each, const std::vector<keyed_record>& records);
   void start_restored(partition& each);
   void start(partition& each, durable_job& job);
--- a/src/durable/durable_appends.cpp
+++ b/src/durable/durable_appends.cpp
@@ -152,7 +152,7 @@
     events_.write("append_regained", "partition", each.number);
   }
   if (each.at == partition::stage::claiming) {
-    claimed(each, end, now_);
+    claimed(each, now_);
     return;
   }
   const auto done = std::exchange(each.sent, {});
--- a/src/durable/durable_calls.cpp
+++ b/src/durable/durable_calls.cpp
@@ -68,9 +68,10 @@
   auto waiting = std::make_shared<pending_reply>(
       pending_reply{done, now + 2 * settings_.store_patience, false});
   waiting_.push_back(waiting);
-  auto& made = each->jobs[id];
+  const auto [slot, added] = each->jobs.try_emplace(id);
+  auto& made = slot->second;
   made.submitters.push_back(std::move(waiting));
-  if (known != each->jobs.end()) {
+  if (!added) {
     return; // Sent again before the store has answered.
   }
   ++open_jobs_;
--- a/src/durable/durable_jobs.cpp
+++ b/src/durable/durable_jobs.cpp
@@ -171,7 +171,7 @@
     return;
   }
   // Runs of an earlier owner may be left: only time can tell the successor that they have ended.
-  const bool releasable = each.at == partition::stage::open && each.clean;
+  const bool releasable = each.at == partition::stage::open;
   events_.write("partition_releasing", "partition", each.number, "epoch", each.epoch, "jobs",
                 each.jobs.size());
   each.at = partition::stage::releasing;
@@ -291,12 +291,11 @@
   append(each);
 }
 
-void durable_jobs::claimed(partition& each, std::uint64_t end, monotonic_time now) {
+void durable_jobs::claimed(partition& each, monotonic_time now) {
   if (now > lease_until_) {
     give_up(each.number, "claimed too late", durable_answer::unknown);
     return;
   }
-  each.end = end;
   restore(each, std::exchange(each.read, {}));
   const bool at_once = each.previous_released;
   each.settled = at_once ? now : now + settings_.settle;
@@ -344,7 +343,6 @@
 
 void durable_jobs::start_restored(partition& each) {
   each.at = partition::stage::open;
-  each.clean = true;
   for (auto& [id, job] : each.jobs) {
     if (job.stored && !job.running && !job.record.ended && !job.closing) {
       events_.write("job_restored", "job", format_job(id), "partition", each.number, "epoch",
--- a/src/durable/durable_state.hpp
+++ b/src/durable/durable_state.hpp
@@ -50,6 +50,7 @@
 };
 
 struct durable_jobs::partition {
+  /// `settling`: runs of earlier epochs may be left; `open`: none is.
   enum class stage : std::uint8_t { reading, claiming, settling, open, releasing };
   partition_number number = 0;
   /// Tells this tenure from others of this process, for late answers of the store.
@@ -72,9 +73,6 @@
   monotonic_time retry_at{};
   bool failing = false;
 
-  /// No run of an earlier epoch is left.
-  bool clean = false;
-
   bool owned() const { return at == stage::settling || at == stage::open; }
   bool writable() const { return owned() || (at == stage::releasing && epoch != 0); }
 };
--- a/src/fleet/fleet_entry.cpp
+++ b/src/fleet/fleet_entry.cpp
@@ -184,6 +184,7 @@
 
 void fleet_entry::check_sessions(monotonic_time now) {
   const auto all = sessions_;
+  std::optional<std::vector<queue_count>> waiting; // The same for all peers of this turn.
   for (const auto& each : all) {
     const bool silent = now - each->link->last_received() > settings_.timing.max_silence;
     const bool anonymous = !each->greeted && now - each->opened > hello_timeout;
@@ -193,7 +194,10 @@
     } else if (each->greeted && now - each->link->last_sent() > settings_.timing.keepalive) {
       each->out.routes_version = routes_.version;
       if (durable_ && !each->is_agent) {
-        each->out.waiting = scheduler_.waiting_durable_jobs();
+        if (!waiting) {
+          waiting = scheduler_.waiting_durable_jobs();
+        }
+        each->out.waiting = *waiting;
       }
       each->link->send(encode_frame(each->out));
       each->out = {};
@@ -468,10 +472,11 @@
 }
 
 void fleet_entry::run() {
+  const auto now = lease_now();
   if (durable_) {
-    durable_->check_lease(lease_now());
+    durable_->check_lease(now);
   }
-  scheduler_.pump(lease_now());
+  scheduler_.pump(now);
   for (auto& [index, order] : scheduler_.take_starts()) {
     if (const auto found = agents_.find(index); found != agents_.end()) {
       found->second->out.starts.push_back(std::move(order));
@@ -507,11 +512,11 @@
                {{"verdict", to_string(result.verdict)}, {"cause", to_string(result.cause)}});
   metrics_.observe("parsleylead_entry_job_seconds", {{"verdict", to_string(result.verdict)}},
                    result.elapsed);
-  if (durable_) {
-    durable_->job_ended(result, lease_now());
-  }
   const auto found = callers_.find(result.id);
   if (found == callers_.end()) {
+    if (durable_) {
+      durable_->job_ended(result, lease_now()); // Nobody waits for a durable job.
+    }
     return;
   }
   const auto callers = std::move(found->second);
--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -263,7 +263,6 @@
       if (each.at == task::state::placed) {
         stops_.push_back({each.on, {{owner.spec.id, step, index}, each.attempts}, false});
         unplace(owner, step, index);
-        each.at = task::state::blocked;
       }
     }
   }
@@ -488,6 +487,7 @@
   auto& target = *workers_[each.on];
   target.own_cpu -= owner.spec.steps[step].needs.cpu_millis;
   target.runs.erase(task_key{owner.spec.id, step, index});
+  each.at = task::state::blocked; // Its room is given back once only.
   --owner.placed;
 }
 
@@ -553,7 +553,6 @@
 
 void fleet_scheduler::run_again(job& owner, std::uint32_t step, std::uint32_t index,
                                 monotonic_time now) {
-  owner.tasks[step][index].at = task::state::blocked;
   if (owner.suspended) {
     return;
   }
@@ -597,7 +596,6 @@
     ++owner.result.failed_runs;
     each->avoid.push_back(index);
     if (++each->failures >= owner.spec.terms.max_attempts) {
-      each->at = task::state::blocked;
       finish(owner, job_verdict::failed, job_cause::attempts_used_up, now);
       return true;
     }
--- a/src/runs/run_table.cpp
+++ b/src/runs/run_table.cpp
@@ -96,10 +96,12 @@
 }
 
 std::optional<partition_claim> run_table::later_claim(const start_order& order) const {
+  if (order.epoch == 0) {
+    return std::nullopt; // Of a job that is answered on its submission.
+  }
   const auto partition = partition_of(order.run.task.job, partitions_);
   const auto claim = claims_.find(partition);
-  const bool later =
-      order.epoch != 0 && claim != claims_.end() && order.epoch < claim->second.epoch;
+  const bool later = claim != claims_.end() && order.epoch < claim->second.epoch;
   return later ? std::optional(partition_claim{partition, claim->second.epoch}) : std::nullopt;
 }
 
