--- a/include/parsleylead/fleet/fleet_agent.hpp
+++ b/include/parsleylead/fleet/fleet_agent.hpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "parsleylead/base/post_once.hpp"
 #include "parsleylead/base/time.hpp"
 #include "parsleylead/fleet/fleet_frame.hpp"
 #include "parsleylead/fleet/link_timing.hpp"
@@ -95,7 +96,6 @@
   worker_status status_for(const session& to) const;
   static bool worth_sending(const worker_status& status, const session& to);
   void add_status(session& to, monotonic_time now);
-  void flush_soon();
   session* session_of(owner_id owner);
 
   asio::io_context& io_;
@@ -104,6 +104,8 @@
   event_log& log_;
   metrics_registry& metrics_;
   asio::steady_timer tick_timer_;
+  /// Sends what is due, together with whatever else this turn of the loop brings.
+  post_once flush_soon_;
   member_dialer dialer_;
   std::map<std::string, std::unique_ptr<session>> sessions_;
   run_table table_;
@@ -127,7 +129,6 @@
   /// Waits until all leases have ended, as nobody may take note of some ends.
   bool ending_lease_ = false;
   bool status_dirty_ = false;
-  bool flush_posted_ = false;
   bool leaving_ = false;
   monotonic_time leave_limit_{};
   std::function<void()> left_;
--- a/include/parsleylead/fleet/fleet_entry.hpp
+++ b/include/parsleylead/fleet/fleet_entry.hpp
@@ -13,6 +13,7 @@
 
 #include "absl/status/status.h"
 #include "parsleylead/base/endpoint.hpp"
+#include "parsleylead/base/post_once.hpp"
 #include "parsleylead/base/time.hpp"
 #include "parsleylead/durable/durable_jobs.hpp"
 #include "parsleylead/fleet/fleet_frame.hpp"
@@ -105,7 +106,6 @@
   void announce_routes();
   fleet_frame member_frame() const;
   void run_ended(session& from, const run_end& end, monotonic_time now);
-  void run_soon();
   void run();
   void answer(const job_result& result);
 
@@ -116,6 +116,8 @@
   std::function<void(const route_update&)> on_routes_;
   fleet_member self_;
   asio::steady_timer tick_timer_;
+  /// Sends what is due, together with whatever else this turn of the loop brings.
+  post_once run_soon_;
   frame_acceptor acceptor_;
   member_dialer dialer_;
   fleet_scheduler scheduler_;
@@ -131,7 +133,6 @@
   monotonic_time last_gossip_{};
   monotonic_time backlog_since_{};
   bool members_changed_ = false;
-  bool run_posted_ = false;
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
--- a/src/durable/durable_jobs_test.cpp
+++ b/src/durable/durable_jobs_test.cpp
@@ -200,7 +200,8 @@
 
 /// One entry's durable jobs, at a time that the test moves.
 struct owner {
-  owner(fake_log& log, const std::string& name) : log(log) {
+  owner(fake_log& log, const std::string& name, std::int64_t start = 10'000)
+      : log(log), now(start) {
     durable_settings settings;
     settings.member = name;
     settings.clock = [this] { return at_ms(now); };
@@ -242,13 +243,18 @@
   metrics_registry metrics;
   std::optional<durable_jobs> jobs;
   std::vector<std::shared_ptr<std::optional<durable_answer>>> answers;
-  std::int64_t now = 10'000;
+  std::int64_t now;
 };
 
-TEST_CASE("a job is accepted and run once it is stored") {
+/// The owner of the only partition, after its first claim.
+struct first_owner {
+  first_owner() { one.play(100); }
+
   fake_log log;
-  owner one(log, "one");
-  one.play(100);
+  owner one{log, "one"};
+};
+
+TEST_CASE_FIXTURE(first_owner, "a job is accepted and run once it is stored") {
   REQUIRE(one.jobs->owns(job_id));
   std::optional<durable_answer> got;
   one.jobs->submit(make_job(), at_ms(one.now), [&](durable_answer answer) { got = answer; });
@@ -267,11 +273,9 @@
   CHECK(one.port.running.size() == 1);
 }
 
-TEST_CASE("a job that the store did not take is refused, and never stored later") {
+TEST_CASE_FIXTURE(first_owner,
+                  "a job that the store did not take is refused, and never stored later") {
   // Guards against a refusal after which the job runs.
-  fake_log log;
-  owner one(log, "one");
-  one.play(100);
   log.how = fake_log::mode::busy;
   CHECK(one.submit() == durable_answer::refused);
   log.how = fake_log::mode::normal;
@@ -280,10 +284,8 @@
   CHECK(one.jobs->query(job_id) == durable_answer::no_such_job);
 }
 
-TEST_CASE("an append whose answer is lost is found by reading, and the job runs once") {
-  fake_log log;
-  owner one(log, "one");
-  one.play(100);
+TEST_CASE_FIXTURE(first_owner,
+                  "an append whose answer is lost is found by reading, and the job runs once") {
   log.how = fake_log::mode::lost;
   one.submit();
   log.how = fake_log::mode::normal;
@@ -294,22 +296,18 @@
                       [](const auto& each) { return each.key == submission_key(job_id); }) == 1);
 }
 
-TEST_CASE("a caller hears neither yes nor no while the store is silent") {
+TEST_CASE_FIXTURE(first_owner, "a caller hears neither yes nor no while the store is silent") {
   // Guards against "has not run" about a job whose append may still take effect.
-  fake_log log;
-  owner one(log, "one");
-  one.play(100);
   log.how = fake_log::mode::silent;
   one.submit();
   one.play(2'500);
   CHECK(*one.answers.back() == durable_answer::unknown);
 }
 
-TEST_CASE("an end is noted only once it is stored, and a result shown only once it is stored") {
+TEST_CASE_FIXTURE(
+    first_owner,
+    "an end is noted only once it is stored, and a result shown only once it is stored") {
   // Guards against a second start after the worker has forgotten the end of the first one.
-  fake_log log;
-  owner one(log, "one");
-  one.play(100);
   one.submit();
   log.how = fake_log::mode::busy;
   one.end(make_end(0, 1));
@@ -341,8 +339,7 @@
   one.end(make_end(0, 1));
   one.play(200);
   log.holder = "two";
-  owner two(log, "two");
-  two.now = one.now;
+  owner two(log, "two", one.now);
   two.play(100);
   REQUIRE(two.port.announced.size() == 1);
   CHECK(two.port.announced[0] == partition_claim{0, 2});
@@ -358,15 +355,11 @@
   CHECK_FALSE(tenure.progress[0][1].done);
 }
 
-TEST_CASE("ends that agents held for a dead owner count for its successor") {
+TEST_CASE_FIXTURE(first_owner, "ends that agents held for a dead owner count for its successor") {
   // Guards against a second start of a task whose end the dead owner had not stored.
-  fake_log log;
-  owner one(log, "one");
-  one.play(100);
   one.submit();
   log.holder = "two";
-  owner two(log, "two");
-  two.now = one.now;
+  owner two(log, "two", one.now);
   two.play(500);
   two.end(make_end(0, 1), false);
   two.end(make_end(0, 1), false); // Reported again after a session broke.
@@ -379,21 +372,17 @@
   CHECK(tenure.progress[0][1].failures == 1);
 }
 
-TEST_CASE("an end that comes after its task was started again must not be taken note of") {
-  fake_log log;
-  owner one(log, "one");
-  one.play(100);
+TEST_CASE_FIXTURE(first_owner,
+                  "an end that comes after its task was started again must not be taken note of") {
   one.submit();
   one.end(make_end(0, 1), false);
   REQUIRE(one.port.notes.size() == 1);
   CHECK(one.port.notes[0].superseded);
 }
 
-TEST_CASE("such an end must not be taken note of after the job has ended either") {
+TEST_CASE_FIXTURE(first_owner,
+                  "such an end must not be taken note of after the job has ended either") {
   // Found by the soak, seed 302.
-  fake_log log;
-  owner one(log, "one");
-  one.play(100);
   one.submit();
   one.end(make_end(0, 2));
   one.end(make_end(1, 1));
@@ -406,23 +395,18 @@
   one.end(make_end(1, 1), false); // Told again, as the note was lost.
   CHECK_FALSE(one.port.notes[3].superseded);
   log.holder = "two";
-  owner two(log, "two");
-  two.now = one.now;
+  owner two(log, "two", one.now);
   two.play(200);
   two.end(make_end(0, 1), false);
   REQUIRE(two.port.notes.size() == 1);
   CHECK(two.port.notes[0].superseded);
 }
 
-TEST_CASE("an owner that was replaced can store nothing and gives up") {
+TEST_CASE_FIXTURE(first_owner, "an owner that was replaced can store nothing and gives up") {
   // Guards against two owners of a job.
-  fake_log log;
-  owner one(log, "one");
-  one.play(100);
   one.submit();
   log.holder = "two";
-  owner two(log, "two");
-  two.now = one.now;
+  owner two(log, "two", one.now);
   two.play(100);
   one.end(make_end(0, 1));
   for (int i = 0; i < 4; ++i) {
@@ -434,11 +418,8 @@
   CHECK(one.port.notes.empty());
 }
 
-TEST_CASE("an owner gives up when an agent knows a later one") {
+TEST_CASE_FIXTURE(first_owner, "an owner gives up when an agent knows a later one") {
   // Guards against an owner that keeps sending orders which agents refuse at once.
-  fake_log log;
-  owner one(log, "one");
-  one.play(100);
   one.submit();
   one.jobs->claim_seen({0, 1}, at_ms(one.now));
   CHECK(one.jobs->owns(job_id));
@@ -447,10 +428,7 @@
   CHECK(one.port.running.empty());
 }
 
-TEST_CASE("an owner that cannot renew stops its jobs when its lease ends") {
-  fake_log log;
-  owner one(log, "one");
-  one.play(100);
+TEST_CASE_FIXTURE(first_owner, "an owner that cannot renew stops its jobs when its lease ends") {
   one.submit();
   log.how = fake_log::mode::silent;
   one.play(1'200);
@@ -463,11 +441,8 @@
   CHECK(one.port.running.contains(job_id));
 }
 
-TEST_CASE("one lost answer to a renewal does not cost the lease") {
+TEST_CASE_FIXTURE(first_owner, "one lost answer to a renewal does not cost the lease") {
   // Guards against running jobs that are stopped because one answer of the store was lost.
-  fake_log log;
-  owner one(log, "one");
-  one.play(100);
   one.submit();
   log.lost_joins = 1;
   one.play(500);
@@ -479,10 +454,7 @@
   CHECK(one.port.dropped.empty());
 }
 
-TEST_CASE("an owner that stood still past its lease acts no more") {
-  fake_log log;
-  owner one(log, "one");
-  one.play(100);
+TEST_CASE_FIXTURE(first_owner, "an owner that stood still past its lease acts no more") {
   one.submit();
   one.now += 5'000;
   one.jobs->check_lease(at_ms(one.now));
@@ -508,8 +480,7 @@
   CHECK(one.jobs->has_left());
   CHECK(log.leaves == 1);
   log.holder = "two";
-  owner two(log, "two");
-  two.now = one.now;
+  owner two(log, "two", one.now);
   two.play(200);
   REQUIRE(two.port.running.contains(job_id));
   CHECK(two.port.running[job_id].tenure->progress[0][0].done);
@@ -522,14 +493,12 @@
   one.play(100);
   one.submit();
   log.holder = "two";
-  owner two(log, "two");
-  two.now = one.now;
+  owner two(log, "two", one.now);
   two.play(100);
   two.jobs->leave(at_ms(two.now));
   two.play(100);
   log.holder = "three";
-  owner three(log, "three");
-  three.now = two.now;
+  owner three(log, "three", two.now);
   three.play(1'000);
   CHECK(three.jobs->owns(job_id));
   CHECK(three.port.running.empty());
@@ -550,10 +519,8 @@
   CHECK(waiting == durable_answer::refused);
 }
 
-TEST_CASE("a cancelled job is stopped once that is stored, and stays cancelled") {
-  fake_log log;
-  owner one(log, "one");
-  one.play(100);
+TEST_CASE_FIXTURE(first_owner,
+                  "a cancelled job is stopped once that is stored, and stays cancelled") {
   one.submit();
   CHECK(one.cancel() == durable_answer::cancelled);
   CHECK(one.port.running.empty());
@@ -562,8 +529,7 @@
   one.end(make_end(0, 1), false);
   CHECK(one.port.notes.size() == 1);
   log.holder = "two";
-  owner two(log, "two");
-  two.now = one.now;
+  owner two(log, "two", one.now);
   two.play(5'000);
   CHECK(two.jobs->query(job_id) == durable_answer::cancelled);
   CHECK(two.port.running.empty());
@@ -571,11 +537,10 @@
   CHECK(two.port.running.empty());
 }
 
-TEST_CASE("ended jobs are forgotten, and their records dropped, after the time for questions") {
+TEST_CASE_FIXTURE(
+    first_owner,
+    "ended jobs are forgotten, and their records dropped, after the time for questions") {
   // Guards against a store that fills up.
-  fake_log log;
-  owner one(log, "one");
-  one.play(100);
   one.submit();
   one.end(make_end(0, 1));
   one.end(make_end(1, 1));
--- a/src/fleet/fleet_agent.cpp
+++ b/src/fleet/fleet_agent.cpp
@@ -44,8 +44,9 @@
 fleet_agent::fleet_agent(asio::io_context& io, fleet_agent_settings settings, worker_port& worker,
                          event_log& log, metrics_registry& metrics)
     : io_(io), settings_(std::move(settings)), port_(worker), log_(log), metrics_(metrics),
-      tick_timer_(io), dialer_(settings_.timing, settings_.name, settings_.availability_zone, "",
-                               settings_.max_sessions),
+      tick_timer_(io), flush_soon_(io, [this] { carry_out(); }),
+      dialer_(settings_.timing, settings_.name, settings_.availability_zone, "",
+              settings_.max_sessions),
       table_(settings_.partitions) {}
 
 fleet_agent::~fleet_agent() {
@@ -232,7 +233,7 @@
     }
     table_.add(from.owner, std::move(order), now);
   }
-  flush_soon();
+  flush_soon_();
 }
 
 void fleet_agent::worker_announced(const worker_announcement& announced) {
@@ -272,7 +273,7 @@
   if (!listing_) {
     list_runs();
   }
-  flush_soon();
+  flush_soon_();
 }
 
 void fleet_agent::worker_left(const std::string& id) {
@@ -284,7 +285,7 @@
   table_.set_accepting(false);
   table_.worker_lost(lease_now());
   status_dirty_ = true;
-  flush_soon();
+  flush_soon_();
 }
 
 void fleet_agent::suspect_worker(bool suspected, const std::string& cause) {
@@ -409,7 +410,7 @@
     }
   }
   status_dirty_ = true;
-  flush_soon();
+  flush_soon_();
 }
 
 void fleet_agent::list_failed(const absl::Status& status, monotonic_time now) {
@@ -425,7 +426,7 @@
                  "cause", std::string(status.message()));
       table_.worker_lost(now);
     }
-    flush_soon();
+    flush_soon_();
   }
   list_runs_after(suspected_ ? suspected_list_retry : list_retry);
 }
@@ -472,7 +473,7 @@
         metrics_.add("parsleylead_agent_starts_not_confirmed_total", {});
       }
       table_.start_answered(run, answer, lease_now());
-      flush_soon();
+      flush_soon_();
     });
   }
   for (auto& [owner, end] : table_.take_ends()) {
@@ -552,18 +553,6 @@
   }
 }
 
-void fleet_agent::flush_soon() {
-  if (std::exchange(flush_posted_, true)) {
-    return;
-  }
-  asio::post(io_, [this, alive = std::weak_ptr<int>(alive_)] {
-    if (!alive.expired()) {
-      flush_posted_ = false;
-      carry_out();
-    }
-  });
-}
-
 void fleet_agent::leave(std::chrono::milliseconds limit, std::function<void()> done) {
   leaving_ = true;
   left_ = std::move(done);
@@ -571,7 +560,7 @@
   table_.set_accepting(false);
   status_dirty_ = true;
   log_.write("leaving", "runs", table_.running(), "waiting", table_.waiting());
-  flush_soon();
+  flush_soon_();
 }
 
 } // namespace parsleylead
--- a/src/fleet/fleet_entry.cpp
+++ b/src/fleet/fleet_entry.cpp
@@ -45,16 +45,16 @@
     // A caller may have used the id for a job that need not be stored.
     entry.cancel(job.id);
     entry.scheduler_.submit(std::move(job), lease_now());
-    entry.run_soon();
+    entry.run_soon_();
   }
   void drop(std::uint64_t job) override {
     entry.scheduler_.cancel(job, lease_now());
-    entry.run_soon();
+    entry.run_soon_();
   }
   void suspend(std::uint64_t job) override {
     if (entry.scheduler_.is_open(job)) {
       entry.scheduler_.suspend(job);
-      entry.run_soon();
+      entry.run_soon_();
     }
   }
   bool is_placed(std::uint64_t job) const override { return entry.scheduler_.is_placed(job); }
@@ -64,12 +64,12 @@
       auto& out = each->out.claims;
       out.insert(out.end(), claims.begin(), claims.end());
     }
-    entry.run_soon();
+    entry.run_soon_();
   }
   void note(worker_index worker, const end_note& note) override {
     if (const auto found = entry.agents_.find(worker); found != entry.agents_.end()) {
       found->second->out.notes.push_back(note);
-      entry.run_soon();
+      entry.run_soon_();
     }
   }
 
@@ -83,7 +83,8 @@
       on_routes_(std::move(on_routes)), self_{settings_.name, settings_.incarnation,
                                               to_string(settings_.listen),
                                               settings_.availability_zone},
-      tick_timer_(io), acceptor_(io, [this](auto link) { accepted(std::move(link)); }),
+      tick_timer_(io), run_soon_(io, [this] { run(); }),
+      acceptor_(io, [this](auto link) { accepted(std::move(link)); }),
       dialer_(settings_.timing, settings_.name, settings_.availability_zone, self_.address,
               settings_.max_peers),
       scheduler_(settings_.policy, settings_.availability_zone, settings_.incarnation) {}
@@ -299,7 +300,7 @@
   if (current != agents_.end() && current->second == from) {
     agents_.erase(current);
     scheduler_.session_lost(from->worker, from->link->last_received(), now);
-    run_soon();
+    run_soon_();
   }
   log_.write("session_lost", "peer", from->peer.name, "agent", from->is_agent, "cause", cause);
   metrics_.add("parsleylead_entry_sessions_lost_total", {});
@@ -401,7 +402,7 @@
   for (const auto& slow : frame->slow) {
     scheduler_.run_is_slow(from->worker, slow, now);
   }
-  run_soon();
+  run_soon_();
 }
 
 void fleet_entry::run_ended(session& from, const run_end& end, monotonic_time now) {
@@ -430,7 +431,7 @@
     return ticket;
   }
   scheduler_.submit(std::move(job), lease_now());
-  run_soon();
+  run_soon_();
   return ticket;
 }
 
@@ -443,7 +444,7 @@
   metrics_.add("parsleylead_entry_jobs_total", {{"verdict", "abandoned"}, {"cause", "none"}});
   callers_.erase(found);
   scheduler_.cancel(id, lease_now());
-  run_soon();
+  run_soon_();
 }
 
 bool fleet_entry::cancel(std::uint64_t id) {
@@ -455,22 +456,10 @@
   result.id = id;
   result.verdict = job_verdict::cancelled;
   answer(result);
-  run_soon();
+  run_soon_();
   return true;
 }
 
-void fleet_entry::run_soon() {
-  if (std::exchange(run_posted_, true)) {
-    return;
-  }
-  asio::post(io_, [this, alive = std::weak_ptr<int>(alive_)] {
-    if (!alive.expired()) {
-      run_posted_ = false;
-      run();
-    }
-  });
-}
-
 void fleet_entry::run() {
   const auto now = lease_now();
   if (durable_) {
--- a/src/link/open_acceptor.cpp
+++ b/src/link/open_acceptor.cpp
@@ -4,7 +4,7 @@
 
 using asio::ip::tcp;
 
-absl::Status open_acceptor(tcp::acceptor& acceptor, const endpoint& address) {
+asio::error_code listen_at(tcp::acceptor& acceptor, const endpoint& address) {
   asio::error_code error;
   const tcp::endpoint at(asio::ip::make_address(address.ip, error), address.port);
   if (!error) {
@@ -19,7 +19,11 @@
   if (!error) {
     acceptor.listen(asio::socket_base::max_listen_connections, error);
   }
-  if (error) {
+  return error;
+}
+
+absl::Status open_acceptor(tcp::acceptor& acceptor, const endpoint& address) {
+  if (const auto error = listen_at(acceptor, address)) {
     return absl::UnavailableError("cannot listen at " + to_string(address) + ": " +
                                   error.message());
   }
--- a/src/transport/rpc_server.cpp
+++ b/src/transport/rpc_server.cpp
@@ -3,6 +3,7 @@
 #include <asio/ip/address.hpp>
 
 #include "parsleylead/base/error.hpp"
+#include "parsleylead/link/open_acceptor.hpp"
 #include "parsleylead/transport/ignore_task_errors.hpp"
 
 namespace parsleylead {
@@ -25,21 +26,7 @@
 }
 
 absl::Status rpc_server::listen(const endpoint& address) {
-  asio::error_code error;
-  const tcp::endpoint local(asio::ip::make_address(address.ip, error), address.port);
-  if (!error) {
-    acceptor_.open(local.protocol(), error);
-  }
-  if (!error) {
-    acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-  }
-  if (!error) {
-    acceptor_.bind(local, error);
-  }
-  if (!error) {
-    acceptor_.listen(asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
+  if (const auto error = listen_at(acceptor_, address)) {
     return make_error(absl::StatusCode::kUnavailable, step::connect, to_string(address),
                       "cannot listen: " + error.message());
   }
