Store the loss of a durable run before its task starts again

The agent restarted and reported the end that its worker still held to the next owner, which knew of no later start and used it: a start after an acknowledged end. The same could happen two owners later, as an owner starts restored jobs again without a record of it.

Change: a lost run's task waits until its loss (lost_attempt of the task) is stored; a new owner stores the epoch in which it starts restored tasks (restart_epoch of the owner record) before the first one. Ends of lost attempts and of epochs before the restart epoch are superseded at every later owner. Earlier records lack both fields, which are then 0.

Tests: durable_jobs_test (four cases) and fleet_scheduler_test (one); without the two conditions five of them fail.

--- a/include/parsleylead/durable/durable_jobs.hpp
+++ b/include/parsleylead/durable/durable_jobs.hpp
@@ -104,6 +104,10 @@
 
   /// Handles an end that an agent holds. `current`: it is the end of the task's current run.
   void run_ended(worker_index worker, const run_end& end, bool current, monotonic_time now);
+  /// A run was lost: its agent cannot be reached, or its worker. The task is started again by
+  /// `durable_port::restart_task` only once the loss is stored, so that no later owner uses an end
+  /// that the worker reports after all.
+  void run_lost(const run_id& run, monotonic_time now);
   /// Handles the result of a job that was passed to `durable_port::run_job`.
   void job_ended(const job_result& result, monotonic_time now);
   /// An agent reported a claim that may be newer than this entry's own.
@@ -152,6 +156,7 @@
   void claim_partition(partition_state& partition, monotonic_time now);
   void partition_claimed(partition_state& partition, monotonic_time now);
   void restore_jobs(partition_state& partition, const std::vector<keyed_record>& records);
+  void finish_settling(partition_state& partition, monotonic_time now);
   void start_restored_jobs(partition_state& partition);
   void start_job(partition_state& partition, durable_job& job);
 
--- a/include/parsleylead/durable/durable_port.hpp
+++ b/include/parsleylead/durable/durable_port.hpp
@@ -21,6 +21,9 @@
   virtual void drop_job(std::uint64_t job) = 0;
   /// Stops the job's runs, with their ends reported, and starts no further tasks of it.
   virtual void suspend_job(std::uint64_t job) = 0;
+  /// Allows the job to start a task again whose run `durable_jobs::run_lost` was told of. Does
+  /// nothing if the job is not open or the task has another current run.
+  virtual void restart_task(const run_id& lost) = 0;
   virtual bool is_placed(std::uint64_t job) const = 0;
   virtual bool has_begun(std::uint64_t job) const = 0;
   /// Sends the claims to all agents.
--- a/include/parsleylead/durable/durable_record.hpp
+++ b/include/parsleylead/durable/durable_record.hpp
@@ -29,6 +29,8 @@
   std::string member;
   /// The owner has released the partition, and none of its tasks is running.
   bool released = false;
+  /// Latest epoch whose owner may have started tasks of earlier epochs again; 0 for none.
+  std::uint64_t restart_epoch = 0;
 };
 
 /// Key of the record that holds a partition's `durable_owner`.
--- a/include/parsleylead/fleet/fleet_job.hpp
+++ b/include/parsleylead/fleet/fleet_job.hpp
@@ -48,6 +48,9 @@
   std::uint32_t failures = 0;
   /// Latest attempt whose end is included in this progress.
   std::uint32_t ended_attempt = 0;
+  /// Latest attempt that was given up as lost, so that the task may have been started again. An end
+  /// that a worker still reports for it, or for an earlier attempt, must not be used.
+  std::uint32_t lost_attempt = 0;
 
   bool operator==(const task_progress&) const = default;
 };
--- a/include/parsleylead/fleet/fleet_scheduler.hpp
+++ b/include/parsleylead/fleet/fleet_scheduler.hpp
@@ -97,6 +97,9 @@
   /// This process made no progress since `since`, for longer than the leases of its sessions. Jobs
   /// that arrived later are not affected.
   void process_stalled(monotonic_time since);
+  /// Allows a task of a durable job to start again after the loss of its run, which
+  /// `take_lost_runs` returned, has been stored. Does nothing if the run is not the task's latest.
+  void restart_task(const run_id& lost, monotonic_time now);
   /// Returns the runs that are placed on the worker, for resuming its session.
   std::vector<run_id> outstanding(worker_index worker) const;
 
@@ -107,6 +110,8 @@
 
   std::vector<placed_start> take_starts() { return std::exchange(starts_, {}); }
   std::vector<placed_stop> take_stops() { return std::exchange(stops_, {}); }
+  /// Runs of durable jobs that were lost. Their tasks wait for `restart_task`.
+  std::vector<run_id> take_lost_runs() { return std::exchange(lost_runs_, {}); }
   std::vector<job_result> take_results() { return std::exchange(results_, {}); }
 
   std::size_t open_jobs() const { return jobs_.size(); }
@@ -160,6 +165,7 @@
   std::unordered_map<std::uint64_t, std::unique_ptr<job>> jobs_;
   std::vector<placed_start> starts_;
   std::vector<placed_stop> stops_;
+  std::vector<run_id> lost_runs_;
   std::vector<job_result> results_;
   std::size_t backlog_ = 0;
   monotonic_time first_submission_{};
--- a/src/durable/durable_appends.cpp
+++ b/src/durable/durable_appends.cpp
@@ -51,6 +51,11 @@
       partition.changes.pop_front();
     }
     for (const auto& change : partition.sent_changes) {
+      if (change.job == 0) {
+        partition.sent_records.push_back(
+            {owner_key, write_owner(partition.owner_record(settings_.member, false))});
+        continue;
+      }
       const auto found = partition.jobs.find(change.job);
       if (found == partition.jobs.end() || !written.insert(change.job).second) {
         continue;
--- a/src/durable/durable_calls.cpp
+++ b/src/durable/durable_calls.cpp
@@ -211,10 +211,16 @@
   auto& task = job.record.progress[end.run.task.step][end.run.task.index];
   const bool done = end.outcome == run_outcome::done;
   const bool is_open = !job.record.ended && !task.done;
-  // The task was started again before this end was known, because its agent was unreachable.
+  const bool is_new = end.run.attempt > task.ended_attempt;
+  const auto epoch = job.record.first_epoch +
+                     (end.run.attempt - std::min(end.run.attempt, 1U)) / attempts_per_epoch;
+  // The task was started again before this end was known, because its agent was unreachable. Stored
+  // losses and the restart epoch tell of the starts of earlier owners.
   const bool superseded =
-      done && (end.run.attempt < task.ended_attempt ||
-               (is_open && job.running && !is_current && end.run.attempt > task.ended_attempt));
+      (done && (!is_new || (is_open && job.running && !is_current)) &&
+       end.run.attempt != task.ended_attempt) ||
+      (is_new && !job.record.ended &&
+       (end.run.attempt <= task.lost_attempt || epoch < partition->restart_epoch));
   if (superseded || job.record.ended) {
     events_.write("end_after_restart", "run", format_run(end.run), "outcome",
                   to_string(end.outcome), "superseded", superseded);
@@ -236,6 +242,26 @@
                now, progress_delay);
 }
 
+void durable_jobs::run_lost(const run_id& run, monotonic_time now) {
+  now_ = now;
+  auto* partition = find_writable(run.task.job);
+  if (partition == nullptr || !partition->jobs.contains(run.task.job)) {
+    return; // The next owner starts the task.
+  }
+  auto& job = partition->jobs.at(run.task.job);
+  auto& task = job.record.progress.at(run.task.step).at(run.task.index);
+  task.lost_attempt = std::max(task.lost_attempt, run.attempt);
+  events_.write("run_lost", "run", format_run(run), "epoch", partition->epoch);
+  queue_change(*partition,
+               {run.task.job, false, now, now,
+                [this, run](bool) {
+                  if (find_partition(run.task.job) != nullptr) {
+                    port_.restart_task(run);
+                  }
+                }},
+               now);
+}
+
 void durable_jobs::job_ended(const job_result& result, monotonic_time now) {
   now_ = now;
   const bool final =
--- a/src/durable/durable_jobs.cpp
+++ b/src/durable/durable_jobs.cpp
@@ -96,7 +96,7 @@
   for (const auto& [number, partition] : partitions_) {
     if (partition->current_stage == partition_state::stage::settling &&
         now >= partition->settle_end) {
-      start_restored_jobs(*partition);
+      finish_settling(*partition, now);
     }
     forget_ended(*partition, now);
     flush(*partition, now);
@@ -207,7 +207,7 @@
       // No task of this epoch is running, so that the successor can start at once.
       partition->store_call_pending = true;
       log_.append(topic_of(number), partition->log_end,
-                  {{owner_key, write_owner({partition->epoch, settings_.member, true})}},
+                  {{owner_key, write_owner(partition->owner_record(settings_.member, true))}},
                   [this, number = number, serial = partition->serial,
                    alive = std::weak_ptr<int>(alive_)](const absl::StatusOr<std::uint64_t>& end) {
                     if (!alive.expired() && find_by_serial(number, serial) != nullptr) {
@@ -292,13 +292,15 @@
     }
     if (const auto owner = parse_durable_owner(record.value); owner.ok()) {
       partition.epoch = owner->epoch + 1;
+      partition.restart_epoch = owner->restart_epoch;
       partition.previous_released = owner->released;
     } else {
       events_.write("owner_record_skipped", "partition", partition.number, "cause",
                     std::string(owner.status().message()));
     }
   }
-  partition.sent_records = {{owner_key, write_owner({partition.epoch, settings_.member, false})}};
+  partition.sent_records = {
+      {owner_key, write_owner(partition.owner_record(settings_.member, false))}};
   partition.retry_at = now;
   append(partition);
 }
@@ -355,10 +357,35 @@
   }
 }
 
+void durable_jobs::finish_settling(partition_state& partition, monotonic_time now) {
+  const bool restarts = std::any_of(partition.jobs.begin(), partition.jobs.end(),
+                                    [](const auto& job) { return job.second.awaits_restart(); });
+  if (!restarts) {
+    start_restored_jobs(partition);
+    return;
+  }
+  if (std::exchange(partition.storing_restart_epoch, true)) {
+    return;
+  }
+  // Stored before the first restart: a later owner must not use the ends of runs whose tasks were
+  // started again in this epoch.
+  partition.restart_epoch = partition.epoch;
+  queue_change(partition,
+               {0, false, now, now,
+                [this, number = partition.number, serial = partition.serial](bool) {
+                  auto* current = find_by_serial(number, serial);
+                  if (current != nullptr &&
+                      current->current_stage == partition_state::stage::settling) {
+                    start_restored_jobs(*current);
+                  }
+                }},
+               now);
+}
+
 void durable_jobs::start_restored_jobs(partition_state& partition) {
   partition.current_stage = partition_state::stage::open;
   for (auto& [id, job] : partition.jobs) {
-    if (job.stored && !job.running && !job.record.ended && !job.pending_verdict) {
+    if (job.awaits_restart()) {
       events_.write("job_restored", "job", format_job(id), "partition", partition.number, "epoch",
                     partition.epoch, "first_epoch", job.record.first_epoch);
       start_job(partition, job);
--- a/src/durable/durable_jobs_test.cpp
+++ b/src/durable/durable_jobs_test.cpp
@@ -161,6 +161,7 @@
     dropped.push_back(job);
   }
   void suspend_job(std::uint64_t job) override { suspended.push_back(job); }
+  void restart_task(const run_id& lost) override { restarted.push_back(lost); }
   bool is_placed(std::uint64_t job) const override { return placed && running.contains(job); }
   bool has_begun(std::uint64_t) const override { return placed; }
   void announce_claims(const std::vector<partition_claim>& claims) override {
@@ -173,6 +174,7 @@
   std::vector<std::uint64_t> suspended;
   std::vector<partition_claim> announced;
   std::vector<end_ack> acks;
+  std::vector<run_id> restarted;
   bool placed = false;
 };
 
@@ -402,6 +404,75 @@
   CHECK(two.port.acks[0].superseded);
 }
 
+TEST_CASE_FIXTURE(first_owner, "a lost run's task is started again only once the loss is stored") {
+  // Guards against the next owner using an end of a run whose task was restarted (soak seed 2050).
+  one.submit();
+  log.current_mode = fake_log::mode::busy;
+  const run_id lost{{job_id, 0, 0}, 1};
+  one.jobs->run_lost(lost, at_ms(one.now));
+  one.advance(200);
+  CHECK(one.port.restarted.empty());
+  log.current_mode = fake_log::mode::normal;
+  one.advance(200);
+  CHECK(one.port.restarted == std::vector<run_id>{lost});
+}
+
+TEST_CASE_FIXTURE(first_owner, "an end of a lost run is superseded, also at the next owner") {
+  // The agent restarts after the task was started again, and reports the end that its worker holds
+  // to the owner of the next epoch (soak seed 2050).
+  one.submit();
+  one.jobs->run_lost({{job_id, 0, 0}, 1}, at_ms(one.now));
+  one.advance(200);
+  one.end(make_end(0, 1), false);
+  REQUIRE(one.port.acks.size() == 1);
+  CHECK(one.port.acks[0].superseded);
+  log.holder = "two";
+  owner two(log, "two", one.now);
+  two.advance(200);
+  two.end(make_end(0, 1), false);
+  REQUIRE(two.port.acks.size() == 1);
+  CHECK(two.port.acks[0].superseded);
+  // The other task was not started again: its end is used.
+  two.end(make_end(1, 1), false);
+  two.advance(200);
+  REQUIRE(two.port.acks.size() == 2);
+  CHECK_FALSE(two.port.acks[1].superseded);
+}
+
+TEST_CASE_FIXTURE(first_owner, "an end of an epoch whose tasks were restarted is superseded") {
+  // Guards against the third owner using an end of the first one's run, although the second owner
+  // has started the task again.
+  one.submit();
+  log.holder = "two";
+  owner two(log, "two", one.now);
+  two.advance(4'500);
+  REQUIRE(two.port.running.contains(job_id));
+  log.holder = "three";
+  owner three(log, "three", two.now);
+  three.advance(200);
+  three.end(make_end(0, 1), false);
+  REQUIRE(three.port.acks.size() == 1);
+  CHECK(three.port.acks[0].superseded);
+  // The second owner's run was not restarted.
+  three.end(make_end(1, attempts_per_epoch + 1), false);
+  three.advance(200);
+  REQUIRE(three.port.acks.size() == 2);
+  CHECK_FALSE(three.port.acks[1].superseded);
+}
+
+TEST_CASE_FIXTURE(first_owner, "restored jobs are not run while the restart cannot be stored") {
+  one.submit();
+  log.holder = "two";
+  owner two(log, "two", one.now);
+  two.advance(3'700);
+  log.current_mode = fake_log::mode::busy;
+  two.advance(400);
+  CHECK(two.port.running.empty());
+  log.current_mode = fake_log::mode::normal;
+  two.advance(400);
+  CHECK(two.port.running.contains(job_id));
+}
+
 TEST_CASE_FIXTURE(first_owner, "an owner that was replaced can store nothing and gives up") {
   // Guards against two concurrent owners of a job.
   one.submit();
--- a/src/durable/durable_record.cpp
+++ b/src/durable/durable_record.cpp
@@ -14,6 +14,7 @@
 constexpr char submission_prefix = 'j';
 constexpr char progress_prefix = 'p';
 constexpr std::size_t id_digits = 16;
+constexpr std::size_t lost_attempt_column = 5;
 
 absl::Status malformed(const std::exception& error) {
   return absl::InvalidArgumentError(std::string("malformed record: ") + error.what());
@@ -117,7 +118,7 @@
       for (const auto& row : root.at("attempts")) {
         auto& step = record.progress.emplace_back();
         for (const auto& attempt : row) {
-          step.push_back({true, 0, attempt.get<std::uint32_t>()});
+          step.push_back({true, 0, attempt.get<std::uint32_t>(), 0});
         }
       }
       return record;
@@ -141,13 +142,15 @@
 }
 
 std::string write_progress(const durable_record& record) {
-  // One row per task with an ended run: step, index, done, failures, ended attempt.
+  // One row per task with an ended run: step, index, done, failures, ended attempt, lost attempt.
+  // Rows of processes of earlier versions lack the last one.
   json rows = json::array();
   for (std::size_t step = 0; step < record.progress.size(); ++step) {
     for (std::size_t index = 0; index < record.progress[step].size(); ++index) {
       const auto& task = record.progress[step][index];
       if (task != task_progress{}) {
-        rows.push_back({step, index, task.done, task.failures, task.ended_attempt});
+        rows.push_back(
+            {step, index, task.done, task.failures, task.ended_attempt, task.lost_attempt});
       }
     }
   }
@@ -159,8 +162,9 @@
     auto progress = record.progress;
     for (const auto& row : json::parse(text)) {
       auto& task = progress.at(row.at(0).get<std::size_t>()).at(row.at(1).get<std::size_t>());
-      task = {row.at(2).get<bool>(), row.at(3).get<std::uint32_t>(),
-              row.at(4).get<std::uint32_t>()};
+      task = {row.at(2).get<bool>(), row.at(3).get<std::uint32_t>(), row.at(4).get<std::uint32_t>(),
+              row.size() > lost_attempt_column ? row.at(lost_attempt_column).get<std::uint32_t>()
+                                               : 0};
     }
     record.progress = std::move(progress);
     return absl::OkStatus();
@@ -170,7 +174,10 @@
 }
 
 std::string write_owner(const durable_owner& owner) {
-  return json{{"epoch", owner.epoch}, {"member", owner.member}, {"released", owner.released}}
+  return json{{"epoch", owner.epoch},
+              {"member", owner.member},
+              {"released", owner.released},
+              {"restart_epoch", owner.restart_epoch}}
       .dump();
 }
 
@@ -178,7 +185,8 @@
   try {
     const auto root = json::parse(text);
     return durable_owner{root.at("epoch").get<std::uint64_t>(),
-                         root.at("member").get<std::string>(), root.at("released").get<bool>()};
+                         root.at("member").get<std::string>(), root.at("released").get<bool>(),
+                         root.value("restart_epoch", std::uint64_t{0})};
   } catch (const json::exception& error) {
     return malformed(error);
   }
--- a/src/durable/durable_state.hpp
+++ b/src/durable/durable_state.hpp
@@ -39,9 +39,13 @@
   /// The job's retention is over; its records are being deleted.
   bool forgotten = false;
   std::vector<std::shared_ptr<pending_reply>> submitters;
+
+  /// The job was accepted earlier, possibly by another owner, and has to be run.
+  bool awaits_restart() const { return stored && !running && !record.ended && !pending_verdict; }
 };
 
 struct durable_jobs::store_change {
+  /// 0 if the change is the partition's `restart_epoch`.
   std::uint64_t job = 0;
   bool is_submission = false;
   monotonic_time queued{};
@@ -58,10 +62,14 @@
   std::uint64_t serial = 0;
   stage current_stage = stage::reading;
   std::uint64_t epoch = 0;
+  /// See `durable_owner`.
+  std::uint64_t restart_epoch = 0;
   std::uint64_t log_end = 0;
   std::vector<keyed_record> read_records;
   bool previous_released = true;
   monotonic_time settle_end{};
+  /// The `restart_epoch` of this ownership is being stored.
+  bool storing_restart_epoch = false;
   monotonic_time release_deadline{};
   std::unordered_map<std::uint64_t, durable_job> jobs;
   std::deque<std::pair<monotonic_time, std::uint64_t>> ended;
@@ -75,6 +83,9 @@
   bool append_failing = false;
 
   bool owned() const { return current_stage == stage::settling || current_stage == stage::open; }
+  durable_owner owner_record(const std::string& member, bool released) const {
+    return {epoch, member, released, restart_epoch};
+  }
   bool writable() const { return owned() || (current_stage == stage::releasing && epoch != 0); }
 };
 
--- a/src/fleet/fleet_entry.cpp
+++ b/src/fleet/fleet_entry.cpp
@@ -57,6 +57,10 @@
       entry.flush_soon_();
     }
   }
+  void restart_task(const run_id& lost) override {
+    entry.scheduler_.restart_task(lost, lease_now());
+    entry.flush_soon_();
+  }
   bool is_placed(std::uint64_t job) const override { return entry.scheduler_.is_placed(job); }
   bool has_begun(std::uint64_t job) const override { return entry.scheduler_.has_begun(job); }
   void announce_claims(const std::vector<partition_claim>& claims) override {
@@ -488,6 +492,9 @@
       agent->outgoing = {};
     }
   }
+  for (const auto& run : scheduler_.take_lost_runs()) {
+    durable_->run_lost(run, now); // Only durable jobs report lost runs.
+  }
   for (const auto& result : scheduler_.take_results()) {
     answer_callers(result);
   }
--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -60,7 +60,8 @@
 };
 
 struct fleet_scheduler::task {
-  enum class state : std::uint8_t { blocked, ready, placed, done };
+  /// `lost`: the run of a durable task was lost, and that is not stored yet.
+  enum class state : std::uint8_t { blocked, ready, placed, lost, done };
   state current_state = state::blocked;
   std::uint32_t attempts = 0;
   std::uint32_t failures = 0;
@@ -632,12 +633,29 @@
     break;
   default:
     open_job.result.lost_runs += ended_task->stop_requested ? 0 : 1;
+    if (open_job.is_durable() && end.outcome == run_outcome::lost) {
+      // The worker may still report that the run was done.
+      ended_task->current_state = task::state::lost;
+      lost_runs_.push_back(end.run);
+      return true;
+    }
     break;
   }
   requeue(open_job, step, number, now);
   return true;
 }
 
+void fleet_scheduler::restart_task(const run_id& lost, monotonic_time now) {
+  const auto found = jobs_.find(lost.task.job);
+  if (found == jobs_.end()) {
+    return;
+  }
+  const auto& restarted = found->second->tasks.at(lost.task.step).at(lost.task.index);
+  if (restarted.current_state == task::state::lost && restarted.attempts == lost.attempt) {
+    requeue(*found->second, lost.task.step, lost.task.index, now);
+  }
+}
+
 void fleet_scheduler::run_is_slow(worker_index index, const slow_run& slow, monotonic_time now) {
   auto* slow_task = find_task(slow.run, index);
   if (slow_task == nullptr || slow_task->stop_requested || slow_task->moves >= max_moves) {
--- a/src/fleet/fleet_scheduler_test.cpp
+++ b/src/fleet/fleet_scheduler_test.cpp
@@ -369,6 +369,27 @@
   CHECK(fleet.scheduler.waiting_durable_jobs().empty());
 }
 
+TEST_CASE("a lost run of a durable job is repeated only after its loss is stored") {
+  // Guards against a later owner that uses the end of the lost run.
+  fixture fleet(2);
+  auto job = make_job(1, 1);
+  job.ownership = job_ownership{4, 0, {}};
+  auto starts = fleet.submit(std::move(job));
+  REQUIRE(starts.size() == 1);
+  fleet.end(starts[0], run_outcome::lost, 60);
+  fleet.scheduler.tick(at_ms(80));
+  CHECK(fleet.scheduler.take_starts().empty());
+  const auto lost = fleet.scheduler.take_lost_runs();
+  REQUIRE(lost == std::vector<run_id>{starts[0].order.run});
+  fleet.scheduler.restart_task({lost[0].task, 9}, at_ms(90)); // Not its latest run.
+  fleet.scheduler.restart_task(lost[0], at_ms(100));
+  fleet.scheduler.restart_task(lost[0], at_ms(100));
+  fleet.scheduler.place_waiting(at_ms(100));
+  starts = fleet.scheduler.take_starts();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].order.run.attempt == 2);
+}
+
 TEST_CASE("a suspended job stops its runs, handles their ends and starts nothing") {
   // Guards against a task that keeps running while its partition moves to another owner.
   fixture fleet(2);
