Announce the advertised address, and check that the soak's relays carry data

Change: the entry announces the advertised address. A soak run logs the counters of its relays and fails if one carried no data.

--- a/include/parsleylead/fleet/fleet_entry.hpp
+++ b/include/parsleylead/fleet/fleet_entry.hpp
@@ -32,7 +32,8 @@
   std::uint64_t incarnation = 0;
   /// Address on which frame links from agents and other entries are accepted.
   endpoint listen;
-  /// Address at which others reach this entry, if it differs from `listen`.
+  /// Address that others are told to connect to, if it differs from `listen`: for example that of a
+  /// relay.
   std::optional<endpoint> advertised;
   link_timing timing;
   fleet_policy policy;
--- a/src/fleet/fleet_entry.cpp
+++ b/src/fleet/fleet_entry.cpp
@@ -84,9 +84,10 @@
                          metrics_registry& metrics,
                          std::function<void(const route_update&)> on_routes)
     : io_(io), settings_(std::move(settings)), log_(log), metrics_(metrics),
-      on_routes_(std::move(on_routes)), self_{settings_.name, settings_.incarnation,
-                                              to_string(settings_.listen),
-                                              settings_.availability_zone},
+      on_routes_(std::move(on_routes)),
+      self_{settings_.name, settings_.incarnation,
+            to_string(settings_.advertised.value_or(settings_.listen)),
+            settings_.availability_zone},
       tick_timer_(io), flush_soon_(io, [this] { flush(); }),
       acceptor_(io, [this](auto link) { link_accepted(std::move(link)); }),
       dialer_(settings_.timing, settings_.name, settings_.availability_zone, self_.address,
--- a/tests/soak/soak_site.cpp
+++ b/tests/soak/soak_site.cpp
@@ -502,6 +502,20 @@
   }
 }
 
+/// Link faults have an effect only if the processes connect to each other through the relays.
+void soak_site::check_relays() {
+  for (std::size_t i = 0; i < relays_.size(); ++i) {
+    const auto stats = relays_[i]->stats();
+    log("relay of entry-" + std::to_string(i) + ": " + std::to_string(stats.accepted) +
+        " connections accepted, " + std::to_string(stats.silenced) + " silenced, " +
+        std::to_string(stats.bytes_forwarded) + " bytes forwarded, " +
+        std::to_string(stats.bytes_swallowed) + " discarded");
+    if (stats.bytes_forwarded == 0) {
+      judge_.record_violation("the relay of entry-" + std::to_string(i) + " carried no data");
+    }
+  }
+}
+
 soak_report soak_site::run() {
   generating_load_ = true;
   submit_next_job();
@@ -517,6 +531,7 @@
     }
     heal();
     check_recovery();
+    check_relays();
   }
   generating_load_ = false;
   report_.starts = judge_.starts();
--- a/tests/soak/soak_site.hpp
+++ b/tests/soak/soak_site.hpp
@@ -91,6 +91,7 @@
   void check_recovery();
   /// Checks that every accepted durable job ends and that a query for it returns how.
   void check_durable_jobs();
+  void check_relays();
   void poll_job(const std::string& job);
   void cancel_job(const std::string& job);
   void log(const std::string& line);
