Use a worker again that restarts after its host's clock was set back

Cause: a worker's incarnation is a time of day. After a step back of the clock a restarted worker announces a lower one, and the agent ignored all of its announcements as late ones.

Change: an announcement of a lower incarnation is accepted if the worker itself has named it in its lists, or once nothing of the known worker can still run. An outdated announcement does no harm then, since a worker counts as present only after it has answered under the announced id.

Test: fleet_link_test, under the same and another id; both fail without the change.

--- a/include/parsleylead/fleet/fleet_agent.hpp
+++ b/include/parsleylead/fleet/fleet_agent.hpp
@@ -80,6 +80,10 @@
   void session_closed(session& from, const std::string& cause);
   void check_sessions(monotonic_time now);
 
+  /// Incarnations are times of day, which may have been set back between two of them. Returns
+  /// whether an announcement of an earlier one can be of a worker that has restarted since.
+  bool may_have_restarted_at_earlier_time(const worker_announcement& announcement,
+                                          monotonic_time now) const;
   void list_runs();
   /// Requests the lists immediately, in addition to the pending long poll of `list_runs`.
   void request_extra_list();
--- a/src/fleet/fleet_agent.cpp
+++ b/src/fleet/fleet_agent.cpp
@@ -238,14 +238,28 @@
   flush_soon_();
 }
 
+bool fleet_agent::may_have_restarted_at_earlier_time(const worker_announcement& announcement,
+                                                     monotonic_time now) const {
+  if (worker_ && announcement.id == worker_->id &&
+      announcement.incarnation == worker_incarnation_) {
+    return true; // The worker itself named this incarnation with its last lists.
+  }
+  // Nothing runs there any more, and an outdated announcement does no harm: the worker does not
+  // count as present until it answers under the announced id.
+  return !worker_ || (suspected_ && now > lease_end());
+}
+
 void fleet_agent::worker_announced(const worker_announcement& announcement) {
   const auto now = lease_now();
   // A delayed announcement may arrive after one of the worker's next incarnation, or after the
   // worker has deregistered.
-  if (newest_announcement_ && (announcement.incarnation < newest_announcement_->incarnation ||
-                               (announcement.id == newest_announcement_->id &&
-                                announcement.incarnation == newest_announcement_->incarnation &&
-                                announcement.sequence <= newest_announcement_->sequence))) {
+  const bool repeated = newest_announcement_ && announcement.id == newest_announcement_->id &&
+                        announcement.incarnation == newest_announcement_->incarnation &&
+                        announcement.sequence <= newest_announcement_->sequence;
+  const bool earlier = newest_announcement_ &&
+                       announcement.incarnation < newest_announcement_->incarnation &&
+                       !may_have_restarted_at_earlier_time(announcement, now);
+  if (repeated || earlier) {
     log_.write("announcement_late", "worker", announcement.id, "life", announcement.incarnation,
                "sequence", announcement.sequence, "newest", newest_announcement_->sequence);
     return;
--- a/src/fleet/fleet_link_test.cpp
+++ b/src/fleet/fleet_link_test.cpp
@@ -306,6 +306,38 @@
   CHECK_FALSE(fleet.run_until([&] { return fleet.entry->has_worker(); }, milliseconds(200)));
 }
 
+TEST_CASE("a worker that restarts after its host's clock was set back is used again") {
+  // Guards against a worker that stays unused for good because its new incarnation, a time of day,
+  // is lower than the previous one.
+  small_fleet fleet;
+  auto restarted = announcement();
+  restarted.incarnation = 9;
+  fleet.worker.incarnation = 9;
+  fleet.agent->worker_announced(restarted);
+  REQUIRE(fleet.run_until([&] { return fleet.entry->has_worker(); }));
+  restarted.incarnation = 8;
+  SUBCASE("under the same id") {}
+  SUBCASE("under another id, once the previous one cannot run anything any more") {
+    restarted.id = "w-2";
+    fleet.worker.lost_lists = 1'000'000;
+    fleet.agent->worker_announced(restarted);
+    CHECK(fleet.log.buffered().find("event=announcement_late") != std::string::npos);
+    // Longer than the worker's lease of 1 s.
+    CHECK_FALSE(fleet.run_until([] { return false; }, milliseconds(1'500)));
+  }
+  fleet.worker.crash();
+  fleet.worker.incarnation = 8;
+  fleet.worker.lost_lists = 0;
+  const auto used = [&] {
+    ++restarted.sequence;
+    fleet.agent->worker_announced(restarted);
+    return fleet.log.buffered().find("event=worker_announced worker=" + restarted.id + " life=8") !=
+               std::string::npos &&
+           fleet.entry->has_worker();
+  };
+  CHECK(fleet.run_until(used));
+}
+
 TEST_CASE("agents learn of a new entry as soon as another entry has a link to it") {
   // Guards against a new entry that has no workers while agents do not read the store. Found on a
   // randomised day of the users' test bench on which entries were added.
