Notice a partition that was assigned elsewhere between two renewals

Change: when the group's generation has changed, an owner checks the end of the logs of the partitions that it keeps, and reads a partition again if another owner has appended.

--- a/include/parsleylead/durable/durable_jobs.hpp
+++ b/include/parsleylead/durable/durable_jobs.hpp
@@ -145,6 +145,8 @@
   void renew_lease(monotonic_time now);
   void apply_assignment(const group_assignment& assignment, monotonic_time sent,
                         monotonic_time now);
+  /// Gives the partition up if another owner has appended to it since.
+  void verify_ownership(partition_state& partition);
   /// `sent_submissions`: answer to callers whose job is part of an unanswered append.
   void drop_partition(partition_number number, const std::string& cause,
                       durable_answer sent_submissions);
--- a/src/durable/durable_jobs.cpp
+++ b/src/durable/durable_jobs.cpp
@@ -130,7 +130,8 @@
                                     monotonic_time now) {
   now_ = now;
   lease_end_ = sent + settings_.lease;
-  generation_ = assignment.generation;
+  const bool reassigned =
+      std::exchange(generation_, assignment.generation) != assignment.generation;
   for (const auto& [number, partition] : partitions_) {
     if (std::find(assignment.partitions.begin(), assignment.partitions.end(), number) ==
         assignment.partitions.end()) {
@@ -144,10 +145,31 @@
       slot->number = number;
       slot->serial = next_serial_++;
       read_partition(number, slot->serial, "");
+    } else if (reassigned && slot->owned()) {
+      // It may have been assigned to another member and back since the last renewal.
+      verify_ownership(*slot);
     }
   }
 }
 
+void durable_jobs::verify_ownership(partition_state& partition) {
+  if (partition.store_call_pending) {
+    return; // Its answer tells as much.
+  }
+  log_.read_records(
+      topic_of(partition.number), partition.log_end,
+      [this, number = partition.number, serial = partition.serial, end = partition.log_end,
+       alive = std::weak_ptr<int>(alive_)](const absl::StatusOr<keyed_snapshot>& snapshot) {
+        auto* current = alive.expired() ? nullptr : find_by_serial(number, serial);
+        const bool appended = snapshot.ok() && !snapshot->records.empty();
+        // A record after a later end may be this owner's own.
+        if (current != nullptr && appended && current->log_end == end &&
+            !current->store_call_pending) {
+          drop_partition(number, "another owner has appended", durable_answer::unknown);
+        }
+      });
+}
+
 void durable_jobs::drop_partition(partition_number number, const std::string& cause,
                                   durable_answer sent_submissions) {
   const auto found = partitions_.find(number);
