Let no worker's lease outlast what its owners may assume

Cause, found by the random histories of durable jobs: an entry repeats the runs of a silent agent 1.25 s after its last frame. An agent that was cut off from the entry went on extending its worker's lease of 1 s until it stopped the runs 0.7 s later; if it ended or froze before that, the worker ran them until 1.78 s, beside the repeated ones. If only the agent's frames are lost, it hears the entry for another 0.45 s.

Change: an agent extends the lease only from the time at which it last heard every owner of the worker's started runs, also with start orders; an entry waits 1.6 s.

--- a/include/parsleylead/fleet/fleet_agent.hpp
+++ b/include/parsleylead/fleet/fleet_agent.hpp
@@ -98,7 +98,13 @@
   /// Lets the lease of an idle worker expire if the worker holds superseded ends, which must not be
   /// confirmed before.
   void expire_lease_if_superseded(monotonic_time now);
+  /// Latest time at which the worker's runs have certainly ended if no lease is extended any more.
   monotonic_time lease_end() const;
+  /// Time from which a lease is extended now: when the owner of the worker's runs that has been
+  /// silent for longest was heard. An entry that loses this agent repeats its runs after
+  /// `fleet_policy::lost_run_wait`, so the worker must not run them for longer than a lease after
+  /// that, also if this process ends before it has stopped them.
+  monotonic_time next_lease_start(monotonic_time now) const;
   void schedule_list(std::chrono::milliseconds delay);
   void set_worker_suspected(bool suspected, const std::string& cause);
   void flush();
@@ -134,8 +140,8 @@
   bool last_list_failed_ = false;
   monotonic_time last_list_at_{};
   bool connection_refused_ = false;
-  /// When the last request that extends the worker's lease was sent.
-  monotonic_time lease_extended_at_{};
+  /// Latest start of a lease that the worker was sent.
+  monotonic_time lease_start_{};
   monotonic_time last_tick_{};
   monotonic_time last_traffic_report_{};
   /// The lease is not extended, so that superseded ends can be confirmed after its expiry.
--- a/include/parsleylead/fleet/fleet_scheduler.hpp
+++ b/include/parsleylead/fleet/fleet_scheduler.hpp
@@ -23,9 +23,11 @@
 
 /// Settings of task placement.
 struct fleet_policy {
-  /// Time since the last frame of a lost agent after which its runs have certainly ended: the
-  /// worker's lease of 1 s, 2 % of clock error and the time needed to stop a run.
-  std::chrono::milliseconds lost_run_wait{1'250};
+  /// Time since the last frame of a lost agent after which its runs have certainly ended, even if
+  /// it still heard this entry until the entry closed the silent link (`link_timing::max_silence`)
+  /// and then ended itself: the worker's lease of 1 s from that moment, 2 % of clock error and the
+  /// time needed to stop a run.
+  std::chrono::milliseconds lost_run_wait{1'600};
   /// A result is late, but still useful, up to this many times the job's objective.
   double late_factor = 3.0;
   /// Network round-trip time to a worker in another availability zone.
--- a/include/parsleylead/fleet/worker_port.hpp
+++ b/include/parsleylead/fleet/worker_port.hpp
@@ -3,10 +3,12 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "absl/status/statusor.h"
+#include "parsleylead/base/time.hpp"
 #include "parsleylead/fleet/run_types.hpp"
 #include "parsleylead/runs/run_table.hpp"
 
@@ -45,14 +47,18 @@
 
   /// Directs all later calls to this incarnation of the worker.
   virtual void attach(const worker_announcement& worker) = 0;
-  virtual void start(const start_order& order, std::function<void(start_answer)> done) = 0;
+  /// Leases are for the whole worker, never shortened, and last for the longest lease from
+  /// `lease_start` on, which may be in the past.
+  virtual void start(const start_order& order, monotonic_time lease_start,
+                     std::function<void(start_answer)> done) = 0;
   /// `done(true)`: the worker is stopping the run or will never start it.
   virtual void stop(const run_id& run, std::function<void(bool)> done) = 0;
   /// Confirms the ends up to number `confirmed_end` and requests the lists. The worker answers at
-  /// the next end or after `wait`, or immediately while there are unconfirmed ends. With `extend`,
-  /// it extends the leases of all runs to the longest lease. Errors: kUnavailable if the worker
-  /// refuses connections; others if its state is unknown.
-  virtual void list_runs(std::uint64_t confirmed_end, bool extend, std::chrono::milliseconds wait,
+  /// the next end or after `wait`, or immediately while there are unconfirmed ends. With
+  /// `lease_start`, the leases of all runs are extended, see `start`. Errors: kUnavailable if the
+  /// worker refuses connections; others if its state is unknown.
+  virtual void list_runs(std::uint64_t confirmed_end, std::optional<monotonic_time> lease_start,
+                         std::chrono::milliseconds wait,
                          std::function<void(absl::StatusOr<run_lists>)> done) = 0;
 };
 
--- a/include/parsleylead/runs/run_table.hpp
+++ b/include/parsleylead/runs/run_table.hpp
@@ -135,6 +135,8 @@
   /// Returns the runs that take much longer than estimated, with their owners.
   std::vector<std::pair<owner_id, slow_run>> slow_runs(monotonic_time now) const;
   std::uint32_t owner_cpu_millis(owner_id owner) const;
+  /// Returns whether runs of the owner have or may have been started and have not ended.
+  bool has_started_runs(owner_id owner) const;
   const resource_needs& committed() const { return committed_; }
   const resource_needs& capacity() const { return capacity_; }
   std::uint32_t queued_cpu_millis() const { return queued_cpu_millis_; }
--- a/src/fleet/fleet_agent.cpp
+++ b/src/fleet/fleet_agent.cpp
@@ -305,7 +305,7 @@
     // A restarted worker with the same id may already execute orders that were sent since its
     // restart. Its next list shows which runs are lost.
     port_.attach(announcement);
-    lease_extended_at_ = now;
+    lease_start_ = now;
     set_worker_suspected(true, "new worker");
   }
   table_.set_capacity(announcement.capacity);
@@ -354,15 +354,16 @@
   // After a failed request the lease is not extended until the worker answers, so that the time at
   // which all runs have certainly ended does not move.
   expire_lease_if_superseded(now);
-  const bool extend = !last_list_failed_ && !awaiting_lease_expiry_;
-  if (extend) {
-    lease_extended_at_ = now;
+  std::optional<monotonic_time> lease_start;
+  if (!last_list_failed_ && !awaiting_lease_expiry_) {
+    lease_start = next_lease_start(now);
+    lease_start_ = std::max(lease_start_, *lease_start);
   }
-  const auto wait = extend ? settings_.list_interval : milliseconds{0};
+  const auto wait = lease_start ? settings_.list_interval : milliseconds{0};
   // After a failed request the worker may have restarted, so that the known end numbers would
   // confirm ends of its new incarnation that were not read yet.
   const auto confirmed = last_list_failed_ ? 0 : table_.confirmable_end();
-  port_.list_runs(confirmed, extend, wait,
+  port_.list_runs(confirmed, lease_start, wait,
                   [this, now, alive = std::weak_ptr<int>(alive_)](absl::StatusOr<run_lists> lists) {
                     if (alive.expired()) {
                       return;
@@ -390,11 +391,22 @@
 }
 
 monotonic_time fleet_agent::lease_end() const {
-  return lease_extended_at_ +
+  return lease_start_ +
          std::chrono::round<milliseconds>(settings_.worker_lease * (1 + worker_clock_error)) +
          worker_stop_time;
 }
 
+monotonic_time fleet_agent::next_lease_start(monotonic_time now) const {
+  auto start = now;
+  for (const auto& [address, peer] : sessions_) {
+    if (peer->owner != 0 && table_.has_started_runs(peer->owner)) {
+      start = std::min(start, peer->link ? std::max(peer->last_heard, peer->link->last_received())
+                                         : peer->last_heard);
+    }
+  }
+  return start;
+}
+
 void fleet_agent::expire_lease_if_superseded(monotonic_time now) {
   if (!table_.has_superseded_end()) {
     awaiting_lease_expiry_ = false;
@@ -419,7 +431,7 @@
     return;
   }
   extra_list_wanted_ = false;
-  port_.list_runs(0, false, milliseconds{0},
+  port_.list_runs(0, std::nullopt, milliseconds{0},
                   [this, now = lease_now(),
                    alive = std::weak_ptr<int>(alive_)](absl::StatusOr<run_lists> lists) {
                     if (alive.expired()) {
@@ -510,8 +522,9 @@
     if (order == nullptr) {
       continue;
     }
-    lease_extended_at_ = now; // A start order extends the leases of all runs on the worker.
-    port_.start(*order, [this, run = call.run, alive](start_answer answer) {
+    const auto lease_start = next_lease_start(now);
+    lease_start_ = std::max(lease_start_, lease_start);
+    port_.start(*order, lease_start, [this, run = call.run, alive](start_answer answer) {
       if (alive.expired()) {
         return;
       }
--- a/src/fleet/fleet_link_test.cpp
+++ b/src/fleet/fleet_link_test.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
@@ -32,8 +33,10 @@
 
   void attach(const worker_announcement&) override {}
 
-  void start(const start_order& order, std::function<void(start_answer)> done) override {
+  void start(const start_order& order, monotonic_time lease_start,
+             std::function<void(start_answer)> done) override {
     ++starts;
+    latest_lease_start = std::max(latest_lease_start, lease_start);
     auto& slot = active_[order.run.task];
     CHECK_MESSAGE(!slot, "two runs of one task at a time");
     slot = std::make_unique<running>(running{order.run, asio::steady_timer(io_, run_time)});
@@ -54,8 +57,9 @@
     post([done = std::move(done)] { done(true); });
   }
 
-  void list_runs(std::uint64_t, bool, milliseconds wait,
+  void list_runs(std::uint64_t, std::optional<monotonic_time> lease_start, milliseconds wait,
                  std::function<void(absl::StatusOr<run_lists>)> done) override {
+    latest_lease_start = std::max(latest_lease_start, lease_start.value_or(monotonic_time{}));
     if (lost_lists > 0) {
       --lost_lists;
       auto timer = std::make_shared<asio::steady_timer>(io_, wait);
@@ -95,6 +99,7 @@
   int stops = 0;
   int lost_lists = 0;
   std::int64_t incarnation = 1;
+  monotonic_time latest_lease_start{};
 
 private:
   struct running {
@@ -224,6 +229,23 @@
   CHECK(fleet.run_until([&] { return fleet.worker.stops == 3; }));
 }
 
+TEST_CASE("an agent does not extend its worker's lease while an owner of its runs is silent") {
+  // Guards against two runs of a task at a time: an entry repeats the runs of a silent agent 1.6 s
+  // after its last frame. If the agent ends meanwhile, before it has stopped them, the worker's
+  // lease of 1 s must not have been extended after that frame. Found by the histories of durable
+  // jobs.
+  small_fleet fleet;
+  fleet.worker.run_time = std::chrono::minutes(1);
+  fleet.entry->submit(make_job(1, 3), [](const job_result&) {});
+  REQUIRE(fleet.run_until([&] { return fleet.worker.starts == 3; }));
+  fleet.run_until([] { return false; }, milliseconds(300));
+  fleet.entry.reset();
+  const auto last_frame = lease_now();
+  REQUIRE(fleet.run_until([&] { return fleet.worker.stops > 0; }));
+  CHECK(fleet.worker.latest_lease_start <= last_frame);
+  CHECK(fleet.run_until([&] { return fleet.worker.latest_lease_start > last_frame; }));
+}
+
 TEST_CASE("agents reconnect to an entry that restarts at its address") {
   small_fleet fleet;
   fleet.entry.reset();
--- a/src/fleet/fleet_scheduler_test.cpp
+++ b/src/fleet/fleet_scheduler_test.cpp
@@ -6,6 +6,8 @@
 #include <set>
 
 #include "../test_support.hpp"
+#include "parsleylead/fleet/fleet_agent.hpp"
+#include "parsleylead/fleet/link_timing.hpp"
 
 namespace parsleylead {
 namespace {
@@ -118,15 +120,30 @@
   const auto starts = fleet.submit(make_job(1, 1));
   REQUIRE(starts.size() == 1);
   fleet.scheduler.session_lost(starts[0].worker, at_ms(10), at_ms(400));
-  fleet.scheduler.tick(at_ms(1'259));
+  const auto certain_end = at_ms(10) + fleet_policy{}.lost_run_wait;
+  fleet.scheduler.tick(certain_end - milliseconds(1));
   CHECK(fleet.scheduler.take_starts().empty());
-  fleet.scheduler.tick(at_ms(1'261));
+  fleet.scheduler.tick(certain_end + milliseconds(1));
   const auto repeated = fleet.scheduler.take_starts();
   REQUIRE(repeated.size() == 1);
   CHECK(repeated[0].worker != starts[0].worker);
   CHECK(repeated[0].order.run.attempt == 2);
 }
 
+TEST_CASE("the wait for lost runs covers an agent that ends after it was cut off") {
+  // Guards against two runs of a task at a time if only the frames of the agent are lost: it hears
+  // the entry until the entry closes the silent link, and extends its worker's lease until then.
+  const link_timing timing;
+  const fleet_agent_settings agent;
+  constexpr milliseconds stop_time{60};
+  constexpr double clock_error = 1.02;
+  CHECK(fleet_policy{}.lost_run_wait >=
+        timing.max_silence + timing.tick_interval + agent.worker_lease * clock_error + stop_time);
+  // An agent that does not end stops the runs itself.
+  CHECK(fleet_policy{}.lost_run_wait >=
+        timing.max_silence + timing.tick_interval + timing.owner_lease + stop_time);
+}
+
 TEST_CASE("a session that is resumed in time keeps its runs") {
   fixture fleet(2);
   const auto starts = fleet.submit(make_job(1, 1));
@@ -146,9 +163,10 @@
   fleet.scheduler.session_lost(starts[0].worker, at_ms(10), at_ms(20));
   fleet.scheduler.session_opened(starts[0].worker, false, at_ms(200));
   fleet.scheduler.worker_reported(starts[0].worker, idle_worker(), at_ms(200));
-  fleet.scheduler.tick(at_ms(1'250));
+  const auto certain_end = at_ms(10) + fleet_policy{}.lost_run_wait;
+  fleet.scheduler.tick(certain_end - milliseconds(1));
   CHECK(fleet.scheduler.take_starts().empty());
-  fleet.scheduler.tick(at_ms(1'270));
+  fleet.scheduler.tick(certain_end + milliseconds(1));
   CHECK(fleet.scheduler.take_starts().size() == 1);
 }
 
--- a/src/runs/run_table.cpp
+++ b/src/runs/run_table.cpp
@@ -505,6 +505,12 @@
   return slow;
 }
 
+bool run_table::has_started_runs(owner_id owner) const {
+  return std::any_of(runs_.begin(), runs_.end(), [owner](const auto& each) {
+    return each.second.owner == owner && each.second.current_state != state::waiting;
+  });
+}
+
 std::uint32_t run_table::owner_cpu_millis(owner_id owner) const {
   std::uint32_t sum = 0;
   for (const auto& [key, candidate] : runs_) {
