Mark the change of a restart epoch by its kind, not by a job id

Found by reading the diff: the id 0 stood for the change that stores the restart epoch, but callers choose ids, so a job with the id 0 would have been accepted and never stored. Changes have a kind now, and the rule for superseded ends is a function of its own.

Test: durable_jobs_test "a job whose id is zero is stored like any other".

--- a/include/parsleylead/durable/durable_jobs.hpp
+++ b/include/parsleylead/durable/durable_jobs.hpp
@@ -162,6 +162,8 @@
   void start_restored_jobs(partition_state& partition);
   void start_job(partition_state& partition, durable_job& job);
 
+  static bool is_superseded(const partition_state& partition, const durable_job& job,
+                            const run_end& end, bool is_current);
   void close_job(partition_state& partition, std::uint64_t id);
   void queue_change(partition_state& partition, store_change change, monotonic_time now,
                     std::chrono::milliseconds delay = {});
--- a/src/durable/durable_appends.cpp
+++ b/src/durable/durable_appends.cpp
@@ -51,7 +51,7 @@
       partition.changes.pop_front();
     }
     for (const auto& change : partition.sent_changes) {
-      if (change.job == 0) {
+      if (change.change_kind == store_change::kind::restart_epoch) {
         partition.sent_records.push_back(
             {owner_key, write_owner(partition.owner_record(settings_.member, false))});
         continue;
@@ -179,7 +179,7 @@
 void durable_jobs::append_refused(partition_state& partition) {
   std::vector<store_change> refused;
   for (auto& change : partition.sent_changes) {
-    if (change.is_submission) {
+    if (change.change_kind == store_change::kind::submission) {
       refused.push_back(std::move(change));
     } else {
       partition.changes.push_front(std::move(change));
@@ -199,7 +199,8 @@
     std::vector<store_change> expired_changes;
     std::deque<store_change> remaining;
     for (auto& change : partition->changes) {
-      const bool expired = change.is_submission && now - change.queued > settings_.store_timeout;
+      const bool expired = change.change_kind == store_change::kind::submission &&
+                           now - change.queued > settings_.store_timeout;
       (expired ? expired_changes.emplace_back() : remaining.emplace_back()) = std::move(change);
     }
     partition->changes = std::move(remaining);
@@ -221,7 +222,7 @@
     partition.ended.pop_front();
     partition.jobs.at(id).forgotten = true;
     queue_change(partition,
-                 {id, false, now, now,
+                 {store_change::kind::job, id, now, now,
                   [this, id](bool) {
                     if (auto* current = find_partition(id)) {
                       current->jobs.erase(id);
--- a/src/durable/durable_calls.cpp
+++ b/src/durable/durable_calls.cpp
@@ -20,6 +20,11 @@
 constexpr milliseconds holders_refresh_age{1'000};
 constexpr milliseconds max_holders_age{30'000};
 
+/// Returns the epoch whose owner used the attempt.
+std::uint64_t epoch_of_attempt(const durable_record& record, std::uint32_t attempt) {
+  return record.first_epoch + (attempt > 0 ? attempt - 1 : 0) / attempts_per_epoch;
+}
+
 } // namespace
 
 const char* to_string(durable_answer answer) {
@@ -82,7 +87,7 @@
   added_job.record.first_epoch = partition->epoch;
   added_job.record.progress = empty_progress(added_job.record.job);
   queue_change(*partition,
-               {id, true, now, now,
+               {store_change::kind::submission, id, now, now,
                 [this, id](bool stored) {
                   auto* current = find_writable(id);
                   if (current == nullptr) {
@@ -138,7 +143,7 @@
     job.pending_verdict = job_verdict::cancelled;
   }
   queue_change(*partition,
-               {id, false, now, now,
+               {store_change::kind::job, id, now, now,
                 [this, id, waiting](bool) {
                   if (auto* current = find_writable(id)) {
                     close_job(*current, id);
@@ -193,6 +198,27 @@
   return begun ? durable_answer::running : durable_answer::pending;
 }
 
+/// Returns whether the end's task was started again before the end was known, because its agent
+/// could not be reached.
+bool durable_jobs::is_superseded(const partition_state& partition, const durable_job& job,
+                                 const run_end& end, bool is_current) {
+  const auto attempt = end.run.attempt;
+  const auto& task = job.record.progress[end.run.task.step][end.run.task.index];
+  const bool done = end.outcome == run_outcome::done;
+  if (attempt <= task.ended_attempt) {
+    return done && attempt < task.ended_attempt;
+  }
+  if (job.record.ended) {
+    return false;
+  }
+  // Stored losses and the restart epoch tell of the starts of earlier owners.
+  if (attempt <= task.lost_attempt ||
+      epoch_of_attempt(job.record, attempt) < partition.restart_epoch) {
+    return true;
+  }
+  return done && !task.done && job.running && !is_current;
+}
+
 void durable_jobs::run_ended(worker_index worker, const run_end& end, bool is_current,
                              monotonic_time now) {
   now_ = now;
@@ -210,24 +236,14 @@
   auto& job = found->second;
   auto& task = job.record.progress[end.run.task.step][end.run.task.index];
   const bool done = end.outcome == run_outcome::done;
-  const bool is_open = !job.record.ended && !task.done;
-  const bool is_new = end.run.attempt > task.ended_attempt;
-  const auto epoch = job.record.first_epoch +
-                     (end.run.attempt - std::min(end.run.attempt, 1U)) / attempts_per_epoch;
-  // The task was started again before this end was known, because its agent was unreachable. Stored
-  // losses and the restart epoch tell of the starts of earlier owners.
-  const bool superseded =
-      (done && (!is_new || (is_open && job.running && !is_current)) &&
-       end.run.attempt != task.ended_attempt) ||
-      (is_new && !job.record.ended &&
-       (end.run.attempt <= task.lost_attempt || epoch < partition->restart_epoch));
+  const bool superseded = is_superseded(*partition, job, end, is_current);
   if (superseded || job.record.ended) {
     events_.write("end_after_restart", "run", format_run(end.run), "outcome",
                   to_string(end.outcome), "superseded", superseded);
     port_.acknowledge_end(worker, {end.run, superseded});
     return;
   }
-  if (is_open && end.run.attempt > task.ended_attempt && (is_current || !job.running)) {
+  if (!task.done && end.run.attempt > task.ended_attempt && (is_current || !job.running)) {
     task.ended_attempt = end.run.attempt;
     task.done = done;
     task.failures += done ? 0 : 1;
@@ -235,7 +251,7 @@
   // An end that was applied before is stored or queued. Changes of a partition are stored in order,
   // so the acknowledgement below is sent after that.
   queue_change(*partition,
-               {id, false, now, now,
+               {store_change::kind::job, id, now, now,
                 [this, worker, run = end.run](bool) {
                   port_.acknowledge_end(worker, {run, false});
                 }},
@@ -253,7 +269,7 @@
   task.lost_attempt = std::max(task.lost_attempt, run.attempt);
   events_.write("run_lost", "run", format_run(run), "epoch", partition->epoch);
   queue_change(*partition,
-               {run.task.job, false, now, now,
+               {store_change::kind::job, run.task.job, now, now,
                 [this, run](bool) {
                   if (find_partition(run.task.job) != nullptr) {
                     port_.restart_task(run);
@@ -279,7 +295,7 @@
   }
   job.pending_verdict = result.verdict;
   queue_change(*partition,
-               {result.id, false, now, now,
+               {store_change::kind::job, result.id, now, now,
                 [this, id = result.id](bool) {
                   if (auto* current = find_writable(id)) {
                     close_job(*current, id);
--- a/src/durable/durable_jobs.cpp
+++ b/src/durable/durable_jobs.cpp
@@ -393,7 +393,7 @@
   // started again in this epoch.
   partition.restart_epoch = partition.epoch;
   queue_change(partition,
-               {0, false, now, now,
+               {store_change::kind::restart_epoch, 0, now, now,
                 [this, number = partition.number, serial = partition.serial](bool) {
                   auto* current = find_by_serial(number, serial);
                   if (current != nullptr &&
--- a/src/durable/durable_jobs_test.cpp
+++ b/src/durable/durable_jobs_test.cpp
@@ -140,6 +140,12 @@
   CHECK(one.port.running.size() == 1);
 }
 
+TEST_CASE_FIXTURE(first_owner, "a job whose id is zero is stored like any other") {
+  // Guards against an acceptance that was never stored, because the id stands for something else.
+  CHECK(one.submit(make_job(0)) == durable_answer::accepted);
+  CHECK(log.newest().contains(submission_key(0)));
+}
+
 TEST_CASE_FIXTURE(first_owner,
                   "a job that the store did not take is refused, and never stored later") {
   // Guards against running a job after its refusal.
--- a/src/durable/durable_state.hpp
+++ b/src/durable/durable_state.hpp
@@ -45,9 +45,10 @@
 };
 
 struct durable_jobs::store_change {
-  /// 0 if the change is the partition's `restart_epoch`.
+  enum class kind : std::uint8_t { job, submission, restart_epoch };
+  kind change_kind = kind::job;
+  /// Not used for `restart_epoch`.
   std::uint64_t job = 0;
-  bool is_submission = false;
   monotonic_time queued{};
   /// Latest time at which the change is sent; it may be sent earlier together with others.
   monotonic_time due{};
