--- a/src/durable/durable_histories_test.cpp
+++ b/src/durable/durable_histories_test.cpp
@@ -297,7 +297,7 @@
     }
     for (const auto& other : runs) {
       if (other.id.task == id.task && other.current_state == model_run::state::active) {
-        violations.push_back("two runs of a task at a time");
+        violations.emplace_back("two runs of a task at a time");
       }
     }
     model_run run;
