Close sessions and links beyond their maximum

Cause: every process connects to the seeds first, and to other entries while one restarts, and kept those links for good.

Change: an agent reports a session beyond its maximum as not accepting, and closes it when the entry knows and has no runs there; an entry closes links that it opened beyond its maximum.

Tests: member_dialer_test and fleet_link_test; both were written with the change.

--- a/include/parsleylead/fleet/fleet_agent.hpp
+++ b/include/parsleylead/fleet/fleet_agent.hpp
@@ -82,6 +82,9 @@
   void hello_received(session& from, const session_hello& hello);
   void session_closed(session& from, const std::string& cause);
   void check_sessions(monotonic_time now);
+  /// Closes sessions beyond the maximum, once their entries have no runs here and know that they
+  /// get no more.
+  void close_surplus_sessions(monotonic_time now);
 
   /// Incarnations are times of day, which may have been set back between two of them. Returns
   /// whether an announcement of an earlier one can be of a worker that has restarted since.
@@ -144,6 +147,7 @@
   monotonic_time lease_start_{};
   monotonic_time last_tick_{};
   monotonic_time last_traffic_report_{};
+  monotonic_time last_surplus_check_{};
   /// The lease is not extended, so that superseded ends can be confirmed after its expiry.
   bool awaiting_lease_expiry_ = false;
   bool status_dirty_ = false;
--- a/include/parsleylead/fleet/fleet_entry.hpp
+++ b/include/parsleylead/fleet/fleet_entry.hpp
@@ -110,6 +110,7 @@
   void log_lasting_backlog(monotonic_time now);
   void gossip(monotonic_time now);
   void request_newer_routes(monotonic_time now);
+  void close_surplus_links(monotonic_time now);
   void announce_routes();
   fleet_frame member_frame() const;
   void send(session& to, const fleet_frame& frame);
@@ -142,6 +143,7 @@
   monotonic_time last_tick_{};
   monotonic_time last_gossip_{};
   monotonic_time last_traffic_report_{};
+  monotonic_time last_surplus_check_{};
   monotonic_time backlog_since_{};
   /// Entries that have connected since the last frame with `members` to all sessions.
   std::vector<fleet_member> news_;
--- a/include/parsleylead/fleet/link_timing.hpp
+++ b/include/parsleylead/fleet/link_timing.hpp
@@ -40,6 +40,9 @@
   std::chrono::milliseconds status_interval{40};
   /// Interval of the log lines about the traffic on all links of a process.
   std::chrono::milliseconds traffic_report_interval{10'000};
+  /// Interval of the checks for links beyond the maximum. An agent that closes such a link reports
+  /// itself as not accepting for at least as long before, so that no order is on its way.
+  std::chrono::milliseconds surplus_check_interval{500};
   /// An entry that has been unreachable for this long is removed from the known members.
   std::chrono::milliseconds member_expiry{30'000};
 };
--- a/include/parsleylead/fleet/member_dialer.hpp
+++ b/include/parsleylead/fleet/member_dialer.hpp
@@ -36,6 +36,11 @@
   /// unless it ended before `confirm`.
   void lost(const std::string& address, monotonic_time now);
 
+  /// Returns the addresses of the least preferred links beyond `max_links`, which come from
+  /// connecting to seeds and to replacements of entries that have returned. The caller closes them
+  /// and reports each with `lost`.
+  std::vector<std::string> surplus();
+
   /// Returns the members with a link whose name is known.
   std::vector<fleet_member> linked_members() const;
   std::size_t links() const;
--- a/src/fleet/fleet_agent.cpp
+++ b/src/fleet/fleet_agent.cpp
@@ -47,6 +47,9 @@
   monotonic_time last_heard{};
   monotonic_time status_sent{};
   bool status_due = false;
+  /// The session is beyond the maximum and will be closed. When the entry was told that the worker
+  /// accepts no more of its orders.
+  std::optional<monotonic_time> closing_since;
   std::optional<worker_status> sent_status;
   fleet_frame outgoing;
 };
@@ -91,6 +94,10 @@
   }
   last_tick_ = now;
   check_sessions(now);
+  if (now - last_surplus_check_ >= settings_.timing.surplus_check_interval) {
+    last_surplus_check_ = now;
+    close_surplus_sessions(now);
+  }
   // Any entry may own the partitions of unclaimed ends, so connect to all of them.
   dialer_.set_max_links(table_.has_unclaimed_end() ? dialer_.known() : settings_.max_sessions);
   for (const auto& address : dialer_.due(now)) {
@@ -131,6 +138,34 @@
   }
 }
 
+void fleet_agent::close_surplus_sessions(monotonic_time now) {
+  const auto surplus = dialer_.surplus();
+  for (auto& [address, peer] : sessions_) {
+    if (!peer->link || !peer->established) {
+      continue;
+    }
+    if (std::find(surplus.begin(), surplus.end(), address) == surplus.end()) {
+      peer->status_due = peer->status_due || peer->closing_since.has_value();
+      peer->closing_since.reset();
+      continue;
+    }
+    if (!peer->closing_since) {
+      peer->closing_since = now;
+      peer->status_due = true;
+      continue;
+    }
+    const bool entry_knows = peer->link->last_received() >
+                             *peer->closing_since + settings_.timing.surplus_check_interval / 2;
+    // Held ends may have to be reported to any entry.
+    if (entry_knows && table_.owner_cpu_millis(peer->owner) == 0 &&
+        !table_.has_started_runs(peer->owner) && !table_.has_held_ends()) {
+      const auto link = peer->link;
+      session_closed(*peer, "more sessions than needed");
+      link->close();
+    }
+  }
+}
+
 void fleet_agent::dial(const std::string& address) {
   connect_frame_link(io_, address, settings_.timing.connect_timeout,
                      [this, address, alive = std::weak_ptr<int>(alive_)](
@@ -194,6 +229,7 @@
   from.lease_expired = false;
   from.last_heard = lease_now();
   from.status_due = true;
+  from.closing_since.reset();
   from.status_sent = {};
   from.sent_status.reset();
   log_.write("session_opened", "entry", from.entry, "incarnation", from.incarnation, "address",
@@ -561,7 +597,7 @@
   if (!worker_) {
     return status;
   }
-  status.accepting = !leaving_ && !worker_->draining;
+  status.accepting = !leaving_ && !worker_->draining && !to.closing_since;
   status.description = {worker_->id, worker_->service, worker_->rack, worker_->labels,
                         table_.capacity()};
   status.committed = table_.committed();
--- a/src/fleet/fleet_entry.cpp
+++ b/src/fleet/fleet_entry.cpp
@@ -156,6 +156,7 @@
   for (const auto& address : dialer_.due(now)) {
     dial(address);
   }
+  close_surplus_links(now);
   gossip(now);
   request_newer_routes(now);
   scheduler_.tick(now);
@@ -246,6 +247,21 @@
   }
 }
 
+void fleet_entry::close_surplus_links(monotonic_time now) {
+  if (now - last_surplus_check_ < settings_.timing.surplus_check_interval) {
+    return;
+  }
+  last_surplus_check_ = now;
+  const auto surplus = dialer_.surplus();
+  const auto open_sessions = sessions_;
+  for (const auto& peer : open_sessions) {
+    if (std::find(surplus.begin(), surplus.end(), peer->dialled) != surplus.end()) {
+      peer->link->close();
+      session_closed(peer, "more links than needed");
+    }
+  }
+}
+
 void fleet_entry::request_newer_routes(monotonic_time now) {
   const auto newest =
       std::max_element(sessions_.begin(), sessions_.end(), [](const auto& a, const auto& b) {
--- a/src/fleet/fleet_link_test.cpp
+++ b/src/fleet/fleet_link_test.cpp
@@ -362,6 +362,50 @@
   CHECK(fleet.run_until(used));
 }
 
+TEST_CASE("an agent closes sessions that it does not need, and no job is lost by it") {
+  // Guards against entries whose sessions grow with the site: all 240 agents of a site stayed
+  // linked to its seeds and to each entry that had stood in for another one.
+  small_fleet fleet;
+  fleet.agent.reset();
+  std::vector<std::unique_ptr<fleet_entry>> others;
+  std::vector<fleet_member> seeds{{"", 0, to_string(fleet.address), ""}};
+  for (int i = 0; i < 3; ++i) {
+    fleet_entry_settings settings;
+    settings.name = "other-" + std::to_string(i);
+    settings.incarnation = 10 + static_cast<std::uint64_t>(i);
+    settings.availability_zone = "near";
+    settings.listen = free_address(fleet.io);
+    others.push_back(std::make_unique<fleet_entry>(fleet.io, settings, fleet.log, fleet.metrics,
+                                                   [](const route_update&) {}));
+    REQUIRE(others.back()->start().ok());
+    seeds.push_back({"", 0, to_string(settings.listen), ""});
+  }
+  fleet_agent_settings settings;
+  settings.name = "agent";
+  settings.incarnation = 6;
+  settings.availability_zone = "near";
+  settings.max_sessions = 1;
+  fleet.agent.emplace(fleet.io, settings, fleet.worker, fleet.log, fleet.metrics);
+  fleet.agent->add_members({seeds[0]});
+  fleet.agent->start();
+  fleet.agent->worker_announced(announcement());
+  REQUIRE(fleet.run_until([&] { return fleet.entry->has_worker(); }));
+  // A long job of the first entry, whose session is beyond the maximum once a near one is linked.
+  fleet.worker.run_time = milliseconds(1'200);
+  std::optional<job_result> result;
+  fleet.entry->submit(make_job(1, 2), [&](const job_result& got) { result = got; });
+  REQUIRE(fleet.run_until([&] { return fleet.worker.starts == 2; }));
+  fleet.agent->add_members(
+      {{"other-0", 10, seeds[1].address, "near"}, {"other-1", 11, seeds[2].address, "near"}});
+  REQUIRE(fleet.run_until([&] { return !fleet.entry->has_worker(); }));
+  CHECK(fleet.agent->sessions() >= 2);
+  REQUIRE(fleet.run_until([&] { return result.has_value(); }));
+  CHECK(result->verdict == job_verdict::completed);
+  CHECK(fleet.worker.starts == 2);
+  CHECK(fleet.run_until([&] { return fleet.agent->sessions() == 1; }));
+  CHECK(fleet.log.buffered().find("more sessions than needed") != std::string::npos);
+}
+
 TEST_CASE("agents learn of a new entry as soon as another entry has a link to it") {
   // Guards against a new entry that has no workers while agents do not read the store. Found on a
   // randomised day of the users' test bench on which entries were added.
--- a/src/fleet/member_dialer.cpp
+++ b/src/fleet/member_dialer.cpp
@@ -126,6 +126,17 @@
       std::clamp(known.backoff * 2, timing_.reconnect_delay, timing_.max_reconnect_delay);
 }
 
+std::vector<std::string> member_dialer::surplus() {
+  std::vector<std::string> addresses;
+  std::size_t kept = 0;
+  for (const auto* each : by_preference()) {
+    if (each->linked && each->greeted && ++kept > max_links_) {
+      addresses.push_back(each->member.address);
+    }
+  }
+  return addresses;
+}
+
 std::vector<fleet_member> member_dialer::linked_members() const {
   std::vector<fleet_member> linked;
   for (const auto& [address, known] : members_) {
--- a/src/fleet/member_dialer_test.cpp
+++ b/src/fleet/member_dialer_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 #include "../test_support.hpp"
 
 namespace parsleylead {
@@ -128,6 +130,35 @@
   CHECK(others == 2);
 }
 
+TEST_CASE("links beyond the maximum are named, the least preferred ones") {
+  // Guards against links that accumulate: to the seeds, which every process connects to first, and
+  // to entries that stood in for others during a restart in turn.
+  member_dialer dialer({}, "agent", "a", "", 2);
+  dialer.learn({member(1, "b"), member(2, "b")}, at_ms(0));
+  REQUIRE(dialer.due(at_ms(0)).size() == 2);
+  for (const int number : {1, 2}) {
+    dialer.linked(member(number).address, at_ms(1));
+    dialer.confirm(member(number, "b"), at_ms(1));
+  }
+  CHECK(dialer.surplus().empty());
+  dialer.learn({member(3, "a"), member(4, "a")}, at_ms(2));
+  REQUIRE(dialer.due(at_ms(2)).size() == 2);
+  dialer.linked(member(3).address, at_ms(3));
+  CHECK(dialer.surplus().empty()); // The new link may still fail.
+  dialer.confirm(member(3, "a"), at_ms(4));
+  REQUIRE(dialer.surplus().size() == 1);
+  dialer.linked(member(4).address, at_ms(5));
+  dialer.confirm(member(4, "a"), at_ms(5));
+  auto surplus = dialer.surplus();
+  std::sort(surplus.begin(), surplus.end());
+  CHECK(surplus == std::vector<std::string>{member(1).address, member(2).address});
+  for (const auto& address : surplus) {
+    dialer.lost(address, at_ms(6));
+  }
+  CHECK(dialer.due(at_ms(5'000)).empty());
+  CHECK(dialer.surplus().empty());
+}
+
 TEST_CASE("an entry that stays unreachable is removed") {
   member_dialer dialer({}, "agent", "a", "", 2);
   dialer.learn({member(1)}, at_ms(0));
