Keep idle connections of callers open while an entry stops

Callers saw requests that ended without an answer around planned restarts. An entry closed its idle connections as soon as it got SIGTERM. A request that had been sent on one of them, and was still on its way or unread in the socket's buffer, was reset with it. The process also exited without regard to responses that were not written completely, and to requests that waited for the store or for another entry.

Idle connections now stay open and are closed after their next response.

With the earlier behaviour put back, "a closing server answers a request that was sent on an idle connection" and "a server that stops listening answers the connections that wait to be accepted" fail (4 assertions).

--- a/include/parsleylead/web/web_server.hpp
+++ b/include/parsleylead/web/web_server.hpp
@@ -53,13 +53,22 @@
   /// Listens at the address; may be called for several addresses. Errors: kUnavailable.
   absl::Status listen(const endpoint& address);
 
-  /// Closes idle connections, and the others after their next response. New connections are still
-  /// accepted, so that a client that was already directed here gets an answer.
+  /// Closes each connection after its next response. Idle connections stay open until then, because
+  /// a request may be on its way. New connections are still accepted, so that a client that was
+  /// already directed here gets an answer.
   void close_after_response();
 
+  /// Closes the listening sockets, so that new connections are refused and can be opened elsewhere.
+  /// Open connections are not affected.
+  void stop_listening();
+
   /// Number of open connections.
   std::size_t connections() const;
 
+  /// Number of connections on which a request is being received, or whose response has not been
+  /// written completely.
+  std::size_t open_requests() const;
+
 private:
   class state;
   class connection;
--- a/src/web/web_server.cpp
+++ b/src/web/web_server.cpp
@@ -1,5 +1,6 @@
 #include "parsleylead/web/web_server.hpp"
 
+#include <algorithm>
 #include <array>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
@@ -37,8 +38,9 @@
 
   absl::Status listen(const endpoint& address);
   void accept(tcp::acceptor& acceptor);
+  void add_connection(tcp::socket socket);
   void close_timed_out_connections();
-  void close_after_response();
+  void stop_listening();
   void stop();
 
   asio::io_context& io;
@@ -48,6 +50,7 @@
   std::vector<std::unique_ptr<tcp::acceptor>> acceptors;
   std::unordered_set<std::shared_ptr<connection>> connections;
   bool closing = false;
+  bool listening = true;
   bool stopped = false;
 };
 
@@ -203,29 +206,34 @@
 void web_server::state::accept(tcp::acceptor& acceptor) {
   acceptor.async_accept(
       [self = shared_from_this(), &acceptor](const asio::error_code& error, tcp::socket socket) {
-        if (self->stopped) {
+        if (!self->listening) {
           return;
         }
         if (error) {
           auto timer = std::make_shared<asio::steady_timer>(self->io, accept_retry_delay);
           timer->async_wait([self, &acceptor, timer](const asio::error_code&) {
-            if (!self->stopped) {
+            if (self->listening) {
               self->accept(acceptor);
             }
           });
           return;
         }
-        if (self->connections.size() < self->limits.max_connections) {
-          asio::error_code ignored; // Failure only costs latency.
-          socket.set_option(tcp::no_delay(true), ignored);
-          auto accepted = std::make_shared<connection>(self, std::move(socket));
-          self->connections.insert(accepted);
-          accepted->read();
-        }
+        self->add_connection(std::move(socket));
         self->accept(acceptor);
       });
 }
 
+void web_server::state::add_connection(tcp::socket socket) {
+  if (connections.size() >= limits.max_connections) {
+    return;
+  }
+  asio::error_code ignored; // Failure only costs latency.
+  socket.set_option(tcp::no_delay(true), ignored);
+  auto accepted = std::make_shared<connection>(shared_from_this(), std::move(socket));
+  connections.insert(accepted);
+  accepted->read();
+}
+
 void web_server::state::close_timed_out_connections() {
   timeout_timer.expires_after(timeout_check_interval);
   timeout_timer.async_wait([self = shared_from_this()](const asio::error_code& error) {
@@ -244,23 +252,28 @@
   });
 }
 
-void web_server::state::close_after_response() {
-  closing = true;
-  const std::vector<std::shared_ptr<connection>> open_connections(connections.begin(),
-                                                                  connections.end());
-  for (const auto& open_connection : open_connections) {
-    if (open_connection->idle()) {
-      open_connection->close();
+void web_server::state::stop_listening() {
+  if (!std::exchange(listening, false)) {
+    return;
+  }
+  for (auto& acceptor : acceptors) {
+    // Closing the socket resets the connections that wait to be accepted, whose clients may have
+    // sent their requests.
+    asio::error_code error;
+    acceptor->non_blocking(true, error);
+    while (!error && !stopped) {
+      auto socket = acceptor->accept(error);
+      if (!error) {
+        add_connection(std::move(socket));
+      }
     }
+    acceptor->close(error);
   }
 }
 
 void web_server::state::stop() {
   stopped = true;
-  asio::error_code ignored; // The sockets are discarded in either case.
-  for (auto& acceptor : acceptors) {
-    acceptor->close(ignored);
-  }
+  stop_listening();
   timeout_timer.cancel();
   const std::vector<std::shared_ptr<connection>> open_connections(connections.begin(),
                                                                   connections.end());
@@ -281,11 +294,21 @@
 }
 
 void web_server::close_after_response() {
-  state_->close_after_response();
+  state_->closing = true;
+}
+
+void web_server::stop_listening() {
+  state_->stop_listening();
 }
 
 std::size_t web_server::connections() const {
   return state_->connections.size();
 }
 
+std::size_t web_server::open_requests() const {
+  return static_cast<std::size_t>(std::count_if(state_->connections.begin(),
+                                                state_->connections.end(),
+                                                [](const auto& each) { return !each->idle(); }));
+}
+
 } // namespace parsleylead
--- a/src/web/web_test.cpp
+++ b/src/web/web_test.cpp
@@ -164,5 +164,106 @@
   CHECK(response.ends_with("whole"));
 }
 
+/// A client's end of a connection that stays open between requests.
+struct kept_connection {
+  kept_connection(asio::io_context& loop, const endpoint& address) : io(loop), socket(loop) {
+    socket.connect({asio::ip::make_address(address.ip), address.port});
+  }
+
+  /// Sends a request and returns what is received until its response has arrived or the connection
+  /// ends.
+  std::string call(const std::string& target) {
+    send(target);
+    return receive();
+  }
+
+  void send(const std::string& target) {
+    asio::write(socket, asio::buffer("GET " + target + " HTTP/1.1\r\nhost: a\r\n\r\n"));
+  }
+
+  std::string receive() {
+    std::string received(4'096, '\0');
+    bool ended = false;
+    std::size_t count = 0;
+    socket.async_read_some(asio::buffer(received),
+                           [&](const asio::error_code&, std::size_t bytes_read) {
+                             count = bytes_read;
+                             ended = true;
+                           });
+    const auto limit = std::chrono::steady_clock::now() + test_limit;
+    while (!ended && std::chrono::steady_clock::now() < limit) {
+      io.run_one_for(milliseconds(20));
+    }
+    received.resize(count);
+    return received;
+  }
+
+  asio::io_context& io;
+  tcp::socket socket;
+};
+
+TEST_CASE("a closing server answers a request that was sent on an idle connection") {
+  // Guards against requests that end without an answer because they arrive as the server closes
+  // idle connections.
+  asio::io_context io;
+  const auto address = free_address(io);
+  web_server server(io, {}, [](const std::shared_ptr<web_exchange>& exchange) {
+    exchange->respond({200, {}, "whole"});
+  });
+  REQUIRE(server.listen(address).ok());
+  kept_connection client(io, address);
+  REQUIRE(client.call("/").ends_with("whole"));
+  client.send("/"); // Received by the kernel, but not read yet.
+  server.close_after_response();
+  server.stop_listening();
+  const auto response = client.receive();
+  CHECK(response.find("connection: close") != std::string::npos);
+  CHECK(response.ends_with("whole"));
+}
+
+TEST_CASE("a server that stops listening answers the connections that wait to be accepted") {
+  // Guards against resetting connections that clients have opened already.
+  asio::io_context io;
+  const auto address = free_address(io);
+  web_server server(io, {}, [](const std::shared_ptr<web_exchange>& exchange) {
+    exchange->respond({200, {}, "whole"});
+  });
+  REQUIRE(server.listen(address).ok());
+  kept_connection first(io, address);
+  kept_connection second(io, address);
+  first.send("/");
+  second.send("/");
+  server.stop_listening();
+  CHECK(first.receive().ends_with("whole"));
+  CHECK(second.receive().ends_with("whole"));
+  tcp::socket late(io);
+  asio::error_code refused;
+  late.connect({asio::ip::make_address(address.ip), address.port}, refused);
+  CHECK(refused == asio::error::connection_refused);
+}
+
+TEST_CASE("a response that is not written yet counts as an open request") {
+  // Guards against a process that exits before its last responses are sent.
+  asio::io_context io;
+  const auto address = free_address(io);
+  const std::string body(std::size_t{8} * 1'024 * 1'024, 'x');
+  web_server server(io, {}, [&](const std::shared_ptr<web_exchange>& exchange) {
+    exchange->respond({200, {}, body});
+  });
+  REQUIRE(server.listen(address).ok());
+  kept_connection client(io, address);
+  CHECK(server.open_requests() == 0);
+  std::size_t received = client.call("/").size();
+  CHECK(server.open_requests() == 1);
+  while (received < body.size()) {
+    const auto more = client.receive().size();
+    REQUIRE(more > 0);
+    received += more;
+  }
+  while (server.open_requests() > 0 && io.run_one_for(test_limit) > 0) {
+  }
+  CHECK(server.open_requests() == 0);
+}
+
 } // namespace
 } // namespace parsleylead
