--- a/include/parsleylead/fleet/fleet_job.hpp
+++ b/include/parsleylead/fleet/fleet_job.hpp
@@ -68,6 +68,10 @@
   std::vector<std::vector<task_progress>> progress;
 };
 
+/// Returns the estimated time of the longest chain of dependent steps. Precondition: each step
+/// depends on earlier ones only.
+std::chrono::milliseconds critical_path(const std::vector<job_step>& steps);
+
 /// A job in memory. Without `ownership` it is not stored anywhere: its callers get the result when
 /// it ends.
 struct fleet_job {
--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -120,14 +120,8 @@
   open_job.arrived = now;
   open_job.deadline = spec.ownership ? monotonic_time::max() : now + spec.answer_timeout;
   open_job.spec = std::move(spec);
-  std::vector<milliseconds> path_lengths;
+  open_job.critical_path = critical_path(open_job.spec.steps);
   for (const auto& step : open_job.spec.steps) {
-    milliseconds before{0};
-    for (const auto earlier : step.depends_on) {
-      before = std::max(before, path_lengths.at(earlier));
-    }
-    path_lengths.push_back(before + step.estimate);
-    open_job.critical_path = std::max(open_job.critical_path, path_lengths.back());
     open_job.tasks.emplace_back(step.count);
     open_job.remaining_tasks.push_back(step.count);
     open_job.result.tasks += step.count;
