--- a/include/parsleylead/web/web_server.hpp
+++ b/include/parsleylead/web/web_server.hpp
@@ -21,10 +21,15 @@
   /// Sends the response. Only the first call has an effect.
   virtual void respond(web_response response) = 0;
 
+  /// Sends the response instead of that of the work which was begun for the request: the handler of
+  /// `on_abandoned` is called to end that work. Has no effect after `respond`.
+  virtual void reject(web_response response) = 0;
+
   /// Closes the connection without a response.
   virtual void abort() = 0;
 
-  /// `handler` is called once if the client closes the connection before the response is sent.
+  /// `handler` is called once if the client closes the connection before the response is sent, or
+  /// if the request is rejected.
   virtual void on_abandoned(std::function<void()> handler) = 0;
 };
 
--- a/src/web/web_server.cpp
+++ b/src/web/web_server.cpp
@@ -90,6 +90,16 @@
                       });
   }
 
+  void reject(web_response response) override {
+    if (!busy_ || responded_ || closed_) {
+      return;
+    }
+    if (const auto abandoned = std::exchange(on_abandoned_, nullptr)) {
+      abandoned();
+    }
+    respond(std::move(response));
+  }
+
   void abort() override { close(); }
 
   void on_abandoned(std::function<void()> handler) override { on_abandoned_ = std::move(handler); }
--- a/src/web/web_test.cpp
+++ b/src/web/web_test.cpp
@@ -242,6 +242,28 @@
   CHECK(refused == asio::error::connection_refused);
 }
 
+TEST_CASE("rejected requests get the response, and the work that they caused ends") {
+  asio::io_context io;
+  const auto address = free_address(io);
+  std::vector<std::shared_ptr<web_exchange>> pending_exchanges;
+  int abandoned = 0;
+  web_server server(io, {}, [&](const std::shared_ptr<web_exchange>& exchange) {
+    exchange->on_abandoned([&] { ++abandoned; });
+    pending_exchanges.push_back(exchange);
+  });
+  REQUIRE(server.listen(address).ok());
+  kept_connection client(io, address);
+  client.send("/");
+  while (pending_exchanges.empty()) {
+    io.run_one_for(milliseconds(20));
+  }
+  CHECK(server.open_requests() == 1);
+  pending_exchanges[0]->reject({504, {}, "unknown"});
+  CHECK(abandoned == 1);
+  pending_exchanges[0]->respond({200, {}, "late"}); // Must have no effect.
+  CHECK(client.receive().ends_with("unknown"));
+}
+
 TEST_CASE("a response that is not written yet counts as an open request") {
   // Guards against a process that exits before its last responses are sent.
   asio::io_context io;
