Give every open request a final answer before an entry exits

An entry that was still busy 0.5 s before the end of its grace period exited with whatever was open: jobs that waited for a worker, jobs whose tasks ran, and requests that waited for the store or another entry. Their connections ended without an answer.

At that time, jobs without a placed task are now refused as not run (503), and all other open requests get a 504; their runs are stopped.

New test: "a stopping host answers every open job: as not run only if none of its tasks was placed".

--- a/include/parsleylead/fleet/fleet_entry.hpp
+++ b/include/parsleylead/fleet/fleet_entry.hpp
@@ -81,6 +81,9 @@
   std::size_t waiting_durable_jobs(const std::string& queue) const;
   /// Cancels a job and answers all of its callers. Returns false if no caller waits for the job.
   bool cancel(std::uint64_t id);
+  /// Stops the runs of all jobs that are not durable and answers their callers: as not run where no
+  /// task was placed, otherwise as unknown.
+  void end_open_jobs(job_cause cause);
 
   /// Returns whether callers wait for the job's result. Durable jobs have no callers.
   bool has_callers(std::uint64_t id) const { return callers_.contains(id); }
--- a/include/parsleylead/fleet/fleet_job.hpp
+++ b/include/parsleylead/fleet/fleet_job.hpp
@@ -93,7 +93,8 @@
   failed,
   /// No task was started, and none will be.
   not_run,
-  /// Not known: runs may have been lost while this process was stalled.
+  /// Tasks were started, and whether all of them will be done is not known: this process was
+  /// stalled, or it stops.
   unknown,
   cancelled,
 };
@@ -107,6 +108,7 @@
   no_capable_worker,
   backlog_full,
   process_stalled,
+  host_stopping,
 };
 
 inline const char* to_string(job_verdict verdict) {
@@ -138,6 +140,8 @@
     return "backlog_full";
   case job_cause::process_stalled:
     return "process_stalled";
+  case job_cause::host_stopping:
+    return "host_stopping";
   default:
     return "none";
   }
--- a/include/parsleylead/fleet/fleet_scheduler.hpp
+++ b/include/parsleylead/fleet/fleet_scheduler.hpp
@@ -86,6 +86,9 @@
   bool has_begun(std::uint64_t id) const;
   /// Stops the job's runs and removes the job without a result.
   void cancel(std::uint64_t id, monotonic_time now);
+  /// Ends all jobs that are not durable: as not run, or with an unknown result if a task was
+  /// placed.
+  void end_open_jobs(job_cause cause, monotonic_time now);
 
   /// Returns the index of the agent's worker; always the same for the same agent name.
   worker_index worker_for(const std::string& agent, const std::string& availability_zone);
--- a/include/parsleylead/web/web_server.hpp
+++ b/include/parsleylead/web/web_server.hpp
@@ -67,6 +67,9 @@
   /// Open connections are not affected.
   void stop_listening();
 
+  /// Rejects all requests that have no response yet.
+  void reject_open_requests(const web_response& response);
+
   /// Number of open connections.
   std::size_t connections() const;
 
--- a/src/fleet/fleet_entry.cpp
+++ b/src/fleet/fleet_entry.cpp
@@ -537,6 +537,11 @@
   return true;
 }
 
+void fleet_entry::end_open_jobs(job_cause cause) {
+  scheduler_.end_open_jobs(cause, lease_now());
+  flush(); // The process may exit next, so stops and answers are sent at once.
+}
+
 void fleet_entry::flush() {
   const auto now = lease_now();
   if (durable_) {
--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -263,6 +263,20 @@
   jobs_.erase(found);
 }
 
+void fleet_scheduler::end_open_jobs(job_cause cause, monotonic_time now) {
+  std::vector<std::uint64_t> ended;
+  for (const auto& [id, open_job] : jobs_) {
+    if (!open_job->is_durable()) {
+      ended.push_back(id);
+    }
+  }
+  for (const auto id : ended) {
+    auto& open_job = *jobs_.at(id);
+    finish(open_job, open_job.may_have_run() ? job_verdict::unknown : job_verdict::not_run, cause,
+           now);
+  }
+}
+
 void fleet_scheduler::stop_runs(job& open_job) {
   for (std::uint32_t step = 0; step < open_job.tasks.size(); ++step) {
     for (std::uint32_t index = 0; index < open_job.tasks[step].size(); ++index) {
--- a/src/fleet/fleet_scheduler_test.cpp
+++ b/src/fleet/fleet_scheduler_test.cpp
@@ -426,5 +426,22 @@
   CHECK(fleet.scheduler.backlog() == 0);
 }
 
+TEST_CASE(
+    "a stopping host answers every open job: as not run only if none of its tasks was placed") {
+  // Guards against requests that end without an answer because their host exits.
+  fixture fleet(1);
+  REQUIRE(fleet.submit(make_job(1, 10)).size() == 10); // The worker is full.
+  CHECK(fleet.submit(make_job(2, 2)).empty());
+  fleet.scheduler.end_open_jobs(job_cause::host_stopping, at_ms(100));
+  auto results = fleet.scheduler.take_results();
+  REQUIRE(results.size() == 2);
+  std::sort(results.begin(), results.end(),
+            [](const auto& a, const auto& b) { return a.id < b.id; });
+  CHECK(results[0].verdict == job_verdict::unknown);
+  CHECK(results[1].verdict == job_verdict::not_run);
+  CHECK(fleet.scheduler.take_stops().size() == 10);
+  CHECK(fleet.scheduler.open_jobs() == 0);
+}
+
 } // namespace
 } // namespace parsleylead
--- a/src/web/web_server.cpp
+++ b/src/web/web_server.cpp
@@ -40,6 +40,7 @@
   void accept(tcp::acceptor& acceptor);
   void add_connection(tcp::socket socket);
   void close_timed_out_connections();
+  void reject_open_requests(const web_response& response);
   void stop_listening();
   void stop();
 
@@ -262,6 +263,14 @@
   });
 }
 
+void web_server::state::reject_open_requests(const web_response& response) {
+  const std::vector<std::shared_ptr<connection>> open_connections(connections.begin(),
+                                                                  connections.end());
+  for (const auto& open_connection : open_connections) {
+    open_connection->reject(response);
+  }
+}
+
 void web_server::state::stop_listening() {
   if (!std::exchange(listening, false)) {
     return;
@@ -311,6 +320,10 @@
   state_->stop_listening();
 }
 
+void web_server::reject_open_requests(const web_response& response) {
+  state_->reject_open_requests(response);
+}
+
 std::size_t web_server::connections() const {
   return state_->connections.size();
 }
--- a/src/web/web_test.cpp
+++ b/src/web/web_test.cpp
@@ -258,7 +258,7 @@
     io.run_one_for(milliseconds(20));
   }
   CHECK(server.open_requests() == 1);
-  pending_exchanges[0]->reject({504, {}, "unknown"});
+  server.reject_open_requests({504, {}, "unknown"});
   CHECK(abandoned == 1);
   pending_exchanges[0]->respond({200, {}, "late"}); // Must have no effect.
   CHECK(client.receive().ends_with("unknown"));
