Tell runs that were lost in a crash of their worker from other losses

A run that is lost with its worker was reported like one whose worker or agent cannot be reached, so that nothing could be concluded about a task that takes down one worker after the other.

The agent knows a crash by two refused connections, or by a new incarnation or another worker where none was leaving. A start order can ask for isolation: the worker runs nothing else at the same time. A crash while only tasks of one queue were active is reported to all entries.

Tests in run_table_test ("an isolated order runs alone" and six more), fleet_frame_test.

--- a/include/parsleylead/fleet/fleet_agent.hpp
+++ b/include/parsleylead/fleet/fleet_agent.hpp
@@ -141,6 +141,8 @@
   bool extra_list_wanted_ = false;
   bool suspected_ = false;
   bool last_list_failed_ = false;
+  /// When the first of the latest failed requests for lists failed.
+  monotonic_time failing_since_{};
   monotonic_time last_list_at_{};
   bool connection_refused_ = false;
   /// Latest start of a lease that the worker was sent.
--- a/include/parsleylead/fleet/fleet_frame.hpp
+++ b/include/parsleylead/fleet/fleet_frame.hpp
@@ -81,6 +81,8 @@
   std::vector<end_ack> end_acks;
   /// Durable jobs without a started task, at the sender and at the entries that it knows of.
   std::vector<entry_counts> waiting_durable_jobs;
+  /// Crashes of the sender's worker that point to a queue.
+  std::vector<crash_report> crashes;
 
   bool empty() const;
 };
--- a/include/parsleylead/fleet/run_types.hpp
+++ b/include/parsleylead/fleet/run_types.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <compare>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace parsleylead {
@@ -38,6 +40,12 @@
   sum.gpus -= less.gpus;
 }
 
+/// Returns the larger one of each resource.
+inline resource_needs max_needs(const resource_needs& a, const resource_needs& b) {
+  return {std::max(a.cpu_millis, b.cpu_millis), std::max(a.memory_mb, b.memory_mb),
+          std::max(a.gpus, b.gpus)};
+}
+
 /// One task of one job.
 struct task_key {
   std::uint64_t job = 0;
@@ -81,6 +89,29 @@
   std::uint32_t priority = 0;
   /// Epoch in which the owner of a durable job sends this order; 0 for other jobs.
   std::uint64_t epoch = 0;
+  /// The worker runs nothing else at the same time, because the task may crash it.
+  bool isolated = false;
+  /// `queue_hash` of the job's queue.
+  std::uint32_t queue = 0;
+};
+
+/// Returns a number that identifies a queue in messages. Equal in all processes. Thread-safe.
+constexpr std::uint32_t queue_hash(std::string_view queue) {
+  std::uint32_t hash = 2'166'136'261U; // FNV-1a
+  for (const char character : queue) {
+    hash = (hash ^ static_cast<unsigned char>(character)) * 16'777'619U;
+  }
+  return hash;
+}
+
+/// A crash of a worker that ran tasks of one queue only.
+struct crash_report {
+  /// `queue_hash` of the queue.
+  std::uint32_t queue = 0;
+  /// The worker ran a single task, which had been ordered to run isolated.
+  bool isolated = false;
+
+  bool operator==(const crash_report&) const = default;
 };
 
 /// Number of a partition of the durable jobs; each partition has one owner at a time.
@@ -134,6 +165,10 @@
   std::chrono::milliseconds waited{0};
   /// The worker retains the end until the owner of the job's partition has stored it.
   bool held = false;
+  /// The worker crashed while the run was active.
+  bool worker_crashed = false;
+  /// The run was started so shortly before the crash that it may be the cause.
+  bool suspect = false;
 };
 
 /// Acknowledgement of an end that an agent holds.
--- a/include/parsleylead/runs/run_table.hpp
+++ b/include/parsleylead/runs/run_table.hpp
@@ -69,6 +69,9 @@
 /// resources until the worker lists it, or until the worker has confirmed a stop, after which it
 /// rejects the run, and a list requested after the confirmation does not contain it.
 ///
+/// An isolated order is started only while no other run is active, and nothing else is started
+/// until it has ended. Other orders wait meanwhile, so that it is not postponed forever.
+///
 /// Ends of durable jobs (those with an epoch) are held at the worker until the owner of their
 /// partition has acknowledged them. The worker therefore lists them again after a crash of this
 /// process or of the owner.
@@ -82,6 +85,9 @@
   void set_capacity(const resource_needs& capacity) { capacity_ = capacity; }
   /// The worker has crashed, or is unreachable and all of its leases have expired.
   void worker_lost(monotonic_time now);
+  /// The worker crashed at about `crashed_at`. Marks the runs that were active then, unless a later
+  /// list shows that they are active after all. Does not end them.
+  void worker_crashed(monotonic_time crashed_at);
   /// The worker numbers its ends from 1 again.
   void end_numbers_reset();
   /// While false, no run is started, and `start_waiting` returns the waiting orders.
@@ -129,6 +135,8 @@
 
   std::vector<worker_call> take_calls() { return std::exchange(calls_, {}); }
   std::vector<owned_end> take_ends() { return std::exchange(ends_, {}); }
+  /// Returns the crashes since the last call during which only tasks of one queue were active.
+  std::vector<crash_report> take_crashes() { return std::exchange(crashes_, {}); }
 
   const start_order* find_order(const run_id& id) const;
   owner_id owner_of(const run_id& id) const;
@@ -155,6 +163,11 @@
     /// The end is not reported: the owner stopped the run or is gone.
     bool abandoned = false;
     bool stop_confirmed = false;
+    /// See `run_end`.
+    bool worker_crashed = false;
+    bool suspect = false;
+    /// What the run takes of the worker: all of it if the run is isolated.
+    resource_needs reserved;
     std::uint32_t percent = 0;
     monotonic_time added;
     monotonic_time began;
@@ -190,6 +203,10 @@
   void end_all(run_outcome outcome, monotonic_time now);
   void count_end(run_outcome outcome, monotonic_time now);
   void remove_waiting(const task_key& key);
+  void start(run& candidate, monotonic_time now);
+  /// Starts a waiting isolated order if no run is active. Returns whether there is such an order or
+  /// an isolated run, so that nothing else may start.
+  bool start_isolated(monotonic_time now);
 
   std::uint32_t partitions_;
   std::map<partition_number, known_claim> claims_;
@@ -204,6 +221,7 @@
   std::unordered_map<task_key, monotonic_time, task_key_hash> foreign_runs_;
   std::vector<worker_call> calls_;
   std::vector<owned_end> ends_;
+  std::vector<crash_report> crashes_;
   resource_needs capacity_;
   resource_needs committed_;
   std::uint32_t queued_cpu_millis_ = 0;
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -36,6 +36,10 @@
   priority @6 :UInt32;
   # Epoch in which the owner of a durable job sends this order; 0 for other jobs.
   epoch @7 :UInt64;
+  # The worker runs nothing else at the same time, because the task may crash it.
+  isolated @8 :Bool;
+  # Hash of the job's queue.
+  queue @9 :UInt32;
 }
 
 enum Outcome {
@@ -55,6 +59,18 @@
   waitedMs @3 :UInt32;
   # The worker retains the end until the owner of the job's partition has stored it, see EndNote.
   held @4 :Bool;
+  # The worker crashed while the run was active.
+  workerCrashed @5 :Bool;
+  # The run was started so shortly before the crash that it may be the cause.
+  suspect @6 :Bool;
+}
+
+# A crash of a worker that ran tasks of one queue only.
+struct CrashReport {
+  # Hash of the queue.
+  queue @0 :UInt32;
+  # The worker ran a single task, which had been ordered to run isolated.
+  isolated @1 :Bool;
 }
 
 # An owner's claim to a partition of the durable jobs. The epoch of a partition increases with each
@@ -162,4 +178,6 @@
   routesWanted @17 :Bool;
   # Durable jobs that have not started, at the sender and at the entries that it knows of.
   waiting @18 :List(EntryCounts);
+  # Crashes of the sender's worker that point to a queue. Sent to all entries.
+  crashes @19 :List(CrashReport);
 }
--- a/src/fleet/fleet_agent.cpp
+++ b/src/fleet/fleet_agent.cpp
@@ -332,8 +332,13 @@
   const bool other_worker = !worker_ || worker_->id != announcement.id;
   const bool restarted = other_worker || worker_->incarnation != announcement.incarnation;
   const bool changed = restarted || worker_->draining != announcement.draining;
+  // A worker that leaves says so first.
+  const bool replaces_lost_worker = worker_ && !worker_->draining;
   worker_ = announcement;
   if (other_worker) {
+    if (replaces_lost_worker) {
+      table_.worker_crashed(last_list_failed_ ? failing_since_ : lease_now());
+    }
     table_.worker_replaced(announcement.capacity, now);
   }
   if (restarted) {
@@ -486,6 +491,9 @@
 void fleet_agent::update_worker_incarnation(std::int64_t incarnation) {
   if (incarnation != 0 && incarnation != worker_incarnation_) {
     log_.write("worker_life", "life", incarnation, "previous", worker_incarnation_);
+    if (worker_incarnation_ != 0 && worker_ && !worker_->draining) {
+      table_.worker_crashed(last_list_failed_ ? failing_since_ : lease_now());
+    }
     worker_incarnation_ = incarnation;
     table_.end_numbers_reset();
   }
@@ -510,7 +518,9 @@
 
 void fleet_agent::list_failed(const absl::Status& status, monotonic_time now) {
   metrics_.add("parsleylead_agent_list_failures_total", {});
-  last_list_failed_ = true;
+  if (!std::exchange(last_list_failed_, true)) {
+    failing_since_ = now;
+  }
   if (worker_) {
     if (now - last_list_at_ > settings_.suspect_after || absl::IsUnavailable(status)) {
       set_worker_suspected(true, std::string(status.message()));
@@ -519,6 +529,9 @@
     if ((crashed || now > lease_end()) && table_.running() > 0) {
       log_.write("worker_lost", "worker", worker_->id, "crashed", crashed, "runs", table_.running(),
                  "cause", std::string(status.message()));
+      if (crashed && !worker_->draining) {
+        table_.worker_crashed(failing_since_);
+      }
       table_.worker_lost(now);
     }
     flush_soon_();
@@ -575,13 +588,22 @@
   }
   for (auto& [owner, end] : table_.take_ends()) {
     log_.write("run_ended", "run", format_run(end.run), "outcome", to_string(end.outcome), "ran_ms",
-               end.ran.count(), "waited_ms", end.waited.count());
+               end.ran.count(), "waited_ms", end.waited.count(), "worker_crashed",
+               end.worker_crashed, "suspect", end.suspect);
     metrics_.add("parsleylead_agent_runs_total", {{"outcome", to_string(end.outcome)}});
     if (auto* to = find_session(owner)) {
       to->outgoing.ends.push_back(end);
     }
     status_dirty_ = true;
   }
+  for (const auto& crash : table_.take_crashes()) {
+    log_.write("worker_crashed", "queue", crash.queue, "isolated", crash.isolated);
+    for (auto& [address, peer] : sessions_) {
+      if (peer->established) {
+        peer->outgoing.crashes.push_back(crash);
+      }
+    }
+  }
   send_reports();
 }
 
--- a/src/fleet/fleet_frame.cpp
+++ b/src/fleet/fleet_frame.cpp
@@ -62,6 +62,8 @@
   out.setMaxWaitMs(static_cast<std::uint32_t>(order.max_wait.count()));
   out.setPriority(order.priority);
   out.setEpoch(order.epoch);
+  out.setIsolated(order.isolated);
+  out.setQueue(order.queue);
 }
 
 start_order read(wire::Start::Reader in) {
@@ -72,7 +74,9 @@
           milliseconds(in.getDueInMs()),
           milliseconds(in.getMaxWaitMs()),
           in.getPriority(),
-          in.getEpoch()};
+          in.getEpoch(),
+          in.getIsolated(),
+          in.getQueue()};
 }
 
 void write(wire::WorkerDescription::Builder out, const worker_description& description) {
@@ -133,11 +137,27 @@
   out.setRanMs(static_cast<std::uint32_t>(end.ran.count()));
   out.setWaitedMs(static_cast<std::uint32_t>(end.waited.count()));
   out.setHeld(end.held);
+  out.setWorkerCrashed(end.worker_crashed);
+  out.setSuspect(end.suspect);
 }
 
 run_end read(wire::RunEnd::Reader in) {
-  return {read(in.getRun()), static_cast<run_outcome>(in.getOutcome()), milliseconds(in.getRanMs()),
-          milliseconds(in.getWaitedMs()), in.getHeld()};
+  return {read(in.getRun()),
+          static_cast<run_outcome>(in.getOutcome()),
+          milliseconds(in.getRanMs()),
+          milliseconds(in.getWaitedMs()),
+          in.getHeld(),
+          in.getWorkerCrashed(),
+          in.getSuspect()};
+}
+
+void write(wire::CrashReport::Builder out, const crash_report& report) {
+  out.setQueue(report.queue);
+  out.setIsolated(report.isolated);
+}
+
+crash_report read(wire::CrashReport::Reader in) {
+  return {in.getQueue(), in.getIsolated()};
 }
 
 void write(wire::SlowRun::Builder out, const slow_run& slow) {
@@ -272,6 +292,7 @@
   read_all(in.getClaims(), frame.claims);
   read_all(in.getNotes(), frame.end_acks);
   read_all(in.getWaiting(), frame.waiting_durable_jobs);
+  read_all(in.getCrashes(), frame.crashes);
   if (in.hasStatus()) {
     frame.status = read(in.getStatus());
   }
@@ -291,7 +312,7 @@
   return !hello && starts.empty() && stops.empty() && moves.empty() && ends.empty() &&
          slow_runs.empty() && !status && members.empty() && !outstanding && routes.empty() &&
          !routes_wanted && !leaving && claims.empty() && end_acks.empty() &&
-         waiting_durable_jobs.empty();
+         waiting_durable_jobs.empty() && crashes.empty();
 }
 
 std::string encode_frame(const fleet_frame& frame) {
@@ -328,6 +349,9 @@
     write_all(out.initWaiting(count(frame.waiting_durable_jobs.size())),
               frame.waiting_durable_jobs);
   }
+  if (!frame.crashes.empty()) {
+    write_all(out.initCrashes(count(frame.crashes.size())), frame.crashes);
+  }
   if (frame.status) {
     write(out.initStatus(), *frame.status);
   }
--- a/src/fleet/fleet_frame_test.cpp
+++ b/src/fleet/fleet_frame_test.cpp
@@ -21,11 +21,13 @@
                           milliseconds(-20),
                           milliseconds(250),
                           3,
-                          11});
+                          11,
+                          true,
+                          17});
   frame.stops.push_back({{5, 0, 1}, 2});
   frame.moves.push_back({{6, 0, 1}, 2});
   frame.ends.push_back(
-      {{{7, 0, 1}, 1}, run_outcome::lost, milliseconds(30), milliseconds(4), true});
+      {{{7, 0, 1}, 1}, run_outcome::lost, milliseconds(30), milliseconds(4), true, true, true});
   frame.slow_runs.push_back({{{8, 0, 1}, 1}, 12, milliseconds(900)});
   worker_status status;
   status.present = true;
@@ -44,6 +46,7 @@
   frame.claims = {{3, 12}};
   frame.end_acks = {{{{9, 0, 1}, 1}, true}};
   frame.waiting_durable_jobs = {{"entry-3", milliseconds(40), {{"queue", 5}}}};
+  frame.crashes = {{17, true}};
   return frame;
 }
 
@@ -65,6 +68,11 @@
   CHECK(got->starts[0].epoch == 11);
   CHECK(got->ends[0].outcome == run_outcome::lost);
   CHECK(got->ends[0].held);
+  CHECK(got->ends[0].worker_crashed);
+  CHECK(got->ends[0].suspect);
+  CHECK(got->starts[0].isolated);
+  CHECK(got->starts[0].queue == 17);
+  CHECK(got->crashes == sent.crashes);
   CHECK(got->claims == sent.claims);
   CHECK(got->end_acks == sent.end_acks);
   CHECK(got->waiting_durable_jobs == sent.waiting_durable_jobs);
--- a/src/runs/run_table.cpp
+++ b/src/runs/run_table.cpp
@@ -24,6 +24,9 @@
 // A run counts as slow if it exceeds both its estimate times slow_factor and min_slow.
 constexpr double slow_factor = 2.5;
 constexpr milliseconds min_slow{150};
+// A task that crashes its worker usually does so at its start. Runs that have lasted longer than
+// this are suspects only if no younger one is there.
+constexpr milliseconds suspect_age{50};
 
 } // namespace
 
@@ -66,6 +69,33 @@
   foreign_runs_.clear();
 }
 
+void run_table::worker_crashed(monotonic_time crashed_at) {
+  std::vector<run*> active;
+  for (auto& [key, candidate] : runs_) {
+    if (candidate.current_state != state::waiting && candidate.began <= crashed_at) {
+      active.push_back(&candidate);
+    }
+  }
+  if (active.empty()) {
+    return;
+  }
+  const auto is_young = [crashed_at](const run* each) {
+    return each->began >= crashed_at - suspect_age;
+  };
+  const bool any_young = std::any_of(active.begin(), active.end(), is_young);
+  const auto& first = active.front()->order;
+  const bool one_queue = std::all_of(active.begin(), active.end(), [&first](const run* each) {
+    return each->order.queue == first.queue;
+  });
+  if (one_queue) {
+    crashes_.push_back({first.queue, active.size() == 1 && first.isolated});
+  }
+  for (auto* each : active) {
+    each->worker_crashed = true;
+    each->suspect = !any_young || is_young(each);
+  }
+}
+
 void run_table::end_numbers_reset() {
   held_ends_.clear();
   last_end_ = 0;
@@ -171,9 +201,10 @@
     ends_.push_back({owner, {order.run, run_outcome::not_started, {}, {}}});
     return;
   }
-  queued_cpu_millis_ += order.needs.cpu_millis;
   run added;
   added.owner = owner;
+  added.reserved = order.isolated ? max_needs(order.needs, capacity_) : order.needs;
+  queued_cpu_millis_ += added.reserved.cpu_millis;
   added.added = now;
   added.due = now + order.due_in;
   added.queue_deadline = now + order.max_wait;
@@ -325,6 +356,8 @@
       continue;
     }
     listed.insert(item.run.task);
+    known->worker_crashed = false; // Started by the worker's next incarnation.
+    known->suspect = false;
     if (known->current_state == state::starting) {
       known->current_state = state::running;
       known->confirmed_at = now;
@@ -407,16 +440,21 @@
                        std::uint64_t number) {
   auto& target = ended->second;
   if (target.current_state == state::waiting) {
-    queued_cpu_millis_ -= target.order.needs.cpu_millis;
+    queued_cpu_millis_ -= target.reserved.cpu_millis;
     remove_waiting(ended->first);
   } else {
-    subtract_needs(committed_, target.order.needs);
+    subtract_needs(committed_, target.reserved);
   }
   const bool ran = target.current_state != state::waiting && outcome != run_outcome::not_started;
   const auto began = target.current_state == state::waiting ? now : target.began;
-  const run_end end{target.order.run, outcome,
+  const bool lost = outcome == run_outcome::lost;
+  const run_end end{target.order.run,
+                    outcome,
                     ran ? std::chrono::round<milliseconds>(now - target.began) : milliseconds{0},
-                    std::chrono::round<milliseconds>(began - target.added), number != 0};
+                    std::chrono::round<milliseconds>(began - target.added),
+                    number != 0,
+                    lost && target.worker_crashed,
+                    lost && target.suspect};
   if (number != 0) {
     hold_end(number, end);
   }
@@ -455,7 +493,7 @@
   for (const auto& key : returned) {
     finish(runs_.find(key), run_outcome::not_started, now);
   }
-  if (waiting_.empty() || suspended_ || !foreign_runs_.empty()) {
+  if (waiting_.empty() || suspended_ || !foreign_runs_.empty() || start_isolated(now)) {
     return;
   }
   // Orders that can be on time first, by priority and due time; then late ones, by priority and
@@ -480,17 +518,36 @@
       still_waiting.push_back(key);
       continue;
     }
-    add_needs(committed_, candidate.order.needs);
+    start(candidate, now);
     check_invariant(fits({}, committed_, capacity_),
                     "agent: committed resources exceed the worker's capacity");
-    queued_cpu_millis_ -= candidate.order.needs.cpu_millis;
-    candidate.current_state = state::starting;
-    candidate.began = now;
-    calls_.push_back({worker_call::kind::start, candidate.order.run});
   }
   waiting_ = std::move(still_waiting);
 }
 
+void run_table::start(run& candidate, monotonic_time now) {
+  add_needs(committed_, candidate.reserved);
+  queued_cpu_millis_ -= candidate.reserved.cpu_millis;
+  candidate.current_state = state::starting;
+  candidate.began = now;
+  calls_.push_back({worker_call::kind::start, candidate.order.run});
+}
+
+bool run_table::start_isolated(monotonic_time now) {
+  const auto is_isolated = [this](const task_key& key) { return runs_.at(key).order.isolated; };
+  const auto next = std::find_if(waiting_.begin(), waiting_.end(), is_isolated);
+  if (next == waiting_.end()) {
+    return std::any_of(runs_.begin(), runs_.end(),
+                       [](const auto& each) { return each.second.order.isolated; });
+  }
+  auto& candidate = runs_.at(*next);
+  if (running() == 0 && fits(candidate.order.needs, {}, capacity_)) {
+    start(candidate, now);
+    waiting_.erase(next);
+  }
+  return true;
+}
+
 std::vector<std::pair<owner_id, slow_run>> run_table::slow_runs(monotonic_time now) const {
   std::vector<std::pair<owner_id, slow_run>> slow;
   for (const auto& [key, candidate] : runs_) {
--- a/src/runs/run_table_test.cpp
+++ b/src/runs/run_table_test.cpp
@@ -433,5 +433,122 @@
   CHECK(table.has_held_ends());
 }
 
+start_order make_isolated(std::uint64_t job) {
+  auto order = make_order(job);
+  order.isolated = true;
+  order.queue = 7;
+  return order;
+}
+
+TEST_CASE("an isolated order runs alone") {
+  // Guards against blaming a task for a crash that another one caused.
+  auto table = make_table();
+  table.add(entry, make_order(1, 2'000), at_ms(0));
+  table.start_waiting(at_ms(0));
+  CHECK(started(table).size() == 1);
+  table.add(entry, make_isolated(2), at_ms(1));
+  table.add(other_entry, make_order(3, 2'000), at_ms(1));
+  CHECK(table.queued_cpu_millis() == 10'000);
+  table.start_waiting(at_ms(2));
+  CHECK(started(table).empty());
+  table.observe({}, {{{{1, 0, 0}, 1}, run_outcome::done}}, true, at_ms(50), at_ms(51));
+  table.start_waiting(at_ms(52));
+  CHECK(started(table) == std::vector<run_id>{{{2, 0, 0}, 1}});
+  CHECK(table.committed().cpu_millis == 8'000);
+  table.start_waiting(at_ms(53));
+  CHECK(started(table).empty());
+  table.observe({}, {{{{2, 0, 0}, 1}, run_outcome::done}}, true, at_ms(100), at_ms(101));
+  table.start_waiting(at_ms(102));
+  CHECK(started(table) == std::vector<run_id>{{{3, 0, 0}, 1}});
+  CHECK(table.committed().cpu_millis == 2'000);
+  CHECK(table.queued_cpu_millis() == 0);
+}
+
+TEST_CASE("an isolated order for a worker whose capacity shrank releases what it reserved") {
+  auto table = make_table();
+  table.add(entry, make_isolated(1), at_ms(0));
+  table.start_waiting(at_ms(0));
+  CHECK(started(table).size() == 1);
+  table.set_capacity({5'000, 1'024, 0});
+  table.observe({}, {{{{1, 0, 0}, 1}, run_outcome::done}}, true, at_ms(50), at_ms(51));
+  CHECK(table.committed() == resource_needs{});
+}
+
+TEST_CASE("a crash marks the runs that were active, and the young ones as suspects") {
+  // Guards against isolating each task that was active when a worker crashed.
+  auto table = make_table();
+  auto old_run = make_order(1, 2'000);
+  auto young_run = make_order(2, 2'000);
+  old_run.queue = 3;
+  young_run.queue = 7;
+  table.add(entry, old_run, at_ms(0));
+  table.start_waiting(at_ms(0));
+  table.add(entry, young_run, at_ms(300));
+  table.start_waiting(at_ms(300));
+  table.add(entry, make_order(3, 8'000), at_ms(305)); // Waits.
+  table.take_calls();
+  table.worker_crashed(at_ms(310));
+  table.worker_lost(at_ms(410));
+  CHECK(table.take_crashes().empty()); // Tasks of two queues were active.
+  auto ends = table.take_ends();
+  REQUIRE(ends.size() == 3);
+  std::sort(ends.begin(), ends.end(),
+            [](const owned_end& a, const owned_end& b) { return a.end.run.task < b.end.run.task; });
+  CHECK(ends[0].end.outcome == run_outcome::lost);
+  CHECK(ends[0].end.worker_crashed);
+  CHECK_FALSE(ends[0].end.suspect);
+  CHECK(ends[1].end.worker_crashed);
+  CHECK(ends[1].end.suspect);
+  CHECK(ends[2].end.outcome == run_outcome::not_started);
+  CHECK_FALSE(ends[2].end.worker_crashed);
+}
+
+TEST_CASE("a crash under a task that ran long is not without a suspect") {
+  // Guards against a task that crashes its worker late and is therefore never isolated.
+  auto table = make_table();
+  table.add(entry, make_order(1), at_ms(0));
+  table.start_waiting(at_ms(0));
+  table.worker_crashed(at_ms(5'000));
+  table.worker_lost(at_ms(5'100));
+  const auto ends = table.take_ends();
+  REQUIRE(ends.size() == 1);
+  CHECK(ends[0].end.suspect);
+}
+
+TEST_CASE("a crash under an isolated run is reported as such") {
+  auto table = make_table();
+  table.add(entry, make_isolated(1), at_ms(0));
+  table.start_waiting(at_ms(0));
+  table.worker_crashed(at_ms(10));
+  CHECK(table.take_crashes() == std::vector<crash_report>{{7, true}});
+  table.worker_lost(at_ms(10));
+}
+
+TEST_CASE("a worker that is only unreachable marks no run as crashed") {
+  auto table = make_table();
+  table.add(entry, make_order(1), at_ms(0));
+  table.start_waiting(at_ms(0));
+  table.worker_lost(at_ms(1'100));
+  const auto ends = table.take_ends();
+  REQUIRE(ends.size() == 1);
+  CHECK(ends[0].end.outcome == run_outcome::lost);
+  CHECK_FALSE(ends[0].end.worker_crashed);
+  CHECK(table.take_crashes().empty());
+}
+
+TEST_CASE("a run that the restarted worker lists was not lost in the crash") {
+  auto table = make_table();
+  const auto order = make_order(1);
+  table.add(entry, order, at_ms(0));
+  table.start_waiting(at_ms(0));
+  table.start_answered(order.run, start_answer::started, at_ms(1));
+  table.worker_crashed(at_ms(10));
+  table.observe({{order.run, 10}}, {}, true, at_ms(20), at_ms(21));
+  table.worker_lost(at_ms(1'100));
+  const auto ends = table.take_ends();
+  REQUIRE(ends.size() == 1);
+  CHECK_FALSE(ends[0].end.worker_crashed);
+}
+
 } // namespace
 } // namespace parsleylead
