Give up a task that crashes its workers, and confine queues of such tasks

Callers of every kind were refused while a tenth of one kind's jobs had a task that crashes each worker that starts it: a lost run was placed again without a count, so that each such task took down one worker after the other until its caller left, or without end for a stored job.

Class of fault: a retry without a bound on its harm to others. Now - a task whose run may have crashed its worker runs again with nothing beside it, so that the next crash shows the cause. After two crashes its job fails, after three if it is durable; the count is stored with the progress of a durable job before the task starts again. Tasks that were only beside the cause end as usual. After five crashes a task is given up whatever ran beside it. - a queue whose isolated tasks crash two workers in quick succession is confined to a fifth of the workers, and other queues use the rest. Jobs that find these workers full are refused at once (queue_confined), and a job that was lost in a crash there is answered with 504 instead of being run again. A queue without active queues beside it is never confined.

--- a/include/parsleylead/durable/durable_jobs.hpp
+++ b/include/parsleylead/durable/durable_jobs.hpp
@@ -107,7 +107,7 @@
   /// A run was lost: its agent cannot be reached, or its worker. The task is started again by
   /// `durable_port::restart_task` only once the loss is stored, so that no later owner uses an end
   /// that the worker reports after all.
-  void run_lost(const run_id& run, monotonic_time now);
+  void run_lost(const lost_run& lost, monotonic_time now);
   /// Handles the result of a job that was passed to `durable_port::run_job`.
   void job_ended(const job_result& result, monotonic_time now);
   /// An agent reported a claim that may be newer than this entry's own.
--- a/include/parsleylead/fleet/fleet_entry.hpp
+++ b/include/parsleylead/fleet/fleet_entry.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -111,6 +112,7 @@
   void session_closed(const std::shared_ptr<session>& from, const std::string& cause);
   void check_sessions(monotonic_time now);
   void log_lasting_backlog(monotonic_time now);
+  void log_confined_queues();
   void gossip(monotonic_time now);
   void request_newer_routes(monotonic_time now);
   void close_surplus_links(monotonic_time now);
@@ -147,6 +149,7 @@
   monotonic_time last_gossip_{};
   monotonic_time last_traffic_report_{};
   monotonic_time last_surplus_check_{};
+  std::set<std::string> confined_queues_;
   monotonic_time backlog_since_{};
   /// Entries that have connected since the last frame with `members` to all sessions.
   std::vector<fleet_member> news_;
--- a/include/parsleylead/fleet/fleet_job.hpp
+++ b/include/parsleylead/fleet/fleet_job.hpp
@@ -51,6 +51,8 @@
   /// Latest attempt that was given up as lost, so that the task may have been started again. An end
   /// that a worker still reports for it, or for an earlier attempt, must not be used.
   std::uint32_t lost_attempt = 0;
+  /// Number of workers that crashed under the task.
+  std::uint32_t crashes = 0;
 
   bool operator==(const task_progress&) const = default;
 };
@@ -94,7 +96,7 @@
   /// No task was started, and none will be.
   not_run,
   /// Tasks were started, and whether all of them will be done is not known: this process was
-  /// stalled, or it stops.
+  /// stalled, it stops, or the job was given up after the crash of a worker.
   unknown,
   cancelled,
 };
@@ -109,6 +111,10 @@
   backlog_full,
   process_stalled,
   host_stopping,
+  /// Workers crashed under a task.
+  crashes_workers,
+  /// Tasks of the job's queue crash workers, and the few that run them are busy or down.
+  queue_confined,
 };
 
 inline const char* to_string(job_verdict verdict) {
@@ -142,6 +148,10 @@
     return "process_stalled";
   case job_cause::host_stopping:
     return "host_stopping";
+  case job_cause::crashes_workers:
+    return "crashes_workers";
+  case job_cause::queue_confined:
+    return "queue_confined";
   default:
     return "none";
   }
@@ -160,6 +170,8 @@
   std::uint32_t starts = 0;
   std::uint32_t failed_runs = 0;
   std::uint32_t lost_runs = 0;
+  /// Number of the lost runs whose worker crashed.
+  std::uint32_t crashed_runs = 0;
   std::uint32_t moved_runs = 0;
   /// Longest time that a task waited for its first placement.
   std::chrono::milliseconds longest_wait{0};
--- a/include/parsleylead/fleet/fleet_scheduler.hpp
+++ b/include/parsleylead/fleet/fleet_scheduler.hpp
@@ -6,12 +6,14 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
 #include "parsleylead/base/time.hpp"
+#include "parsleylead/fleet/crash_history.hpp"
 #include "parsleylead/fleet/fleet_frame.hpp"
 #include "parsleylead/fleet/fleet_job.hpp"
 #include "parsleylead/fleet/run_types.hpp"
@@ -44,6 +46,21 @@
   std::chrono::milliseconds first_report_wait{5'000};
   /// Maximum number of waiting tasks at one entry.
   std::size_t max_backlog = 20'000;
+  /// Number of workers that may crash under a task before its job fails, if the last one ran
+  /// nothing else, so that the task is the cause.
+  std::uint32_t max_crashes = 2;
+  /// The same for durable jobs, whose callers rely on their completion.
+  std::uint32_t max_durable_crashes = 3;
+  /// The same, whatever ran beside the task.
+  std::uint32_t max_crashes_beside_others = 5;
+  /// Share of a service's workers, at least one, that run the tasks which may crash workers.
+  double quarantine_share = 0.2;
+  /// Time after which an agent returns an isolated order that its worker could not start.
+  std::chrono::milliseconds max_isolated_wait{1'000};
+  /// Queues count as active for this long after a submission. A queue is confined only if there
+  /// are active queues to protect.
+  std::chrono::milliseconds queue_activity{5'000};
+  crash_policy crashes;
 };
 
 /// A start order and the worker it is placed on.
@@ -60,10 +77,23 @@
   bool report_end = false;
 };
 
+/// A run that was lost.
+struct lost_run {
+  run_id run;
+  /// Its worker crashed.
+  bool worker_crashed = false;
+};
+
 /// Schedules the jobs of one entry: places their tasks on the workers that agents report, retries
 /// tasks where that is allowed, and determines the results. Does no I/O: the current time is passed
 /// in; orders and results are collected with the `take_` functions. Not thread-safe.
 ///
+/// A task whose run may have crashed its worker runs again with nothing beside it, on a quarantined
+/// worker if there is one, so that a further crash shows whether it is the cause. While the tasks of a queue
+/// crash workers again and again, the queue is confined to the quarantined workers, and the other
+/// queues of the service use the others. All entries choose the same quarantined workers, by a hash
+/// of the agents' names.
+///
 /// Two runs of a task never overlap: a task is placed again only after the agent has reported the
 /// end of its run, or after `lost_run_wait` without a frame of the agent.
 class fleet_scheduler {
@@ -102,6 +132,8 @@
   /// This process made no progress since `since`, for longer than the leases of its sessions. Jobs
   /// that arrived later are not affected.
   void process_stalled(monotonic_time since);
+  /// A worker crashed. The reports of all workers decide which queues are confined.
+  void worker_crashed(const crash_report& report, monotonic_time now);
   /// Allows a task of a durable job to start again after the loss of its run, which
   /// `take_lost_runs` returned, has been stored. Does nothing if the run is not the task's latest.
   void restart_task(const run_id& lost, monotonic_time now);
@@ -116,7 +148,7 @@
   std::vector<placed_start> take_starts() { return std::exchange(starts_, {}); }
   std::vector<placed_stop> take_stops() { return std::exchange(stops_, {}); }
   /// Runs of durable jobs that were lost. Their tasks wait for `restart_task`.
-  std::vector<run_id> take_lost_runs() { return std::exchange(lost_runs_, {}); }
+  std::vector<lost_run> take_lost_runs() { return std::exchange(lost_runs_, {}); }
   std::vector<job_result> take_results() { return std::exchange(results_, {}); }
 
   std::size_t open_jobs() const { return jobs_.size(); }
@@ -125,6 +157,8 @@
   /// Number of durable jobs without a started task, by queue.
   std::vector<queue_count> waiting_durable_jobs() const;
   std::size_t backlog() const { return backlog_; }
+  /// Names of the queues that are confined to quarantined workers.
+  std::set<std::string> confined_queues() const;
   /// Describes this entry's view of each worker in one line, for the log.
   std::string describe_workers() const;
   bool has_worker() const;
@@ -141,14 +175,24 @@
   };
 
   task* find_task(const run_id& run, worker_index placed_on);
-  bool can_run(const worker& candidate, const job& open_job, std::uint32_t step) const;
+  /// Returns whether the worker's description meets the needs of the step.
+  static bool is_suitable(const worker& candidate, const job& open_job, std::uint32_t step);
+  static bool can_run(const worker& candidate, const job& open_job, std::uint32_t step);
   bool could_ever_run(const job& open_job, std::uint32_t step) const;
+  /// Returns whether the queue's tasks may use quarantined workers only.
+  bool is_confined(const job_terms& terms) const;
+  void update_quarantine(monotonic_time now);
+  /// Returns whether the job has to fail.
+  bool record_crash(job& open_job, task& crashed, bool suspect);
   bool service_may_appear(const std::string& service, monotonic_time now) const;
   double free_cpu(const worker& candidate) const;
   double run_time_ms(const worker& candidate, const job_step& step) const;
   std::optional<placement> choose_worker(const job& open_job, std::uint32_t step,
                                          const task& waiting);
-  void place_ready(job& open_job, monotonic_time now);
+  std::optional<placement> choose_isolated_worker(const job& open_job, std::uint32_t step,
+                                                  const task& waiting) const;
+  /// Returns whether a task waits for free resources that other jobs compete for.
+  bool place_ready(job& open_job, monotonic_time now);
   void place(job& open_job, std::uint32_t step, std::uint32_t index, placement target,
              monotonic_time now);
   void unplace(job& open_job, std::uint32_t step, std::uint32_t index);
@@ -170,10 +214,16 @@
   std::unordered_map<std::uint64_t, std::unique_ptr<job>> jobs_;
   std::vector<placed_start> starts_;
   std::vector<placed_stop> stops_;
-  std::vector<run_id> lost_runs_;
+  std::vector<lost_run> lost_runs_;
   std::vector<job_result> results_;
   std::size_t backlog_ = 0;
   monotonic_time first_submission_{};
+  crash_history crash_history_;
+  /// Names of the confined queues, by service.
+  std::map<std::string, std::set<std::string>> confined_queues_;
+  /// When jobs of a queue were last submitted, by service and queue.
+  std::map<std::string, std::map<std::string, monotonic_time>> last_submissions_;
+  monotonic_time quarantine_updated_{};
 };
 
 } // namespace parsleylead
--- a/src/durable/durable_calls.cpp
+++ b/src/durable/durable_calls.cpp
@@ -258,8 +258,9 @@
                now, progress_delay);
 }
 
-void durable_jobs::run_lost(const run_id& run, monotonic_time now) {
+void durable_jobs::run_lost(const lost_run& lost, monotonic_time now) {
   now_ = now;
+  const auto& run = lost.run;
   auto* partition = find_writable(run.task.job);
   if (partition == nullptr || !partition->jobs.contains(run.task.job)) {
     return; // The next owner starts the task.
@@ -267,7 +268,9 @@
   auto& job = partition->jobs.at(run.task.job);
   auto& task = job.record.progress.at(run.task.step).at(run.task.index);
   task.lost_attempt = std::max(task.lost_attempt, run.attempt);
-  events_.write("run_lost", "run", format_run(run), "epoch", partition->epoch);
+  task.crashes += lost.worker_crashed ? 1 : 0;
+  events_.write("run_lost", "run", format_run(run), "epoch", partition->epoch, "crashes",
+                task.crashes);
   queue_change(*partition,
                {store_change::kind::job, run.task.job, now, now,
                 [this, run](bool) {
--- a/src/durable/durable_histories_test.cpp
+++ b/src/durable/durable_histories_test.cpp
@@ -561,7 +561,7 @@
     }
   }
   for (const auto& run : lost) {
-    jobs->run_lost(run, now);
+    jobs->run_lost({run}, now);
   }
   for (const auto id : finished) {
     open.erase(id);
--- a/src/durable/durable_jobs_test.cpp
+++ b/src/durable/durable_jobs_test.cpp
@@ -280,7 +280,7 @@
   one.submit();
   log.current_mode = fake_log::mode::busy;
   const run_id lost{{job_id, 0, 0}, 1};
-  one.jobs->run_lost(lost, at_ms(one.now));
+  one.jobs->run_lost({lost}, at_ms(one.now));
   one.advance(200);
   CHECK(one.port.restarted.empty());
   log.current_mode = fake_log::mode::normal;
@@ -288,11 +288,25 @@
   CHECK(one.port.restarted == std::vector<run_id>{lost});
 }
 
+TEST_CASE_FIXTURE(first_owner, "the crashes of a task's workers are known to the next owner") {
+  // Guards against a task that crashes workers without end because its owners change.
+  one.submit();
+  one.jobs->run_lost({{{job_id, 0, 0}, 1}, true}, at_ms(one.now));
+  one.advance(200);
+  one.jobs->run_lost({{{job_id, 0, 0}, 2}, false}, at_ms(one.now));
+  one.advance(200);
+  log.holder = "two";
+  owner two(log, "two", one.now);
+  two.advance(5'000);
+  REQUIRE(two.port.running.contains(job_id));
+  CHECK(two.port.running.at(job_id).ownership->progress[0][0].crashes == 1);
+}
+
 TEST_CASE_FIXTURE(first_owner, "an end of a lost run is superseded, also at the next owner") {
   // The agent restarts after the task was started again, and reports the end that its worker holds
   // to the owner of the next epoch (soak seed 2050).
   one.submit();
-  one.jobs->run_lost({{job_id, 0, 0}, 1}, at_ms(one.now));
+  one.jobs->run_lost({{{job_id, 0, 0}, 1}}, at_ms(one.now));
   one.advance(200);
   one.end(make_end(0, 1), false);
   REQUIRE(one.port.acks.size() == 1);
--- a/src/durable/durable_record.cpp
+++ b/src/durable/durable_record.cpp
@@ -15,6 +15,7 @@
 constexpr char progress_prefix = 'p';
 constexpr std::size_t id_digits = 16;
 constexpr std::size_t lost_attempt_column = 5;
+constexpr std::size_t crashes_column = 6;
 
 absl::Status malformed(const std::exception& error) {
   return absl::InvalidArgumentError(std::string("malformed record: ") + error.what());
@@ -118,7 +119,7 @@
       for (const auto& row : root.at("attempts")) {
         auto& step = record.progress.emplace_back();
         for (const auto& attempt : row) {
-          step.push_back({true, 0, attempt.get<std::uint32_t>(), 0});
+          step.push_back({true, 0, attempt.get<std::uint32_t>(), 0, 0});
         }
       }
       return record;
@@ -142,15 +143,15 @@
 }
 
 std::string write_progress(const durable_record& record) {
-  // One row per task with an ended run: step, index, done, failures, ended attempt, lost attempt.
-  // Rows of processes of earlier versions lack the last one.
+  // One row per task with an ended run: step, index, done, failures, ended attempt, lost attempt,
+  // crashes. Rows of processes of earlier versions lack the last one or two.
   json rows = json::array();
   for (std::size_t step = 0; step < record.progress.size(); ++step) {
     for (std::size_t index = 0; index < record.progress[step].size(); ++index) {
       const auto& task = record.progress[step][index];
       if (task != task_progress{}) {
-        rows.push_back(
-            {step, index, task.done, task.failures, task.ended_attempt, task.lost_attempt});
+        rows.push_back({step, index, task.done, task.failures, task.ended_attempt,
+                        task.lost_attempt, task.crashes});
       }
     }
   }
@@ -158,13 +159,15 @@
 }
 
 absl::Status parse_durable_progress(const std::string& text, durable_record& record) {
+  const auto optional_column = [](const json& row, std::size_t column) {
+    return row.size() > column ? row.at(column).get<std::uint32_t>() : 0;
+  };
   try {
     auto progress = record.progress;
     for (const auto& row : json::parse(text)) {
       auto& task = progress.at(row.at(0).get<std::size_t>()).at(row.at(1).get<std::size_t>());
       task = {row.at(2).get<bool>(), row.at(3).get<std::uint32_t>(), row.at(4).get<std::uint32_t>(),
-              row.size() > lost_attempt_column ? row.at(lost_attempt_column).get<std::uint32_t>()
-                                               : 0};
+              optional_column(row, lost_attempt_column), optional_column(row, crashes_column)};
     }
     record.progress = std::move(progress);
     return absl::OkStatus();
--- a/src/durable/durable_record_test.cpp
+++ b/src/durable/durable_record_test.cpp
@@ -29,7 +29,7 @@
 TEST_CASE("a durable job is read back as it was written") {
   // Guards against a successor that runs a job with another payload or order of steps.
   auto record = make_record();
-  record.progress[0][2] = {true, 1, 2};
+  record.progress[0][2] = {true, 1, 2, 4, 2};
   auto read = parse_durable_submission(record.job.id, write_submission(record));
   REQUIRE(read.ok());
   REQUIRE(parse_durable_progress(write_progress(record), *read).ok());
@@ -47,6 +47,13 @@
   CHECK(write_submission(*read) == write_submission(record));
 }
 
+TEST_CASE("progress of earlier versions is read") {
+  auto record = make_record();
+  REQUIRE(parse_durable_progress("[[0,0,true,1,2],[0,1,false,1,2,4]]", record).ok());
+  CHECK(record.progress[0][0] == task_progress{true, 1, 2, 0, 0});
+  CHECK(record.progress[0][1] == task_progress{false, 1, 2, 4, 0});
+}
+
 TEST_CASE("results, owners and keys are read back") {
   durable_record ended;
   ended.ended = job_verdict::cancelled;
--- a/src/fleet/fleet_entry.cpp
+++ b/src/fleet/fleet_entry.cpp
@@ -161,6 +161,7 @@
   request_newer_routes(now);
   scheduler_.tick(now);
   flush();
+  log_confined_queues();
   log_lasting_backlog(now);
   if (now - last_traffic_report_ >= settings_.timing.traffic_report_interval) {
     last_traffic_report_ = now;
@@ -169,6 +170,26 @@
   call_after(tick_timer_, settings_.timing.tick_interval, [this] { tick(); });
 }
 
+void fleet_entry::log_confined_queues() {
+  auto confined = scheduler_.confined_queues();
+  if (confined == confined_queues_) {
+    return;
+  }
+  for (const auto& queue : confined) {
+    if (!confined_queues_.contains(queue)) {
+      log_.write("queue_confined", "queue", queue);
+    }
+  }
+  for (const auto& queue : confined_queues_) {
+    if (!confined.contains(queue)) {
+      log_.write("queue_released", "queue", queue);
+    }
+  }
+  confined_queues_ = std::move(confined);
+  metrics_.set("parsleylead_entry_confined_queues", {},
+               static_cast<double>(confined_queues_.size()));
+}
+
 void fleet_entry::log_lasting_backlog(monotonic_time now) {
   if (scheduler_.backlog() == 0) {
     backlog_since_ = now;
@@ -478,6 +499,11 @@
   for (const auto& slow : frame.slow_runs) {
     scheduler_.run_is_slow(from->worker, slow, now);
   }
+  for (const auto& crash : frame.crashes) {
+    metrics_.add("parsleylead_entry_worker_crashes_total",
+                 {{"isolated", crash.isolated ? "true" : "false"}});
+    scheduler_.worker_crashed(crash, now);
+  }
   flush_soon_();
 }
 
@@ -566,8 +592,8 @@
       send(*agent, std::exchange(agent->outgoing, {}));
     }
   }
-  for (const auto& run : scheduler_.take_lost_runs()) {
-    durable_->run_lost(run, now); // Only durable jobs report lost runs.
+  for (const auto& lost : scheduler_.take_lost_runs()) {
+    durable_->run_lost(lost, now); // Only durable jobs report lost runs.
   }
   for (const auto& result : scheduler_.take_results()) {
     answer_callers(result);
@@ -578,9 +604,10 @@
   log_.write("job_ended", "job", format_job(result.id), "verdict", to_string(result.verdict),
              "cause", to_string(result.cause), "ms", result.elapsed.count(), "objective_ms",
              result.objective.count(), "tasks", result.tasks, "starts", result.starts,
-             "failed_runs", result.failed_runs, "lost_runs", result.lost_runs, "moved_runs",
-             result.moved_runs, "longest_wait_ms", result.longest_wait.count(), "last_worker",
-             result.last_worker, "routes_version", routes_.version);
+             "failed_runs", result.failed_runs, "lost_runs", result.lost_runs, "crashed_runs",
+             result.crashed_runs, "moved_runs", result.moved_runs, "longest_wait_ms",
+             result.longest_wait.count(), "last_worker", result.last_worker, "routes_version",
+             routes_.version);
   metrics_.add("parsleylead_entry_jobs_total",
                {{"verdict", to_string(result.verdict)}, {"cause", to_string(result.cause)}});
   metrics_.observe("parsleylead_entry_job_seconds", {{"verdict", to_string(result.verdict)}},
--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -33,6 +33,14 @@
 constexpr milliseconds stalled_remaining{10'000};
 // Callers of refused jobs retry no sooner; a backlog takes about this long to change.
 constexpr milliseconds min_retry_after{1'000};
+// Callers of a confined queue retry no sooner: its workers take some seconds to restart.
+constexpr milliseconds confined_retry_after{3'000};
+// From this number of crashes on a task runs isolated, even if other runs were more suspect.
+constexpr std::uint32_t isolating_crashes = 2;
+// An isolated order that was returned this often is sent again as an ordinary one: long runs of
+// other tasks must not keep it waiting.
+constexpr std::uint32_t max_returned_isolated_orders = 2;
+constexpr milliseconds quarantine_update_interval{250};
 
 double ms(std::chrono::nanoseconds value) {
   return double_ms(value).count();
@@ -53,6 +61,9 @@
   worker_status status;
   /// CPU demand of this entry's runs on the worker.
   std::uint32_t own_cpu_millis = 0;
+  /// Number of this entry's isolated runs on the worker.
+  std::uint32_t isolated_runs = 0;
+  bool quarantined = false;
   std::unordered_map<task_key, std::uint32_t, task_key_hash> runs;
   /// Runs that were placed up to `lost_before` count as lost at `release_at`.
   std::optional<monotonic_time> release_at;
@@ -66,14 +77,26 @@
   std::uint32_t attempts = 0;
   std::uint32_t failures = 0;
   std::uint32_t moves = 0;
+  /// Number of workers that crashed under the task.
+  std::uint32_t crashes = 0;
+  /// The task has to run with nothing beside it.
+  bool needs_isolation = false;
+  std::uint32_t returned_isolated_orders = 0;
+  /// The latest order was an isolated one.
+  bool isolated = false;
   bool stop_requested = false;
   worker_index worker = 0;
   monotonic_time placed{};
   std::vector<worker_index> avoided_workers;
+
+  bool is_to_be_isolated() const {
+    return needs_isolation && returned_isolated_orders < max_returned_isolated_orders;
+  }
 };
 
 struct fleet_scheduler::job {
   fleet_job spec;
+  std::uint32_t queue = 0;
   monotonic_time arrived;
   monotonic_time objective;
   /// A result after this time is of no use.
@@ -102,7 +125,8 @@
 
 fleet_scheduler::fleet_scheduler(fleet_policy policy, std::string availability_zone,
                                  std::uint64_t seed)
-    : policy_(policy), availability_zone_(std::move(availability_zone)), random_(seed) {}
+    : policy_(policy), availability_zone_(std::move(availability_zone)), random_(seed),
+      crash_history_(policy.crashes) {}
 
 fleet_scheduler::~fleet_scheduler() = default;
 
@@ -120,6 +144,8 @@
   open_job.arrived = now;
   open_job.deadline = spec.ownership ? monotonic_time::max() : now + spec.answer_timeout;
   open_job.spec = std::move(spec);
+  open_job.queue = queue_hash(open_job.spec.terms.queue);
+  last_submissions_[open_job.spec.terms.service][open_job.spec.terms.queue] = now;
   open_job.critical_path = critical_path(open_job.spec.steps);
   for (const auto& step : open_job.spec.steps) {
     open_job.tasks.emplace_back(step.count);
@@ -157,6 +183,10 @@
     finish(open_job, job_verdict::not_run, job_cause::objective_out_of_reach, now);
     return;
   }
+  if (is_confined(open_job.spec.terms) && !choose_worker(open_job, 0, {})) {
+    finish(open_job, job_verdict::not_run, job_cause::queue_confined, now);
+    return;
+  }
   enable_ready_steps(open_job);
 }
 
@@ -172,6 +202,8 @@
       }
       const auto& known = ownership.progress.at(step).at(index);
       restored.failures = known.failures;
+      restored.crashes = known.crashes;
+      restored.needs_isolation = known.crashes > 0;
       open_job.any_run_ended = open_job.any_run_ended || known.ended_attempt > 0;
       if (known.done) {
         restored.current_state = task::state::done;
@@ -300,7 +332,8 @@
   result.elapsed = std::chrono::round<milliseconds>(now - open_job.arrived);
   if (verdict == job_verdict::not_run) {
     result.retry_after =
-        std::max(min_retry_after, std::chrono::round<milliseconds>(expected_wait()));
+        std::max(cause == job_cause::queue_confined ? confined_retry_after : min_retry_after,
+                 std::chrono::round<milliseconds>(expected_wait()));
   }
   results_.push_back(std::move(result));
   const auto id = open_job.spec.id; // `erase` destroys the job and with it a key that refers to it.
@@ -329,6 +362,64 @@
   }
 }
 
+void fleet_scheduler::worker_crashed(const crash_report& report, monotonic_time now) {
+  crash_history_.record(report, now);
+  update_quarantine(now);
+}
+
+void fleet_scheduler::update_quarantine(monotonic_time now) {
+  quarantine_updated_ = now;
+  std::map<std::string, std::vector<worker*>> workers_of_service;
+  for (const auto& each : workers_) {
+    each->quarantined = false;
+    if (each->connected) {
+      workers_of_service[each->status.description.service].push_back(each.get());
+    }
+  }
+  for (auto& [service, members] : workers_of_service) {
+    const auto count = std::max<std::size_t>(
+        1, std::lround(policy_.quarantine_share * static_cast<double>(members.size())));
+    std::sort(members.begin(), members.end(), [](const worker* a, const worker* b) {
+      return std::pair(queue_hash(a->agent), a->agent) < std::pair(queue_hash(b->agent), b->agent);
+    });
+    for (std::size_t i = 0; i < count; ++i) {
+      members[i]->quarantined = true;
+    }
+  }
+  crash_history_.update(now);
+  confined_queues_.clear();
+  if (!crash_history_.any_confined()) {
+    return;
+  }
+  for (const auto& [service, queues] : last_submissions_) {
+    std::set<std::string> confined;
+    bool others_active = false;
+    for (const auto& [queue, submitted] : queues) {
+      if (crash_history_.is_confined(queue_hash(queue))) {
+        confined.insert(queue);
+      } else {
+        others_active = others_active || now - submitted < policy_.queue_activity;
+      }
+    }
+    if (others_active && workers_of_service[service].size() > 1 && !confined.empty()) {
+      confined_queues_.emplace(service, std::move(confined));
+    }
+  }
+}
+
+bool fleet_scheduler::is_confined(const job_terms& terms) const {
+  const auto found = confined_queues_.find(terms.service);
+  return found != confined_queues_.end() && found->second.contains(terms.queue);
+}
+
+std::set<std::string> fleet_scheduler::confined_queues() const {
+  std::set<std::string> all;
+  for (const auto& [service, queues] : confined_queues_) {
+    all.insert(queues.begin(), queues.end());
+  }
+  return all;
+}
+
 void fleet_scheduler::session_opened(worker_index index, bool same_agent, monotonic_time now) {
   auto& target = *workers_.at(index);
   target.connected = true;
@@ -418,18 +509,20 @@
          success;
 }
 
-bool fleet_scheduler::can_run(const worker& candidate, const job& open_job,
-                              std::uint32_t step_number) const {
-  const auto& status = candidate.status;
+bool fleet_scheduler::is_suitable(const worker& candidate, const job& open_job,
+                                  std::uint32_t step_number) {
+  const auto& description = candidate.status.description;
   const auto& step = open_job.spec.steps[step_number];
-  if (!status.present || !status.accepting ||
-      status.description.service != open_job.spec.terms.service ||
-      !fits(step.needs, {}, status.description.capacity)) {
-    return false;
-  }
-  return step.required_label.empty() ||
-         std::find(status.description.labels.begin(), status.description.labels.end(),
-                   step.required_label) != status.description.labels.end();
+  return description.service == open_job.spec.terms.service &&
+         fits(step.needs, {}, description.capacity) &&
+         (step.required_label.empty() ||
+          std::find(description.labels.begin(), description.labels.end(), step.required_label) !=
+              description.labels.end());
+}
+
+bool fleet_scheduler::can_run(const worker& candidate, const job& open_job, std::uint32_t step) {
+  return candidate.status.present && candidate.status.accepting &&
+         is_suitable(candidate, open_job, step);
 }
 
 bool fleet_scheduler::could_ever_run(const job& open_job, std::uint32_t step) const {
@@ -441,13 +534,19 @@
 std::optional<fleet_scheduler::placement> fleet_scheduler::choose_worker(const job& open_job,
                                                                          std::uint32_t step_number,
                                                                          const task& waiting) {
+  if (waiting.is_to_be_isolated()) {
+    return choose_isolated_worker(open_job, step_number, waiting);
+  }
   const auto& step = open_job.spec.steps[step_number];
+  const bool some_confined = confined_queues_.contains(open_job.spec.terms.service);
+  const bool confined = some_confined && is_confined(open_job.spec.terms);
   std::optional<placement> best;
   double best_score = std::numeric_limits<double>::max();
   std::uniform_real_distribution<double> jitter(0.0, score_jitter);
   for (worker_index index = 0; index < workers_.size(); ++index) {
     const auto& candidate = *workers_[index];
-    if (!candidate.connected || !can_run(candidate, open_job, step_number)) {
+    if (!candidate.connected || !can_run(candidate, open_job, step_number) ||
+        (some_confined && candidate.quarantined != confined)) {
       continue;
     }
     const double capacity = candidate.status.description.capacity.cpu_millis;
@@ -482,6 +581,34 @@
   return best;
 }
 
+std::optional<fleet_scheduler::placement>
+fleet_scheduler::choose_isolated_worker(const job& open_job, std::uint32_t step,
+                                        const task& waiting) const {
+  // The other workers are kept from tasks of a confined queue, unless only they can run the task.
+  const bool quarantined_only =
+      waiting.returned_isolated_orders == 0 && is_confined(open_job.spec.terms) &&
+      std::any_of(workers_.begin(), workers_.end(), [&](const auto& candidate) {
+        return candidate->connected && candidate->quarantined &&
+               is_suitable(*candidate, open_job, step);
+      });
+  std::optional<placement> best;
+  std::pair<bool, std::uint32_t> best_rank; // Quarantined workers first, then by load.
+  for (worker_index index = 0; index < workers_.size(); ++index) {
+    const auto& candidate = *workers_[index];
+    if (!candidate.connected || !can_run(candidate, open_job, step) ||
+        (quarantined_only && !candidate.quarantined) || candidate.isolated_runs > 0) {
+      continue;
+    }
+    const std::pair rank{!candidate.quarantined, candidate.status.committed.cpu_millis +
+                                                     candidate.status.queued_cpu_millis};
+    if (!best || rank < best_rank) {
+      best_rank = rank;
+      best = placement{index, run_time_ms(candidate, open_job.spec.steps[step])};
+    }
+  }
+  return best;
+}
+
 void fleet_scheduler::place(job& open_job, std::uint32_t step, std::uint32_t index,
                             placement target, monotonic_time now) {
   auto& placed_task = open_job.tasks[step][index];
@@ -490,6 +617,7 @@
   placed_task.current_state = task::state::placed;
   placed_task.worker = target.index;
   placed_task.placed = now;
+  placed_task.isolated = placed_task.is_to_be_isolated();
   placed_task.stop_requested = false;
   ++placed_task.attempts;
   --open_job.ready;
@@ -501,6 +629,7 @@
         open_job.result.longest_wait, std::chrono::round<milliseconds>(now - open_job.arrived));
   }
   chosen.own_cpu_millis += open_job.spec.steps[step].needs.cpu_millis;
+  chosen.isolated_runs += placed_task.isolated ? 1 : 0;
   chosen.runs.emplace(key, placed_task.attempts);
   start_order order;
   order.run = {key, placed_task.attempts};
@@ -511,7 +640,9 @@
   order.estimate = open_job.spec.steps[step].estimate;
   order.due_in =
       std::chrono::round<milliseconds>(open_job.objective - now - double_ms(target.run_ms));
-  order.max_wait = policy_.max_wait;
+  order.max_wait = placed_task.isolated ? policy_.max_isolated_wait : policy_.max_wait;
+  order.isolated = placed_task.isolated;
+  order.queue = open_job.queue;
   starts_.push_back({target.index, std::move(order)});
 }
 
@@ -519,13 +650,16 @@
   auto& placed_task = open_job.tasks[step][index];
   auto& target = *workers_[placed_task.worker];
   target.own_cpu_millis -= open_job.spec.steps[step].needs.cpu_millis;
+  target.isolated_runs -= placed_task.isolated ? 1 : 0;
   target.runs.erase(task_key{open_job.spec.id, step, index});
   // Ensures that the task's resources are released only once.
   placed_task.current_state = task::state::blocked;
   --open_job.placed;
 }
 
-void fleet_scheduler::place_ready(job& open_job, monotonic_time now) {
+bool fleet_scheduler::place_ready(job& open_job, monotonic_time now) {
+  // Isolated tasks and those of confined queues wait for workers that other jobs do not use.
+  bool lacks_resources = false;
   for (std::uint32_t step = 0; step < open_job.tasks.size() && open_job.ready > 0; ++step) {
     for (std::uint32_t index = 0; index < open_job.tasks[step].size(); ++index) {
       auto& candidate = open_job.tasks[step][index];
@@ -534,12 +668,15 @@
         continue;
       }
       const auto target = choose_worker(open_job, step, candidate);
-      if (!target) {
+      if (target) {
+        place(open_job, step, index, *target, now);
+      } else if (!candidate.is_to_be_isolated()) {
+        lacks_resources = !is_confined(open_job.spec.terms);
         break;
       }
-      place(open_job, step, index, *target, now);
     }
   }
+  return lacks_resources;
 }
 
 void fleet_scheduler::place_waiting(monotonic_time now) {
@@ -566,8 +703,7 @@
   });
   int unplaced = 0;
   for (auto* open_job : ready) {
-    place_ready(*open_job, now);
-    unplaced += open_job->ready > 0 ? 1 : 0;
+    unplaced += place_ready(*open_job, now) ? 1 : 0;
     if (unplaced > max_unplaced_jobs) {
       break;
     }
@@ -638,13 +774,26 @@
     break;
   case run_outcome::not_started:
     // Other entries used the worker's free resources first; its next report accounts for them.
+    ended_task->returned_isolated_orders += ended_task->isolated ? 1 : 0;
     break;
   default:
     open_job.result.lost_runs += ended_task->stop_requested ? 0 : 1;
+    if (end.worker_crashed) {
+      if (record_crash(open_job, *ended_task, end.suspect)) {
+        finish(open_job, job_verdict::failed, job_cause::crashes_workers, now);
+        return true;
+      }
+      if (!open_job.is_durable() && is_confined(open_job.spec.terms)) {
+        // Another run would be late and could cost another worker. The task may be sound, so that
+        // the caller may submit the job again.
+        finish(open_job, job_verdict::unknown, job_cause::queue_confined, now);
+        return true;
+      }
+    }
     if (open_job.is_durable() && end.outcome == run_outcome::lost) {
       // The worker may still report that the run was done.
       ended_task->current_state = task::state::lost;
-      lost_runs_.push_back(end.run);
+      lost_runs_.push_back({end.run, end.worker_crashed});
       return true;
     }
     break;
@@ -653,6 +802,20 @@
   return true;
 }
 
+bool fleet_scheduler::record_crash(job& open_job, task& crashed, bool suspect) {
+  ++open_job.result.crashed_runs;
+  ++crashed.crashes;
+  const auto max_crashes =
+      open_job.is_durable() ? policy_.max_durable_crashes : policy_.max_crashes;
+  if ((crashed.isolated && crashed.crashes >= max_crashes) ||
+      crashed.crashes >= policy_.max_crashes_beside_others) {
+    return true;
+  }
+  crashed.needs_isolation =
+      crashed.needs_isolation || suspect || crashed.crashes >= isolating_crashes;
+  return false;
+}
+
 void fleet_scheduler::restart_task(const run_id& lost, monotonic_time now) {
   const auto found = jobs_.find(lost.task.job);
   if (found == jobs_.end()) {
@@ -666,7 +829,8 @@
 
 void fleet_scheduler::run_is_slow(worker_index index, const slow_run& slow, monotonic_time now) {
   auto* slow_task = find_task(slow.run, index);
-  if (slow_task == nullptr || slow_task->stop_requested || slow_task->moves >= max_moves) {
+  if (slow_task == nullptr || slow_task->stop_requested || slow_task->moves >= max_moves ||
+      slow_task->needs_isolation) {
     return;
   }
   auto& open_job = *jobs_.at(slow.run.task.job);
@@ -701,6 +865,9 @@
 }
 
 void fleet_scheduler::tick(monotonic_time now) {
+  if (now - quarantine_updated_ >= quarantine_update_interval) {
+    update_quarantine(now);
+  }
   release_lost_runs(now);
   expire_jobs(now);
   place_waiting(now);
@@ -751,14 +918,18 @@
   }
   double waiting = 0; // processor-milliseconds
   for (const auto& [id, each] : jobs_) {
-    for (std::uint32_t step = 0; each->ready > 0 && step < each->tasks.size(); ++step) {
+    if (each->ready == 0 || is_confined(each->spec.terms)) {
+      continue;
+    }
+    for (std::uint32_t step = 0; step < each->tasks.size(); ++step) {
       const auto& shape = each->spec.steps[step];
-      waiting +=
-          static_cast<double>(std::count_if(each->tasks[step].begin(), each->tasks[step].end(),
-                                            [](const task& candidate) {
-                                              return candidate.current_state == task::state::ready;
-                                            })) *
-          shape.needs.cpu_millis * ms(shape.estimate);
+      waiting += static_cast<double>(
+                     std::count_if(each->tasks[step].begin(), each->tasks[step].end(),
+                                   [](const task& candidate) {
+                                     return candidate.current_state == task::state::ready &&
+                                            !candidate.is_to_be_isolated();
+                                   })) *
+                 shape.needs.cpu_millis * ms(shape.estimate);
     }
   }
   // The backlog drains at the rate at which the CPUs of this entry's running tasks do work.
--- a/src/fleet/fleet_scheduler_test.cpp
+++ b/src/fleet/fleet_scheduler_test.cpp
@@ -398,10 +398,11 @@
   fleet.scheduler.tick(at_ms(80));
   CHECK(fleet.scheduler.take_starts().empty());
   const auto lost = fleet.scheduler.take_lost_runs();
-  REQUIRE(lost == std::vector<run_id>{starts[0].order.run});
-  fleet.scheduler.restart_task({lost[0].task, 9}, at_ms(90)); // Not its latest run.
-  fleet.scheduler.restart_task(lost[0], at_ms(100));
-  fleet.scheduler.restart_task(lost[0], at_ms(100));
+  REQUIRE(lost.size() == 1);
+  REQUIRE(lost[0].run == starts[0].order.run);
+  fleet.scheduler.restart_task({lost[0].run.task, 9}, at_ms(90)); // Not its latest run.
+  fleet.scheduler.restart_task(lost[0].run, at_ms(100));
+  fleet.scheduler.restart_task(lost[0].run, at_ms(100));
   fleet.scheduler.place_waiting(at_ms(100));
   starts = fleet.scheduler.take_starts();
   REQUIRE(starts.size() == 1);
@@ -443,5 +444,197 @@
   CHECK(fleet.scheduler.open_jobs() == 0);
 }
 
+run_end crash_of(const placed_start& start, bool suspect) {
+  return {start.order.run, run_outcome::lost, milliseconds(20), {}, false, true, suspect};
+}
+
+TEST_CASE("a task that crashes its workers is given up") {
+  // Guards against a task that takes down one worker after the other.
+  for (const bool durable : {false, true}) {
+    fixture fleet(10);
+    auto job = make_job(1, 1);
+    if (durable) {
+      job.ownership = job_ownership{1, 0, {}};
+    }
+    auto starts = fleet.submit(std::move(job));
+    std::uint32_t crashes = 0;
+    while (!starts.empty()) {
+      REQUIRE(starts.size() == 1);
+      CHECK(starts[0].order.isolated == (crashes > 0));
+      ++crashes;
+      fleet.scheduler.run_ended(starts[0].worker, crash_of(starts[0], true), at_ms(100 * crashes));
+      for (const auto& lost : fleet.scheduler.take_lost_runs()) {
+        CHECK(lost.worker_crashed);
+        fleet.scheduler.restart_task(lost.run, at_ms(100 * crashes));
+      }
+      fleet.scheduler.tick(at_ms(100 * crashes));
+      starts = fleet.scheduler.take_starts();
+    }
+    CHECK(crashes == (durable ? 3 : 2));
+    const auto results = fleet.scheduler.take_results();
+    REQUIRE(results.size() == 1);
+    CHECK(results[0].verdict == job_verdict::failed);
+    CHECK(results[0].cause == job_cause::crashes_workers);
+  }
+}
+
+TEST_CASE("a task beside one that crashes its worker is completed") {
+  // Guards against giving up sound tasks that only shared their workers' crashes.
+  fixture fleet(5);
+  auto starts = fleet.submit(make_job(1, 1));
+  REQUIRE(starts.size() == 1);
+  // Older than another run on the worker, then one of the suspects.
+  for (const bool suspect : {false, true}) {
+    CHECK(!starts[0].order.isolated);
+    fleet.scheduler.run_ended(starts[0].worker, crash_of(starts[0], suspect), at_ms(100));
+    fleet.scheduler.tick(at_ms(100));
+    starts = fleet.scheduler.take_starts();
+    REQUIRE(starts.size() == 1);
+  }
+  CHECK(starts[0].order.isolated);
+  fleet.end(starts[0], run_outcome::done, 200);
+  const auto results = fleet.scheduler.take_results();
+  REQUIRE(results.size() == 1);
+  CHECK(results[0].verdict == job_verdict::completed);
+  CHECK(results[0].crashed_runs == 2);
+}
+
+TEST_CASE("an isolated order that is returned again and again becomes an ordinary one") {
+  // Guards against a task that waits for an idle worker while long runs keep all of them busy.
+  fixture fleet(5);
+  auto starts = fleet.submit(make_job(1, 1));
+  fleet.scheduler.run_ended(starts[0].worker, crash_of(starts[0], true), at_ms(100));
+  std::uint32_t returned = 0;
+  for (;;) {
+    fleet.scheduler.tick(at_ms(100));
+    starts = fleet.scheduler.take_starts();
+    REQUIRE(starts.size() == 1);
+    if (!starts[0].order.isolated) {
+      break;
+    }
+    REQUIRE(++returned < 5);
+    fleet.end(starts[0], run_outcome::not_started, 100);
+  }
+  CHECK(returned == 2);
+  // It is still given up, whatever runs beside it.
+  std::uint32_t crashes = 1;
+  while (!starts.empty()) {
+    ++crashes;
+    fleet.scheduler.run_ended(starts[0].worker, crash_of(starts[0], true), at_ms(100));
+    fleet.scheduler.tick(at_ms(100));
+    starts = fleet.scheduler.take_starts();
+  }
+  CHECK(crashes == 5);
+}
+
+TEST_CASE("losses of unreachable workers are not counted as crashes") {
+  // Guards against giving up tasks whose workers were only cut off.
+  fixture fleet(5);
+  auto starts = fleet.submit(make_job(1, 1));
+  for (int i = 0; i < 5; ++i) {
+    REQUIRE(starts.size() == 1);
+    CHECK(!starts[0].order.isolated);
+    fleet.end(starts[0], run_outcome::lost, 100);
+    fleet.scheduler.tick(at_ms(100));
+    starts = fleet.scheduler.take_starts();
+  }
+  CHECK(fleet.scheduler.take_results().empty());
+}
+
+TEST_CASE("crashes that earlier owners stored count") {
+  fixture fleet(5);
+  auto job = make_job(1, 1);
+  task_progress progress;
+  progress.crashes = 2;
+  job.ownership = job_ownership{2, attempts_per_epoch, {{progress}}};
+  const auto starts = fleet.submit(std::move(job));
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].order.isolated);
+  fleet.scheduler.run_ended(starts[0].worker, crash_of(starts[0], true), at_ms(100));
+  CHECK(fleet.scheduler.take_lost_runs().empty());
+  CHECK(fleet.scheduler.take_results().size() == 1);
+}
+
+fleet_job job_of_queue(std::uint64_t id, const std::string& queue, std::uint32_t tasks) {
+  auto job = make_job(id, tasks);
+  job.terms.queue = queue;
+  return job;
+}
+
+std::set<worker_index> workers_of(const std::vector<placed_start>& starts) {
+  std::set<worker_index> used;
+  for (const auto& start : starts) {
+    used.insert(start.worker);
+  }
+  return used;
+}
+
+TEST_CASE("a queue whose tasks crash workers is confined to few of them") {
+  // Guards against one kind of task that takes all workers from the others.
+  fixture fleet(10);
+  fleet.submit(job_of_queue(1, "sound", 1));
+  fleet.submit(job_of_queue(2, "deadly", 1));
+  fleet.scheduler.worker_crashed({queue_hash("deadly"), false}, at_ms(10));
+  fleet.scheduler.worker_crashed({queue_hash("deadly"), true}, at_ms(20));
+  CHECK(fleet.scheduler.confined_queues().empty());
+  fleet.scheduler.worker_crashed({queue_hash("deadly"), true}, at_ms(400));
+  CHECK(fleet.scheduler.confined_queues() == std::set<std::string>{"deadly"});
+  const auto deadly = workers_of(fleet.submit(job_of_queue(3, "deadly", 25), 410));
+  const auto sound = workers_of(fleet.submit(job_of_queue(4, "sound", 60), 420));
+  CHECK(deadly.size() == 2);
+  CHECK(sound.size() == 8);
+  for (const auto index : sound) {
+    CHECK(!deadly.contains(index));
+  }
+
+  // Its workers are full, so that its next job is refused at once.
+  fleet.submit(job_of_queue(5, "deadly", 5), 430);
+  const auto results = fleet.scheduler.take_results();
+  REQUIRE(results.size() == 1);
+  CHECK(results[0].verdict == job_verdict::not_run);
+  CHECK(results[0].cause == job_cause::queue_confined);
+
+  fleet.scheduler.tick(at_ms(20'000));
+  CHECK(fleet.scheduler.confined_queues().empty());
+}
+
+TEST_CASE("a job of a confined queue that shared a crash is not shown as failed") {
+  // Guards against giving up a sound job as if it were the cause.
+  fixture fleet(10);
+  fleet.submit(job_of_queue(1, "sound", 1));
+  const auto starts = fleet.submit(job_of_queue(2, "deadly", 1));
+  fleet.scheduler.worker_crashed({queue_hash("deadly"), true}, at_ms(10));
+  fleet.scheduler.worker_crashed({queue_hash("deadly"), true}, at_ms(20));
+  fleet.scheduler.run_ended(starts[0].worker, crash_of(starts[0], true), at_ms(30));
+  const auto results = fleet.scheduler.take_results();
+  REQUIRE(results.size() == 1);
+  CHECK(results[0].verdict == job_verdict::unknown);
+  fleet.scheduler.tick(at_ms(100));
+  CHECK(fleet.scheduler.take_starts().empty());
+}
+
+TEST_CASE("a queue without others beside it is never confined") {
+  fixture fleet(10);
+  fleet.submit(job_of_queue(1, "deadly", 1));
+  for (int i = 0; i < 5; ++i) {
+    fleet.scheduler.worker_crashed({queue_hash("deadly"), true}, at_ms(10));
+  }
+  CHECK(fleet.scheduler.confined_queues().empty());
+}
+
+TEST_CASE("durable jobs of a confined queue do not keep other jobs waiting") {
+  // Guards against a backlog of jobs that cannot be placed in front of those that can.
+  fixture fleet(10);
+  fleet.submit(job_of_queue(1, "sound", 1));
+  for (std::uint64_t id = 2; id < 100; ++id) {
+    auto job = job_of_queue(id, "deadly", 4);
+    job.ownership = job_ownership{1, 0, {}};
+    fleet.submit(std::move(job));
+    fleet.scheduler.worker_crashed({queue_hash("deadly"), true}, at_ms(0));
+  }
+  CHECK(fleet.scheduler.backlog() > 100);
+  CHECK(fleet.submit(job_of_queue(100, "sound", 8), 10).size() == 8);
+}
+
 } // namespace
 } // namespace parsleylead
