Detect a crashed worker within 10 ms of the first refused connection

An agent takes its worker for crashed after the second refused connection, and tried again only after 100 ms, like for a worker that does not answer. Runs that were lost in the crash were placed again that much later. The retry after the first refusal comes after 10 ms now.

--- a/src/fleet/fleet_agent.cpp
+++ b/src/fleet/fleet_agent.cpp
@@ -23,6 +23,8 @@
 // suspected, because each attempt then opens a connection.
 constexpr milliseconds list_retry{2};
 constexpr milliseconds suspected_list_retry{100};
+// Delay after the first refused connection. A second one shows that the worker has crashed.
+constexpr milliseconds refused_list_retry{10};
 
 /// The partitions and epochs, as "3:12 5:14".
 std::string format_claims(const std::vector<partition_claim>& claims) {
@@ -521,10 +523,12 @@
   if (!std::exchange(last_list_failed_, true)) {
     failing_since_ = now;
   }
+  bool first_refusal = false;
   if (worker_) {
     if (now - last_list_at_ > settings_.suspect_after || absl::IsUnavailable(status)) {
       set_worker_suspected(true, std::string(status.message()));
     }
+    first_refusal = absl::IsUnavailable(status) && !connection_refused_;
     const bool crashed = absl::IsUnavailable(status) && std::exchange(connection_refused_, true);
     if ((crashed || now > lease_end()) && table_.running() > 0) {
       log_.write("worker_lost", "worker", worker_->id, "crashed", crashed, "runs", table_.running(),
@@ -536,7 +540,8 @@
     }
     flush_soon_();
   }
-  schedule_list(suspected_ ? suspected_list_retry : list_retry);
+  schedule_list(first_refusal ? refused_list_retry
+                              : (suspected_ ? suspected_list_retry : list_retry));
 }
 
 fleet_agent::session* fleet_agent::find_session(owner_id owner) {
