Confine and release queues within bounded times

Cause: a service with a single quarantined worker has isolated crashes at least 3.3 s apart, too far for the half-life of 3 s to sum up to 1.5 before the third one. The weights of many crashes added up without limit, so that a queue stayed confined for longer the more workers its tasks had crashed.

Change: half-life 4 s, sum limited to 2, release at 0.75.

Measured: both new tests failed before.

--- a/include/parsleylead/fleet/crash_history.hpp
+++ b/include/parsleylead/fleet/crash_history.hpp
@@ -12,12 +12,15 @@
 
 /// Settings of a `crash_history`.
 struct crash_policy {
-  /// The weight of a crash halves in this time.
-  std::chrono::duration<double> half_life{3.0};
-  /// A queue is confined once the weights of its crashes reach this sum: two in quick succession.
+  /// The weight of a crash halves in this time. A service may have a single quarantined worker,
+  /// which is down for about 3.2 s after a crash: two crashes of it have to confine a queue.
+  std::chrono::duration<double> half_life{4.0};
+  /// A queue is confined once the weights of its crashes reach this sum: two within 4 s.
   double confine_above = 1.5;
   /// A confined queue is released once the sum has fallen to this.
-  double release_below = 0.5;
+  double release_below = 0.75;
+  /// Largest sum, so that a queue is released 6 s after its last crash at the latest.
+  double max_weight = 2.0;
 };
 
 /// Decides which queues are confined to few workers because their tasks crash workers, so that
--- a/src/fleet/crash_history.cpp
+++ b/src/fleet/crash_history.cpp
@@ -22,7 +22,7 @@
     return;
   }
   auto& known = queues_[report.queue];
-  known.weight = weight_at(known, now) + 1;
+  known.weight = std::min(weight_at(known, now) + 1, policy_.max_weight);
   known.updated = now;
 }
 
--- a/src/fleet/crash_history_test.cpp
+++ b/src/fleet/crash_history_test.cpp
@@ -46,5 +46,30 @@
   CHECK(!history.any_confined());
 }
 
+TEST_CASE("crashes of the only worker for a queue's isolated tasks confine the queue") {
+  // Guards against a small service, whose single quarantined worker is down for 3.2 s after each
+  // crash and then waits for its next isolated task, losing all other workers meanwhile.
+  crash_history history;
+  history.record({deadly, true}, at_ms(0));
+  history.update(at_ms(0));
+  history.record({deadly, true}, at_ms(3'800));
+  history.update(at_ms(3'800));
+  CHECK(history.is_confined(deadly));
+}
+
+TEST_CASE("a queue is released soon after its last crash, however many there were") {
+  // Guards against a queue that stays confined for longer the more workers its tasks crashed.
+  crash_history history;
+  for (int i = 0; i < 1'000; ++i) {
+    history.record({deadly, true}, at_ms(10 * i));
+    history.update(at_ms(10 * i));
+  }
+  CHECK(history.is_confined(deadly));
+  history.update(at_ms(10'000 + 4'000));
+  CHECK(history.is_confined(deadly));
+  history.update(at_ms(10'000 + 6'000));
+  CHECK(!history.any_confined());
+}
+
 } // namespace
 } // namespace parsleylead
