Test that isolated tasks do not wait while all quarantined workers are down

Guards against a storm of crashes in which no queue is confined, because the isolated tasks that would show the cause wait for workers that other tasks crash. The test fails if isolated tasks always wait for quarantined workers.

--- a/src/fleet/fleet_scheduler_test.cpp
+++ b/src/fleet/fleet_scheduler_test.cpp
@@ -444,6 +444,12 @@
   CHECK(fleet.scheduler.open_jobs() == 0);
 }
 
+fleet_job job_of_queue(std::uint64_t id, const std::string& queue, std::uint32_t tasks) {
+  auto job = make_job(id, tasks);
+  job.terms.queue = queue;
+  return job;
+}
+
 run_end crash_of(const placed_start& start, bool suspect) {
   return {start.order.run, run_outcome::lost, milliseconds(20), {}, false, true, suspect};
 }
@@ -527,6 +533,38 @@
   CHECK(crashes == 5);
 }
 
+TEST_CASE("an isolated task does not wait while all quarantined workers are down") {
+  // Guards against a storm of crashes in which no queue is confined, because the isolated tasks
+  // that would show the cause wait for workers that other tasks crash.
+  fixture fleet(5);
+  fleet.submit(job_of_queue(1, "sound", 1));
+  const auto isolated_start = [&](std::uint64_t id) {
+    const auto starts = fleet.submit(job_of_queue(id, "deadly", 1));
+    REQUIRE(starts.size() == 1);
+    fleet.scheduler.run_ended(starts[0].worker, crash_of(starts[0], true), at_ms(100));
+    fleet.scheduler.tick(at_ms(1'000));
+    return fleet.scheduler.take_starts();
+  };
+  const auto quarantined = isolated_start(2);
+  REQUIRE(quarantined.size() == 1);
+  worker_status down;
+  down.has_description = false;
+  fleet.scheduler.worker_reported(quarantined[0].worker, down, at_ms(1'000));
+  const auto other = isolated_start(3);
+  REQUIRE(other.size() == 1);
+  CHECK(other[0].order.isolated);
+  CHECK(other[0].worker != quarantined[0].worker);
+
+  // Tasks of a confined queue wait.
+  fleet.scheduler.worker_crashed({queue_hash("deadly"), true}, at_ms(1'000));
+  fleet.scheduler.worker_crashed({queue_hash("deadly"), true}, at_ms(1'000));
+  auto job = job_of_queue(4, "deadly", 1);
+  task_progress progress;
+  progress.crashes = 1;
+  job.ownership = job_ownership{2, attempts_per_epoch, {{progress}}};
+  CHECK(fleet.submit(std::move(job), 1'000).empty());
+}
+
 TEST_CASE("losses of unreachable workers are not counted as crashes") {
   // Guards against giving up tasks whose workers were only cut off.
   fixture fleet(5);
@@ -555,12 +593,6 @@
   CHECK(fleet.scheduler.take_results().size() == 1);
 }
 
-fleet_job job_of_queue(std::uint64_t id, const std::string& queue, std::uint32_t tasks) {
-  auto job = make_job(id, tasks);
-  job.terms.queue = queue;
-  return job;
-}
-
 std::set<worker_index> workers_of(const std::vector<placed_start>& starts) {
   std::set<worker_index> used;
   for (const auto& start : starts) {
