Close the parent's descriptors in processes that tests start

The soak and the fault matrix hold sockets without close-on-exec, so each process that was started during a run inherited the callers' sockets. When a caller then gave up on a request, its connection stayed open: the entry did not see that the caller had disconnected and kept the job, which then ran twice at a time once the caller sent it again.

--- a/tests/faults/child_process.cpp
+++ b/tests/faults/child_process.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::chrono::milliseconds poll_interval{5};
 constexpr int exec_failed = 127;
+constexpr unsigned int first_inherited_descriptor = 3;
 
 // Runs between fork and exec, so only async-signal-safe calls are allowed.
 [[noreturn]] void exec_child(char* const* arguments, int output) {
@@ -27,6 +28,9 @@
   std::signal(SIGPIPE, SIG_DFL);
   dup2(output, STDOUT_FILENO);
   dup2(output, STDERR_FILENO);
+  // A child that holds copies of the parent's sockets keeps their connections open after the parent
+  // has closed them: an entry then does not see that a caller has disconnected.
+  close_range(first_inherited_descriptor, ~0U, CLOSE_RANGE_CLOEXEC);
   execv(arguments[0], arguments);
   _exit(exec_failed);
 }
