Tell a request that was sent whole from one that was not in web_client

A search for requests that end without an answer must not count those whose connection ended before they were written: such calls fail with kAborted now, and with kUnknown only once the whole request was written. A call no longer uses an idle connection that the server has closed but whose end the loop has not reported yet; it would have failed without need.

web_test covers both; with the check of the idle connection taken out, "a connection that the server has closed is not used again" fails (1 of 2 calls answered).

--- a/include/parsleylead/web/web_client.hpp
+++ b/include/parsleylead/web/web_client.hpp
@@ -25,8 +25,9 @@
 
   /// Sends a request. `done` is called exactly once, unless the client is destroyed first. Errors:
   /// kUnavailable if the request was not sent; kDeadlineExceeded after `timeout`, which includes
-  /// the time in the queue; kUnknown if the connection failed after sending, so that the server may
-  /// have carried out the call.
+  /// the time in the queue; kAborted if the connection failed before the whole request was written;
+  /// kUnknown if it failed after that without a complete response. After the last three the server
+  /// may have carried out the call: a server that stopped sending may still read.
   void call(web_request request, std::chrono::milliseconds timeout, callback done);
 
 private:
--- a/src/web/web_client.cpp
+++ b/src/web/web_client.cpp
@@ -4,7 +4,9 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
+#include <cerrno>
 #include <deque>
+#include <sys/socket.h>
 #include <utility>
 #include <vector>
 
@@ -58,6 +60,7 @@
   void run(pending_call pending) {
     call_ = std::move(pending);
     call_active_ = true;
+    written_ = false;
     send_buffer_ = write_request(call_.request, client_->authority);
     parser_.reset();
     receive_buffer_.clear();
@@ -98,7 +101,16 @@
         });
   }
 
-  bool connected() const { return connected_; }
+  /// Returns false if the server has closed the connection, even if the loop has not reported it
+  /// yet: a request sent on such a connection would get no response.
+  bool usable() {
+    if (!connected_) {
+      return false;
+    }
+    char byte = 0;
+    const auto count = recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  }
 
 private:
   void connect() {
@@ -130,9 +142,10 @@
   void write() {
     asio::async_write(socket_, asio::buffer(send_buffer_),
                       [self = shared_from_this()](const asio::error_code& error, std::size_t) {
+                        self->written_ = !error;
                         if (error && self->call_active_) {
                           self->finish(
-                              absl::UnknownError("connection to " + self->client_->authority +
+                              absl::AbortedError("connection to " + self->client_->authority +
                                                  " failed while writing: " + error.message()),
                               false);
                         }
@@ -158,9 +171,9 @@
       return;
     }
     if (result != message_parser::result::complete) {
-      finish(absl::UnknownError("connection to " + client_->authority + " failed while reading: " +
-                                (error ? error.message() : "malformed response")),
-             false);
+      const auto message = "connection to " + client_->authority + " failed while reading: " +
+                           (error ? error.message() : "malformed response");
+      finish(written_ ? absl::UnknownError(message) : absl::AbortedError(message), false);
       return;
     }
     const bool reusable = parser_.keep_alive() && !error;
@@ -195,11 +208,13 @@
   std::uint64_t call_number_ = 0;
   bool connected_ = false;
   bool reading_ = false;
+  bool written_ = false;
   bool call_active_ = false;
 };
 
 void web_client::state::call(pending_call pending) {
-  while (!idle.empty() && !idle.back()->connected()) {
+  while (!idle.empty() && !idle.back()->usable()) {
+    idle.back()->close();
     idle.pop_back();
   }
   if (idle.empty() && busy.size() >= max_connections) {
--- a/src/web/web_test.cpp
+++ b/src/web/web_test.cpp
@@ -1,9 +1,12 @@
 #include <doctest/doctest.h>
 
+#include <array>
 #include <asio/connect.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
+#include <functional>
+#include <list>
 
 #include "parsleylead/web/web_client.hpp"
 #include "parsleylead/web/web_server.hpp"
@@ -93,6 +96,94 @@
   CHECK(code == absl::StatusCode::kUnavailable);
 }
 
+/// Accepts connections and calls `on_accept` with each.
+class raw_server {
+public:
+  raw_server(asio::io_context& io, std::function<void(tcp::socket&)> on_accept)
+      : acceptor_(io, {asio::ip::make_address("127.0.0.1"), 0}), on_accept_(std::move(on_accept)) {
+    accept();
+  }
+
+  endpoint address() const { return {"127.0.0.1", acceptor_.local_endpoint().port()}; }
+
+private:
+  void accept() {
+    acceptor_.async_accept([this](const asio::error_code& error, tcp::socket socket) {
+      if (!error) {
+        sockets_.push_back(std::move(socket));
+        on_accept_(sockets_.back());
+        accept();
+      }
+    });
+  }
+
+  tcp::acceptor acceptor_;
+  std::function<void(tcp::socket&)> on_accept_;
+  std::list<tcp::socket> sockets_;
+};
+
+absl::StatusCode code_of_call(asio::io_context& io, const endpoint& server, std::string body) {
+  web_client client(io, server, 1);
+  absl::StatusCode code = absl::StatusCode::kOk;
+  client.call({"POST", "/", {}, std::move(body)}, milliseconds(2'000),
+              [&](const absl::StatusOr<web_response>& result) {
+                code = result.status().code();
+                io.stop();
+              });
+  io.run_for(test_limit);
+  return code;
+}
+
+TEST_CASE(
+    "a connection that ends after the request was written is told from one that ends before") {
+  // Guards against a search for lost requests that counts those that were never sent whole.
+  asio::io_context io;
+  std::array<char, 16> first_bytes{};
+  raw_server server(io, [&](tcp::socket& socket) {
+    socket.async_read_some(asio::buffer(first_bytes),
+                           [&socket](const asio::error_code&, std::size_t) { socket.close(); });
+  });
+  CHECK(code_of_call(io, server.address(), "short") == absl::StatusCode::kUnknown);
+  io.restart();
+  // More than the buffers of both sockets hold.
+  const std::string long_body(std::size_t{64} * 1'024 * 1'024, 'x');
+  CHECK(code_of_call(io, server.address(), long_body) == absl::StatusCode::kAborted);
+}
+
+TEST_CASE("a connection that the server has closed is not used again") {
+  // Guards against calls that fail because the loop has not reported yet that the server closed the
+  // idle connection.
+  asio::io_context io;
+  int connections = 0;
+  std::string received(4'096, '\0');
+  tcp::socket* first_socket = nullptr;
+  const std::string response = "HTTP/1.1 204 No Content\r\n\r\n";
+  raw_server server(io, [&](tcp::socket& socket) {
+    first_socket = ++connections == 1 ? &socket : first_socket;
+    socket.async_read_some(asio::buffer(received), [&](const asio::error_code&, std::size_t) {
+      asio::write(socket, asio::buffer(response));
+    });
+  });
+  web_client client(io, server.address(), 1);
+  int answered = 0;
+  const auto call = [&](const std::function<void()>& done) {
+    client.call({"GET", "/", {}, ""}, milliseconds(2'000),
+                [&answered, done](const absl::StatusOr<web_response>& result) {
+                  answered += result.ok() && result->status == 204 ? 1 : 0;
+                  done();
+                });
+  };
+  call([&] {
+    asio::post(io, [&] {
+      first_socket->close();
+      call([&] { io.stop(); });
+    });
+  });
+  io.run_for(test_limit);
+  CHECK(answered == 2);
+  CHECK(connections == 2);
+}
+
 std::string send_raw(asio::io_context& io, const endpoint& address, const std::string& bytes) {
   tcp::socket socket(io);
   socket.connect({asio::ip::make_address(address.ip), address.port});
