Let the worker stand-in crash under deadly tasks and change its capacity

A payload with a third word "deadly" crashes the worker 0 to 30 ms after the run starts; a fourth word names the index of the task that does so, since all tasks of a job share one payload. A worker that crashed closes all connections, refuses new ones and sends nothing for a settable time, then comes back under the same id or, half of the time, a new one. crash() without arguments is as before: no downtime, same id, connections stay open.

The capacity can be set while the worker runs. A smaller one counts for overloaded() from 0.5 s (one heartbeat) after an announcement that showed it was acknowledged; runs that were present may stay, and an order that is executed late is judged by the capacity at its arrival.

--- a/standins/standin-platform/worker_service.cpp
+++ b/standins/standin-platform/worker_service.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <sstream>
+#include <stdexcept>
 
 #include "parsleylead/base/call_after.hpp"
 #include "parsleylead/base/time.hpp"
@@ -21,15 +22,29 @@
 constexpr int min_delay_ms = 1'000;
 constexpr int max_delay_ms = 4'000;
 constexpr std::uint32_t memory_mb = 32'768;
+// A deadly task crashes its worker at most this long after its start.
+constexpr int max_crash_delay_ms = 30;
+// Orders sent before the agent acknowledged a smaller capacity may still arrive for this time.
+constexpr milliseconds capacity_grace{500};
+
+/// Returns whether the rest of a payload says that the task with this name is deadly.
+bool is_deadly(std::istream& payload, const std::string& task) {
+  std::string word;
+  std::string index;
+  if (!(payload >> word) || word != "deadly") {
+    return false;
+  }
+  return !(payload >> index) || task.substr(task.rfind('.') + 1) == index;
+}
 
 } // namespace
 
 worker_service::worker_service(asio::io_context& io, std::string id, const endpoint& address,
                                const endpoint& agent, std::uint64_t seed, worker_observer& observer)
     : io_(io), id_(std::move(id)), address_(address), observer_(observer), random_(seed),
-      server_(io, {}, [this](auto exchange) { handle(exchange); }), agent_(io, agent, 1),
-      tick_timer_(io), start_time_ms_(wall_now().time_since_epoch().count()),
-      clock_start_(steady_clock::now()), last_tick_(clock_start_) {
+      agent_(io, agent, 1), tick_timer_(io), base_id_(id_),
+      start_time_ms_(wall_now().time_since_epoch().count()), clock_start_(steady_clock::now()),
+      last_tick_(clock_start_) {
   tick();
 }
 
@@ -41,7 +56,32 @@
   return std::uniform_real_distribution<double>(0, 1)(random_) < share;
 }
 
-void worker_service::crash() {
+absl::Status worker_service::listen() {
+  server_ = std::make_unique<web_server>(io_, web_server_limits{},
+                                         [this](auto exchange) { handle(exchange); });
+  return server_->listen(address_);
+}
+
+void worker_service::set_downtime(milliseconds shortest, milliseconds longest) {
+  shortest_downtime_ = shortest;
+  longest_downtime_ = longest;
+}
+
+void worker_service::set_capacity(std::uint32_t cpu_millis) {
+  capacity_ = cpu_millis;
+  judged_capacity_ = std::max(judged_capacity_, cpu_millis);
+}
+
+void worker_service::capacity_acknowledged(std::uint32_t cpu_millis) {
+  auto timer = std::make_shared<asio::steady_timer>(io_, capacity_grace);
+  timer->async_wait([this, timer, cpu_millis, incarnation = incarnation_](const asio::error_code&) {
+    if (incarnation == incarnation_) {
+      judged_capacity_ = std::max(cpu_millis, capacity_); // It may have grown meanwhile.
+    }
+  });
+}
+
+void worker_service::crash(milliseconds downtime, bool new_id) {
   while (!runs_.empty()) {
     const auto task = runs_.begin()->first;
     observer_.run_ended(id_, task, runs_.begin()->second.number, "crashed");
@@ -51,16 +91,33 @@
   unacknowledged_ends_.clear();
   highest_fencing_token_ = 0;
   last_end_number_ = 0;
-  sequence_ = 0;
-  clock_start_ = steady_clock::now();
-  lease_end_ms_ = 0;
-  start_time_ms_ =
-      std::max(start_time_ms_ + 1, std::int64_t{wall_now().time_since_epoch().count()});
   ++incarnation_;
   for (const auto& pending : pending_holds_) {
     pending.exchange->abort();
   }
   pending_holds_.clear();
+  if (new_id) {
+    id_ = base_id_ + "-" + std::to_string(++id_changes_);
+  }
+  if (downtime.count() > 0) {
+    begin_downtime(downtime);
+  } else if (!down_until_) {
+    restart();
+  }
+}
+
+void worker_service::begin_downtime(milliseconds downtime) {
+  unanswered_.clear();
+  server_.reset();
+  down_until_ = steady_clock::now() + downtime;
+}
+
+void worker_service::restart() {
+  sequence_ = 0;
+  clock_start_ = steady_clock::now();
+  lease_end_ms_ = 0;
+  start_time_ms_ =
+      std::max(start_time_ms_ + 1, std::int64_t{wall_now().time_since_epoch().count()});
 }
 
 void worker_service::handle(const std::shared_ptr<web_exchange>& exchange) {
@@ -75,9 +132,10 @@
     const auto delay = std::uniform_int_distribution<int>(min_delay_ms, max_delay_ms)(random_);
     auto timer = std::make_shared<asio::steady_timer>(io_, milliseconds(delay));
     timer->async_wait([this, timer, path, body = exchange->request().body,
+                       capacity = judged_capacity_,
                        incarnation = incarnation_](const asio::error_code&) {
       if (incarnation == incarnation_) {
-        execute(path, body);
+        execute(path, body, std::max(capacity, judged_capacity_));
       }
     });
     return;
@@ -86,7 +144,7 @@
     handle_hold(exchange);
     return;
   }
-  auto response = execute(path, exchange->request().body);
+  auto response = execute(path, exchange->request().body, judged_capacity_);
   if (happens(faults_.lost_response_share)) {
     unanswered_.push_back(exchange);
   } else {
@@ -94,9 +152,10 @@
   }
 }
 
-web_response worker_service::execute(const std::string& path, const std::string& body) {
+web_response worker_service::execute(const std::string& path, const std::string& body,
+                                     std::uint32_t capacity) {
   if (path == "/run-start") {
-    return start_run(body);
+    return start_run(body, capacity);
   }
   if (path == "/run-stop") {
     return stop_run(body);
@@ -108,7 +167,7 @@
   lease_end_ms_ = std::max(lease_end_ms_, std::min(lease_end_ms, clock_ms() + max_lease_ms));
 }
 
-web_response worker_service::start_run(const std::string& body) {
+web_response worker_service::start_run(const std::string& body, std::uint32_t capacity) {
   const auto request = json::parse(body);
   const auto refuse = [this](const char* reason) {
     return web_response{409, {}, json{{"clock_ms", clock_ms()}, {"reason", reason}}.dump()};
@@ -140,12 +199,17 @@
   std::istringstream payload(request["spec"].get<std::string>());
   payload >> new_run.work_ms >> new_run.cpu_millis;
   new_run.remaining_ms = new_run.work_ms;
+  if (is_deadly(payload, task)) {
+    new_run.crash_at =
+        steady_clock::now() +
+        milliseconds(std::uniform_int_distribution<int>(0, max_crash_delay_ms)(random_));
+  }
   runs_[task] = new_run;
   std::uint32_t used_cpu_millis = 0;
   for (const auto& [name, running_run] : runs_) {
     used_cpu_millis += running_run.cpu_millis;
   }
-  if (used_cpu_millis > capacity_cpu_millis) {
+  if (used_cpu_millis > capacity) {
     observer_.overloaded(id_);
   }
   observer_.run_started(id_, task, number, request["spec"].get<std::string>());
@@ -237,19 +301,35 @@
                   {"slots", 8},
                   {"state", draining_ ? "draining" : "ready"},
                   {"cold_remaining_ms", 0},
-                  {"capacity", {{"cpu", capacity_cpu_millis}, {"mem_mb", memory_mb}, {"gpu", 0}}},
+                  {"capacity", {{"cpu", capacity_}, {"mem_mb", memory_mb}, {"gpu", 0}}},
                   {"labels", {"a", "r1"}},
                   {"clock_ms", clock_ms()},
                   {"born", start_time_ms_},
                   {"sequence", ++sequence_}};
   agent_.call({"POST", "/Workers.Heartbeat/" + id_, {}, body.dump()}, announcement_timeout,
-              [](const absl::StatusOr<web_response>&) {});
+              [this, shown = capacity_,
+               incarnation = incarnation_](const absl::StatusOr<web_response>& response) {
+                if (response.ok() && response->status == 200 && incarnation == incarnation_) {
+                  capacity_acknowledged(shown);
+                }
+              });
 }
 
-void worker_service::tick() {
+bool worker_service::crash_if_due() {
   const auto now = steady_clock::now();
-  const std::chrono::duration<double, std::milli> elapsed = now - last_tick_;
-  last_tick_ = now;
+  if (std::none_of(runs_.begin(), runs_.end(), [now](const auto& each) {
+        return each.second.crash_at && *each.second.crash_at <= now;
+      })) {
+    return false;
+  }
+  ++crashes_;
+  const milliseconds downtime(std::uniform_int_distribution<std::int64_t>(
+      shortest_downtime_.count(), longest_downtime_.count())(random_));
+  crash(downtime, std::uniform_int_distribution<int>(0, 1)(random_) == 0);
+  return true;
+}
+
+void worker_service::end_due_runs(std::chrono::duration<double, std::milli> elapsed) {
   const bool lapsed = clock_ms() > lease_end_ms_;
   std::vector<std::pair<std::string, std::string>> ending;
   for (auto& [task, active_run] : runs_) {
@@ -258,7 +338,7 @@
       ending.emplace_back(task, "lapsed");
     } else if (active_run.stopping) {
       ending.emplace_back(task, "stopped");
-    } else if (active_run.remaining_ms <= 0) {
+    } else if (active_run.remaining_ms <= 0 && !active_run.crash_at) {
       ending.emplace_back(task, happens(faults_.failed_run_share) ? "failed" : "done");
     }
   }
@@ -268,6 +348,25 @@
   for (const auto& [task, outcome] : ending) {
     end_run(task, outcome);
   }
+}
+
+void worker_service::tick() {
+  call_after(tick_timer_, tick_interval, [this] { tick(); });
+  const auto now = steady_clock::now();
+  const std::chrono::duration<double, std::milli> elapsed = now - last_tick_;
+  last_tick_ = now;
+  if (down_until_ && now >= *down_until_) {
+    down_until_.reset();
+    restart();
+    if (const auto status = listen(); !status.ok()) {
+      throw std::runtime_error(std::string(status.message()));
+    }
+    next_announcement_ = now;
+  }
+  if (down_until_ || crash_if_due()) {
+    return;
+  }
+  end_due_runs(elapsed);
   auto holds = std::move(pending_holds_);
   pending_holds_.clear();
   for (auto& pending : holds) {
@@ -281,7 +380,6 @@
     next_announcement_ = now + announcement_interval;
     announce();
   }
-  call_after(tick_timer_, tick_interval, [this] { tick(); });
 }
 
 } // namespace parsleylead::standin
--- a/standins/standin-platform/worker_service.hpp
+++ b/standins/standin-platform/worker_service.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -41,28 +42,40 @@
   /// The agent has acknowledged the end of a run that is done, and the worker's lease has not
   /// lapsed since the run ended, so the worker may delete its record of the end.
   virtual void completion_acknowledged(const std::string& task, std::uint64_t run) = 0;
-  /// Runs need more CPU than the worker has.
+  /// A start brought the CPU that the runs need above the worker's capacity.
   virtual void overloaded(const std::string& worker) = 0;
 };
 
 /// A test double of a worker, written from the platform's protocol page: runs under a lease,
 /// fencing tokens, lists of runs, and announcements to its agent. A task's payload "work_ms
-/// cpu_millis" sets the run time and the CPU that a run needs. Not thread-safe: use it only on the
-/// thread that runs `io`.
+/// cpu_millis" sets the run time and the CPU that a run needs. A payload "work_ms cpu_millis
+/// deadly" also crashes the worker shortly after the run starts; "work_ms cpu_millis deadly N" does
+/// so for the tasks with index N only, since all tasks of a job have the same payload. Not
+/// thread-safe: use it only on the thread that runs `io`.
 class worker_service {
 public:
   worker_service(asio::io_context& io, std::string id, const endpoint& address,
                  const endpoint& agent, std::uint64_t seed, worker_observer& observer);
 
-  absl::Status listen() { return server_.listen(address_); }
+  absl::Status listen();
   void set_faults(const worker_faults& faults) { faults_ = faults; }
   void set_draining(bool draining) { draining_ = draining; }
-  /// Ends all runs and restarts the worker as a new incarnation with the same id.
-  void crash();
+  /// Ends all runs and restarts the worker as a new incarnation. With a downtime, the worker closes
+  /// all connections, refuses new ones and sends no announcements until the downtime is over.
+  void crash(std::chrono::milliseconds downtime = {}, bool new_id = false);
+  /// Limits of the downtime after a crash caused by a task, which is chosen at random.
+  void set_downtime(std::chrono::milliseconds shortest, std::chrono::milliseconds longest);
+  /// Changes the capacity. The next announcement shows it. Starts are judged against a smaller
+  /// capacity only some time after an announcement that shows it was acknowledged; runs that are
+  /// present may stay. Orders that are executed late are judged by the time at which they arrived.
+  void set_capacity(std::uint32_t cpu_millis);
   const std::string& id() const { return id_; }
   std::size_t running() const { return runs_.size(); }
 
-  static constexpr std::uint32_t capacity_cpu_millis = 16'000;
+  /// Number of crashes that tasks caused.
+  std::size_t crashes() const { return crashes_; }
+
+  static constexpr std::uint32_t full_capacity_cpu_millis = 16'000;
 
 private:
   struct run {
@@ -71,6 +84,8 @@
     double work_ms = 0;
     std::uint32_t cpu_millis = 0;
     bool stopping = false;
+    /// When the run crashes the worker. Such a run never completes.
+    std::optional<std::chrono::steady_clock::time_point> crash_at;
   };
   struct ended_run {
     /// Position in the worker's sequence of ends; agents acknowledge by it.
@@ -87,15 +102,24 @@
   };
 
   void handle(const std::shared_ptr<web_exchange>& exchange);
-  /// Executes a request and returns the response.
-  web_response execute(const std::string& path, const std::string& body);
-  web_response start_run(const std::string& body);
+  /// Executes a request and returns the response. `capacity` was in force when it arrived.
+  web_response execute(const std::string& path, const std::string& body, std::uint32_t capacity);
+  web_response start_run(const std::string& body, std::uint32_t capacity);
   web_response stop_run(const std::string& body);
   void extend_lease(std::int64_t lease_end_ms);
   void handle_hold(const std::shared_ptr<web_exchange>& exchange);
   web_response run_lists() const;
   void end_run(const std::string& task, const std::string& outcome);
   void announce();
+  /// An announcement that showed this capacity was acknowledged.
+  void capacity_acknowledged(std::uint32_t cpu_millis);
+  void begin_downtime(std::chrono::milliseconds downtime);
+  /// Starts the new incarnation after a crash.
+  void restart();
+  /// Crashes the worker if a run is due to do so. Returns whether it was.
+  bool crash_if_due();
+  /// Adds the ends of the runs that end now.
+  void end_due_runs(std::chrono::duration<double, std::milli> elapsed);
   void tick();
   /// Returns true with the probability `share`.
   bool happens(double share);
@@ -106,11 +130,22 @@
   endpoint address_;
   worker_observer& observer_;
   std::mt19937_64 random_;
-  web_server server_;
+  /// Null while the worker is down after a crash.
+  std::unique_ptr<web_server> server_;
   web_client agent_;
   asio::steady_timer tick_timer_;
   worker_faults faults_;
   bool draining_ = false;
+  /// The part of the id that is the same in all incarnations.
+  std::string base_id_;
+  std::uint64_t id_changes_ = 0;
+  std::optional<std::chrono::steady_clock::time_point> down_until_;
+  std::chrono::milliseconds shortest_downtime_{500};
+  std::chrono::milliseconds longest_downtime_{2'000};
+  std::size_t crashes_ = 0;
+  std::uint32_t capacity_ = full_capacity_cpu_millis;
+  /// The capacity that starts are judged against.
+  std::uint32_t judged_capacity_ = full_capacity_cpu_millis;
   std::int64_t start_time_ms_ = 0;
   std::uint64_t incarnation_ = 1;
   std::uint64_t sequence_ = 0;
