Soak: tasks that crash workers, and workers whose capacity shrinks

A second route shares the service with the first. While deadly jobs are on, a fifth of its jobs, durable and best effort, have one task that crashes each worker that starts it; the worker is down for 0.5 to 2 s. That happens in two phases before the faults (3 s of sound jobs, then 8.5 s with deadly ones), and in a window of 5 s within the faults. A further fault shrinks a worker to 4 to 10 of 16 cores for 1 to 3 s.

Checked: BUDGET (a deadly task of a durable job is not started three times more after three workers crashed under it); a job with a deadly task is never shown as completed, and as failed only after two crashes; the check of sound durable jobs is as strict as before; LIMIT with the shrunk capacity; and in the phases without other faults, the first route's best-effort jobs are served at least as often as before times the share of the workers that is not quarantined (3 of 4), less three standard errors. The first route's load is halved in these phases, so that three workers suffice for it.

The generator of the second route and the capacities is separate, so that the other faults of a seed are chosen as before.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -51,6 +51,11 @@
                 static_cast<unsigned long long>(seed), good ? "passed" : "FAILED", report.faults,
                 report.jobs, report.completed, report.failed, report.refused, report.unanswered,
                 report.stored, report.starts);
+    std::printf(
+        "  second route: %zu jobs, %zu of them deadly; %zu worker crashes by tasks, at most "
+        "%d under one durable task; served %.2f before, %.2f beside deadly jobs\n",
+        report.second_route_jobs, report.deadly_jobs, report.worker_crashes,
+        report.max_durable_crashes, report.served_before, report.served_beside_deadly);
     for (const auto& violation : report.violations) {
       std::printf("  violation: %s\n", violation.c_str());
     }
--- a/tests/soak/soak_judge.cpp
+++ b/tests/soak/soak_judge.cpp
@@ -10,6 +10,12 @@
 // Failed runs of a task after which its job fails; equals max_attempts in the routes that soak_site
 // publishes.
 constexpr int max_task_attempts = 4;
+// Rule BUDGET: a task that crashes the workers that start it must not be started
+// excessive_starts times more after max_crashes workers have crashed under it.
+constexpr int max_crashes = 3;
+constexpr int excessive_starts = 3;
+// A job may be shown as failed once this many workers have crashed under its deadly task.
+constexpr int min_crashes_to_give_up = 2;
 // No task of a job may start later than this after the caller was told that the job is cancelled.
 constexpr milliseconds cancel_deadline{3'000};
 
@@ -26,14 +32,34 @@
 }
 
 void soak_judge::job_submitted(const std::string& job, const std::string& payload,
-                               std::uint32_t tasks) {
+                               std::uint32_t tasks, bool durable) {
   auto& record = jobs_[job];
+  record.durable = durable;
   record.payload = payload;
   record.tasks = tasks;
 }
 
+void soak_judge::job_is_deadly(const std::string& job, const std::string& task) {
+  jobs_.at(job).deadly_task = task;
+}
+
+int soak_judge::max_durable_crashes() const {
+  int most = 0;
+  for (const auto& [name, record] : jobs_) {
+    if (const auto found = record.crashes.find(record.deadly_task);
+        record.durable && found != record.crashes.end()) {
+      most = std::max(most, found->second);
+    }
+  }
+  return most;
+}
+
 void soak_judge::job_completed(const std::string& job) {
   const auto& record = jobs_.at(job);
+  if (!record.deadly_task.empty()) {
+    record_violation("job " + job + " was reported as completed although its task " +
+                     record.deadly_task + " only crashes workers");
+  }
   const auto completed_tasks = static_cast<std::size_t>(
       std::count_if(record.completed_runs.begin(), record.completed_runs.end(),
                     [](const auto& task) { return !task.second.empty(); }));
@@ -49,11 +75,21 @@
 }
 
 void soak_judge::job_reported_failed(const std::string& job) {
-  const auto& failed_runs = jobs_.at(job).failed_runs;
+  const auto& record = jobs_.at(job);
+  const auto& failed_runs = record.failed_runs;
+  if (const auto crashes = record.crashes.find(record.deadly_task);
+      crashes != record.crashes.end() && crashes->second >= min_crashes_to_give_up) {
+    return;
+  }
   if (std::none_of(failed_runs.begin(), failed_runs.end(),
                    [](const auto& task) { return task.second >= max_task_attempts; })) {
+    int most_crashes = 0;
+    for (const auto& [task, crashes] : record.crashes) {
+      most_crashes = std::max(most_crashes, crashes);
+    }
     record_violation("job " + job +
-                     " was reported as failed although no task used up its attempts");
+                     " was reported as failed although no task used up its attempts; at most " +
+                     std::to_string(most_crashes) + " workers crashed under one of its tasks");
   }
 }
 
@@ -104,6 +140,7 @@
       std::chrono::steady_clock::now() - *found->second.cancelled > cancel_deadline) {
     record_violation("task " + task + " was started too long after its job was cancelled");
   }
+  check_crash_budget(found->second, task);
   // A job that is not durable may run again from the start when its caller resubmits it.
   if (found->second.accepted) {
     for (const auto completed_run : found->second.completed_runs[task]) {
@@ -125,6 +162,17 @@
   }
 }
 
+void soak_judge::check_crash_budget(job_record& record, const std::string& task) {
+  if (!record.durable || task != record.deadly_task || record.crashes[task] < max_crashes) {
+    return;
+  }
+  if (++record.starts_beyond_budget == excessive_starts) {
+    record_violation("task " + task + " was started " + std::to_string(excessive_starts) +
+                     " times more after " + std::to_string(max_crashes) +
+                     " workers had crashed under it");
+  }
+}
+
 void soak_judge::run_ended(const std::string& worker, const std::string& task, std::uint64_t run,
                            const std::string& outcome) {
   if (const auto active = active_runs_.find(task);
@@ -135,6 +183,8 @@
     jobs_[job_of(task)].completed_runs[task].insert(run);
   } else if (outcome == "failed") {
     ++jobs_[job_of(task)].failed_runs[task];
+  } else if (outcome == "crashed") {
+    ++jobs_[job_of(task)].crashes[task];
   }
 }
 
--- a/tests/soak/soak_judge.hpp
+++ b/tests/soak/soak_judge.hpp
@@ -16,7 +16,10 @@
 /// Checks the guarantees of the system against what callers and workers observe. Not thread-safe.
 class soak_judge : public standin::worker_observer {
 public:
-  void job_submitted(const std::string& job, const std::string& payload, std::uint32_t tasks);
+  void job_submitted(const std::string& job, const std::string& payload, std::uint32_t tasks,
+                     bool durable);
+  /// A task of the job crashes each worker that starts it.
+  void job_is_deadly(const std::string& job, const std::string& task);
   void job_completed(const std::string& job);
   /// The caller was told that no task of this submission ran.
   void job_refused(const std::string& job);
@@ -43,6 +46,8 @@
   void record_violation(const std::string& description);
   const std::vector<std::string>& violations() const { return violations_; }
   std::size_t starts() const { return starts_; }
+  /// Highest number of workers that crashed under a deadly task of a durable job.
+  int max_durable_crashes() const;
 
 private:
   struct job_record {
@@ -51,6 +56,13 @@
     bool started = false;
     bool refused = false;
     bool accepted = false;
+    bool durable = false;
+    /// Name of the task that crashes its workers, or empty.
+    std::string deadly_task;
+    /// Number of workers that crashed under a task, by task.
+    std::map<std::string, int> crashes;
+    /// Starts of the deadly task after max_crashes workers had crashed under it.
+    int starts_beyond_budget = 0;
     std::optional<std::chrono::steady_clock::time_point> cancelled;
     /// Number of failed runs, by task.
     std::map<std::string, int> failed_runs;
@@ -58,6 +70,8 @@
     std::map<std::string, std::set<std::uint64_t>> completed_runs;
   };
 
+  void check_crash_budget(job_record& record, const std::string& task);
+
   std::map<std::string, job_record> jobs_;
   /// Tasks whose end was acknowledged to the worker, see worker_observer.
   std::set<std::string> noted_tasks_;
--- a/tests/soak/soak_site.cpp
+++ b/tests/soak/soak_site.cpp
@@ -1,6 +1,7 @@
 #include "soak_site.hpp"
 
 #include <array>
+#include <cmath>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -53,6 +54,34 @@
   return id % 3 == 0;
 }
 
+// The first route's callers send sound jobs only; a share of the second route's jobs is deadly
+// while generating_deadly_jobs_ is set.
+constexpr const char* first_prefix = "/q1/";
+constexpr const char* second_prefix = "/x1/";
+constexpr double deadly_share = 0.2;
+// Distinguishes the generator of the second route from that of the faults.
+constexpr std::uint64_t crash_seed_offset = 1'000'000;
+constexpr milliseconds shortest_downtime{500};
+constexpr milliseconds longest_downtime{2'000};
+// When the window of deadly jobs begins and how long it lasts, within the time of the faults.
+constexpr int max_deadly_window_start_ms = 3'000;
+constexpr milliseconds deadly_window{5'000};
+// Phases before the faults: sound jobs only, then deadly ones beside them. In the first part of the
+// latter, entries learn which queue is to be confined: it takes an ordinary run and two isolated
+// ones that crash, with the worker down for up to longest_downtime after the first two. The first
+// route's jobs come at a lower rate, so that the workers that are not quarantined suffice for them:
+// at 20 jobs per second they need 30 of the 48 cores of three workers on average.
+constexpr double phase_load_share = 0.5;
+constexpr milliseconds sound_phase{3'000};
+constexpr milliseconds learning_phase{4'500};
+constexpr milliseconds deadly_phase{4'000};
+// Jobs are served up to this number of standard errors less often than expected by chance alone.
+constexpr double standard_errors = 3.0;
+// The share of workers that the entries set aside for confined queues, and at least one.
+constexpr double quarantine_share = 0.2;
+constexpr int min_shrunk_cpu_millis = 4'000;
+constexpr int shrunk_cpu_millis_range = 6'000;
+
 constexpr std::uint64_t seed_networks = 200;
 
 /// Address in 127/8 that depends on the seed, so that runs with different seeds can run in
@@ -75,14 +104,16 @@
 } // namespace
 
 soak_site::soak_site(soak_options options)
-    : options_(std::move(options)), random_(options_.seed), load_timer_(io_), store_(io_),
-      started_at_(steady_clock::now()) {
+    : options_(std::move(options)), random_(options_.seed),
+      crash_random_(options_.seed + crash_seed_offset), load_timer_(io_), second_route_timer_(io_),
+      store_(io_), started_at_(steady_clock::now()) {
   throw_if_error(store_.listen(store_address()));
   publish_routes();
   for (int i = 0; i < options_.agents; ++i) {
     workers_.push_back(std::make_unique<standin::worker_service>(
         io_, "worker-" + std::to_string(i), endpoint{agent_ip(i), worker_port},
         endpoint{agent_ip(i), announcements_port}, options_.seed * 100 + i, judge_));
+    workers_.back()->set_downtime(shortest_downtime, longest_downtime);
     throw_if_error(workers_.back()->listen());
     add_process(i, false);
   }
@@ -200,6 +231,13 @@
                       {"stretch", 2.0},
                       {"max_attempts", 4}});
   }
+  routes.push_back({{"name", "second"},
+                    {"host", "soak.example"},
+                    {"path_prefix", second_prefix},
+                    {"service", "desk"},
+                    {"target_duration_ms", 400},
+                    {"stretch", 2.0},
+                    {"max_attempts", 4}});
   store_.put(
       "keyed.op", "config",
       json{{"version", routes_version_}, {"routes", routes}, {"services", json::array()}}.dump());
@@ -316,13 +354,48 @@
   schedule(milliseconds(100 + random_below(700)), [this] { inject_fault(); });
 }
 
+void soak_site::inject_capacity_fault() {
+  if (!injecting_faults_) {
+    return;
+  }
+  ++report_.faults;
+  auto& worker = *workers_[crash_random_below(options_.agents)];
+  const auto cpu_millis = static_cast<std::uint32_t>(min_shrunk_cpu_millis +
+                                                     crash_random_below(shrunk_cpu_millis_range));
+  log("shrink " + worker.id() + " to " + std::to_string(cpu_millis) + " CPU millis");
+  worker.set_capacity(cpu_millis);
+  schedule(milliseconds(1'000 + crash_random_below(2'000)),
+           [&worker] { worker.set_capacity(standin::worker_service::full_capacity_cpu_millis); });
+  schedule(milliseconds(500 + crash_random_below(2'000)), [this] { inject_capacity_fault(); });
+}
+
+void soak_site::submit_next_second_route_job() {
+  if (!generating_load_) {
+    return;
+  }
+  const auto id = crash_random_();
+  const auto name = format_job(id);
+  second_route_jobs_.insert(name);
+  const bool deadly = generating_deadly_jobs_ &&
+                      std::uniform_real_distribution<double>(0, 1)(crash_random_) < deadly_share;
+  if (deadly) {
+    ++report_.deadly_jobs;
+    deadly_jobs_.insert(name);
+  }
+  submit(id, static_cast<std::uint32_t>(1 + crash_random_below(4)), 0);
+  std::exponential_distribution<double> gap(options_.second_route_jobs_per_second);
+  call_after(second_route_timer_,
+             std::chrono::round<milliseconds>(std::chrono::duration<double>(gap(crash_random_))),
+             [this] { submit_next_second_route_job(); });
+}
+
 void soak_site::submit_next_job() {
   if (!generating_load_) {
     return;
   }
   const std::uint32_t tasks = 1 + random_below(6);
   submit(random_(), tasks, 0);
-  std::exponential_distribution<double> gap(options_.jobs_per_second);
+  std::exponential_distribution<double> gap(jobs_per_second_);
   call_after(load_timer_,
              std::chrono::round<milliseconds>(std::chrono::duration<double>(gap(random_))),
              [this] { submit_next_job(); });
@@ -330,13 +403,22 @@
 
 void soak_site::submit(std::uint64_t id, std::uint32_t tasks, int attempt) {
   const auto name = format_job(id);
-  // "work_ms cpu_millis", the format that the worker stand-in reads. Derived from the id, so that a
-  // resubmitted job has the same payload.
-  const std::string payload =
-      std::to_string(20 + id % 300) + " " + std::to_string(1'000 + id % 3'000);
+  const bool second_route = second_route_jobs_.contains(name);
+  const bool deadly = deadly_jobs_.contains(name);
+  // The format that the worker stand-in reads. Derived from the id, so that a resubmitted job has
+  // the same payload. The first task of a deadly job is the one that crashes its workers.
+  const std::string payload = std::to_string(20 + id % 300) + " " +
+                              std::to_string(1'000 + id % 3'000) + (deadly ? " deadly 0" : "");
   if (attempt == 0) {
-    ++report_.jobs;
-    judge_.job_submitted(name, payload, tasks);
+    ++(second_route ? report_.second_route_jobs : report_.jobs);
+    judge_.job_submitted(name, payload, tasks, is_durable(id));
+    if (deadly) {
+      judge_.job_is_deadly(name, name + ".0.0.0");
+    }
+    if (phase_ != nullptr && !second_route && !is_durable(id)) {
+      ++phase_->submitted;
+      phase_of_job_[name] = phase_;
+    }
   } else {
     judge_.job_resubmitted(name);
   }
@@ -348,7 +430,7 @@
                                           {"estimate_ms", 20 + id % 300}}})}};
   clients_[random_below(options_.entries)]->call(
       {"POST",
-       "/q1/" + name,
+       path_of(name),
        {{"host", "soak.example"}, {"x-deadline-ms", std::to_string(caller_timeout.count())}},
        body.dump()},
       caller_timeout, [this, id, tasks, attempt](const absl::StatusOr<web_response>& response) {
@@ -356,15 +438,20 @@
       });
 }
 
+std::string soak_site::path_of(const std::string& job) const {
+  return (second_route_jobs_.contains(job) ? second_prefix : first_prefix) + job;
+}
+
 void soak_site::handle_response(std::uint64_t id, std::uint32_t tasks, int attempt,
                                 const absl::StatusOr<web_response>& response) {
   const auto name = format_job(id);
+  const bool counted = !second_route_jobs_.contains(name);
   // After a 504 the outcome of the job is not known, as after a broken connection.
   if (!response.ok() || response->status == 504) {
     if (attempt < (is_durable(id) ? max_resubmissions : 1)) {
       schedule(resubmit_delay, [this, id, tasks, attempt] { submit(id, tasks, attempt + 1); });
     } else {
-      ++report_.unanswered;
+      report_.unanswered += counted ? 1 : 0;
     }
     return;
   }
@@ -378,12 +465,15 @@
     return;
   }
   if (response->status == 200 && response->body.find("completed") != std::string::npos) {
-    ++report_.completed;
+    report_.completed += counted ? 1 : 0;
     judge_.job_completed(name);
+    if (const auto phase = phase_of_job_.find(name); phase != phase_of_job_.end()) {
+      ++phase->second->completed;
+    }
   } else if (response->status == 200) {
-    ++report_.failed;
+    report_.failed += counted ? 1 : 0;
   } else {
-    ++report_.refused;
+    report_.refused += counted ? 1 : 0;
     if (response->status == 429 || response->status == 503) {
       judge_.job_refused(name);
     } else {
@@ -395,7 +485,7 @@
 
 void soak_site::poll_job(const std::string& job) {
   clients_[random_below(options_.entries)]->call(
-      {"GET", "/q1/" + job, {{"host", "soak.example"}}, ""}, caller_timeout,
+      {"GET", path_of(job), {{"host", "soak.example"}}, ""}, caller_timeout,
       [this, job](const absl::StatusOr<web_response>& response) {
         if (!response.ok() || !unfinished_jobs_.contains(job)) {
           return;
@@ -418,7 +508,7 @@
 
 void soak_site::cancel_job(const std::string& job) {
   clients_[random_below(options_.entries)]->call(
-      {"DELETE", "/q1/" + job, {{"host", "soak.example"}}, ""}, caller_timeout,
+      {"DELETE", path_of(job), {{"host", "soak.example"}}, ""}, caller_timeout,
       [this, job](const absl::StatusOr<web_response>& response) {
         if (response.ok() && response->status == 410) {
           judge_.record_violation("durable job " + job + " is not known");
@@ -454,6 +544,7 @@
   }
   for (auto& worker : workers_) {
     worker->set_faults({});
+    worker->set_capacity(standin::worker_service::full_capacity_cpu_millis);
   }
   for (auto& target : processes_) {
     target->child->send(SIGCONT);
@@ -492,6 +583,7 @@
   }
   // A job submitted just before the load stopped may still be resubmitted and run once more.
   run_for(caller_timeout + resubmit_delay + caller_timeout);
+  check_service_beside_deadly_jobs();
   check_durable_jobs();
   std::size_t active_runs = 0;
   for (const auto& worker : workers_) {
@@ -503,6 +595,48 @@
   }
 }
 
+void soak_site::run_phase(phase_counts* counts, milliseconds time) {
+  phase_ = counts;
+  run_for(time);
+  phase_ = nullptr;
+  restart_exited();
+}
+
+void soak_site::run_deadly_phases() {
+  jobs_per_second_ = options_.jobs_per_second * phase_load_share;
+  submit_next_second_route_job();
+  run_phase(&phase_before_, sound_phase);
+  log("deadly jobs without other faults");
+  generating_deadly_jobs_ = true;
+  run_phase(nullptr, learning_phase);
+  run_phase(&phase_beside_deadly_, deadly_phase);
+  generating_deadly_jobs_ = false;
+  jobs_per_second_ = options_.jobs_per_second;
+}
+
+/// All workers but the quarantined ones serve the other queues, so these are served at least as
+/// often as before, times the share of the workers that is left to them, but for chance.
+void soak_site::check_service_beside_deadly_jobs() {
+  const double workers = options_.agents;
+  const double usable = 1 - std::max(1.0, std::round(quarantine_share * workers)) / workers;
+  const double expected = phase_before_.share() * usable;
+  const auto variance = [](double share, std::size_t jobs) {
+    return jobs == 0 ? 0 : share * (1 - share) / static_cast<double>(jobs);
+  };
+  const double error =
+      std::sqrt(variance(expected, phase_beside_deadly_.submitted) +
+                usable * usable * variance(phase_before_.share(), phase_before_.submitted));
+  report_.served_before = phase_before_.share();
+  report_.served_beside_deadly = phase_beside_deadly_.share();
+  if (report_.served_beside_deadly < expected - standard_errors * error) {
+    judge_.record_violation(
+        "beside deadly jobs of another route, " + std::to_string(phase_beside_deadly_.completed) +
+        " of " + std::to_string(phase_beside_deadly_.submitted) +
+        " sound jobs completed; without them, " + std::to_string(phase_before_.completed) + " of " +
+        std::to_string(phase_before_.submitted));
+  }
+}
+
 /// Link faults have an effect only if the processes connect to each other through the relays.
 void soak_site::check_relays() {
   for (std::size_t i = 0; i < relays_.size(); ++i) {
@@ -523,8 +657,19 @@
   if (!run_until([&] { return report_.completed >= 5; }, startup_timeout)) {
     judge_.record_violation("fewer than 5 jobs completed in the time allowed for startup");
   } else {
+    run_deadly_phases();
     injecting_faults_ = true;
     inject_fault();
+    inject_capacity_fault();
+    const milliseconds window_start(crash_random_below(max_deadly_window_start_ms));
+    schedule(window_start, [this] {
+      log("deadly jobs begin");
+      generating_deadly_jobs_ = true;
+    });
+    schedule(window_start + deadly_window, [this] {
+      log("deadly jobs end");
+      generating_deadly_jobs_ = false;
+    });
     const auto end = steady_clock::now() + options_.duration;
     while (steady_clock::now() < end) {
       restart_exited();
@@ -536,6 +681,10 @@
   }
   generating_load_ = false;
   report_.starts = judge_.starts();
+  report_.max_durable_crashes = judge_.max_durable_crashes();
+  for (const auto& worker : workers_) {
+    report_.worker_crashes += worker->crashes();
+  }
   report_.violations = judge_.violations();
   return report_;
 }
--- a/tests/soak/soak_site.hpp
+++ b/tests/soak/soak_site.hpp
@@ -4,6 +4,7 @@
 #include <asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <random>
 #include <set>
@@ -28,6 +29,8 @@
   int entries = 3;
   int agents = 4;
   double jobs_per_second = 40;
+  /// Jobs of the second route, some of which crash workers at times.
+  double second_route_jobs_per_second = 6;
 };
 
 /// Counts and violations of one run.
@@ -41,6 +44,16 @@
   std::size_t stored = 0;
   std::size_t starts = 0;
   std::size_t faults = 0;
+  /// Jobs of the second route; the counts above, but for `stored`, leave them out.
+  std::size_t second_route_jobs = 0;
+  std::size_t deadly_jobs = 0;
+  /// Crashes of workers that deadly tasks caused.
+  std::size_t worker_crashes = 0;
+  /// Highest number of workers that crashed under one deadly task of a durable job.
+  int max_durable_crashes = 0;
+  /// Shares of the first route's jobs that completed, without and with deadly jobs beside them.
+  double served_before = 0;
+  double served_beside_deadly = 0;
   std::vector<std::string> violations;
 };
 
@@ -83,24 +96,54 @@
   void signal_fault(process& target);
   void schedule(std::chrono::milliseconds delay, std::function<void()> action);
   void heal();
+  void inject_capacity_fault();
   void submit_next_job();
+  void submit_next_second_route_job();
   void submit(std::uint64_t id, std::uint32_t tasks, int attempt);
   void handle_response(std::uint64_t id, std::uint32_t tasks, int attempt,
                        const absl::StatusOr<web_response>& response);
   void answered_stored(std::uint64_t id, int status);
+  /// Returns the URL path of the job.
+  std::string path_of(const std::string& job) const;
   void check_recovery();
+  /// Submits deadly jobs to the second route while no other faults are injected, so that their
+  /// effect on the first route can be checked.
+  void run_deadly_phases();
+  /// Checks that the first route's jobs are served although jobs of another route crash workers.
+  void check_service_beside_deadly_jobs();
   /// Checks that every accepted durable job ends and that a query for it returns how.
   void check_durable_jobs();
   void check_relays();
   void poll_job(const std::string& job);
   void cancel_job(const std::string& job);
   void log(const std::string& line);
+  int crash_random_below(int bound) {
+    return std::uniform_int_distribution<int>(0, bound - 1)(crash_random_);
+  }
   int random_below(int bound) { return std::uniform_int_distribution<int>(0, bound - 1)(random_); }
 
   soak_options options_;
+  /// Outcomes of the first route's best-effort jobs that were submitted in a phase.
+  struct phase_counts {
+    std::size_t submitted = 0;
+    std::size_t completed = 0;
+
+    double share() const {
+      return submitted == 0 ? 0 : static_cast<double>(completed) / static_cast<double>(submitted);
+    }
+  };
+
+  /// Runs the site for this time and counts the jobs that are submitted meanwhile, if `counts` is
+  /// not null.
+  void run_phase(phase_counts* counts, std::chrono::milliseconds time);
+
   std::mt19937_64 random_;
+  /// For the second route and the capacities, so that the other faults of a seed do not depend on
+  /// them.
+  std::mt19937_64 crash_random_;
   asio::io_context io_;
   asio::steady_timer load_timer_;
+  asio::steady_timer second_route_timer_;
   soak_judge judge_;
   standin::store_service store_;
   std::vector<std::unique_ptr<standin::worker_service>> workers_;
@@ -112,6 +155,17 @@
   std::string path_prefix_;
   bool generating_load_ = false;
   bool injecting_faults_ = false;
+  bool generating_deadly_jobs_ = false;
+  std::set<std::string> second_route_jobs_;
+  std::set<std::string> deadly_jobs_;
+  /// The phase to which submitted jobs are counted, if any.
+  phase_counts* phase_ = nullptr;
+  phase_counts phase_before_;
+  phase_counts phase_beside_deadly_;
+  /// The phase of each open job that is counted.
+  std::map<std::string, phase_counts*> phase_of_job_;
+  /// Current rate of the first route's jobs.
+  double jobs_per_second_ = options_.jobs_per_second;
   /// Accepted durable jobs whose end no query has returned yet.
   std::set<std::string> unfinished_jobs_;
   soak_report report_;
