Report an unanswered start as lost if its worker crashed meanwhile

A start without an answer is stopped, and was returned as not started once the worker had confirmed the stop and listed neither the run nor its end. After a crash, the confirmation and the list come from the next incarnation: the previous one may have executed the start, and the crash may be its doing. Such a run now ends as lost, also if the estimated time of the crash lies before the start, since the lists may have failed earlier for another reason.

Both new tests failed before the change (outcome not_started instead of lost) and pass with it; 78 test cases that match run, crash or isolated passed.

--- a/include/parsleylead/runs/run_table.hpp
+++ b/include/parsleylead/runs/run_table.hpp
@@ -166,6 +166,9 @@
     /// See `run_end`.
     bool worker_crashed = false;
     bool suspect = false;
+    /// The worker crashed after the start was sent. A later incarnation's lists do not tell whether
+    /// the earlier one had executed it.
+    bool may_have_crashed = false;
     /// What the run takes of the worker: all of it if the run is isolated.
     resource_needs reserved;
     std::uint32_t percent = 0;
--- a/src/runs/run_table.cpp
+++ b/src/runs/run_table.cpp
@@ -72,7 +72,11 @@
 void run_table::worker_crashed(monotonic_time crashed_at) {
   std::vector<run*> active;
   for (auto& [key, candidate] : runs_) {
-    if (candidate.current_state != state::waiting && candidate.began <= crashed_at) {
+    if (candidate.current_state == state::waiting) {
+      continue;
+    }
+    candidate.may_have_crashed = true;
+    if (candidate.began <= crashed_at) {
       active.push_back(&candidate);
     }
   }
@@ -357,6 +361,7 @@
     }
     listed.insert(item.run.task);
     known->worker_crashed = false; // Started by the worker's next incarnation.
+    known->may_have_crashed = false;
     known->suspect = false;
     if (known->current_state == state::starting) {
       known->current_state = state::running;
@@ -416,8 +421,9 @@
   for (const auto& key : ended) {
     const auto position = runs_.find(key);
     finish(position,
-           position->second.current_state == state::revoking ? run_outcome::not_started
-                                                             : run_outcome::lost,
+           position->second.current_state == state::revoking && !position->second.may_have_crashed
+               ? run_outcome::not_started
+               : run_outcome::lost,
            now);
   }
 }
--- a/src/runs/run_table_test.cpp
+++ b/src/runs/run_table_test.cpp
@@ -524,6 +524,38 @@
   table.worker_lost(at_ms(10));
 }
 
+TEST_CASE("an unanswered start that a crashed worker may have executed is not returned unstarted") {
+  // Guards against refusing a job as not run, and against missing a crash under its task: the new
+  // incarnation confirms the stop, and lists neither the run nor its end.
+  auto table = make_table();
+  table.add(entry, make_order(1), at_ms(0));
+  table.start_waiting(at_ms(0));
+  table.start_answered({{1, 0, 0}, 1}, start_answer::unknown, at_ms(1));
+  table.worker_crashed(at_ms(5));
+  table.stop_answered({{1, 0, 0}, 1}, true, at_ms(10));
+  table.observe({}, {}, true, at_ms(11), at_ms(12));
+  const auto ends = table.take_ends();
+  REQUIRE(ends.size() == 1);
+  CHECK(ends[0].end.outcome == run_outcome::lost);
+  CHECK(ends[0].end.worker_crashed);
+}
+
+TEST_CASE("an unanswered start whose worker seemed to have crashed before it is not returned "
+          "unstarted") {
+  // Guards against trusting the estimated time of the crash: the lists may have failed for another
+  // reason before the worker started the run and crashed.
+  auto table = make_table();
+  table.add(entry, make_order(1), at_ms(10));
+  table.start_waiting(at_ms(10));
+  table.start_answered({{1, 0, 0}, 1}, start_answer::unknown, at_ms(11));
+  table.worker_crashed(at_ms(5));
+  table.stop_answered({{1, 0, 0}, 1}, true, at_ms(12));
+  table.observe({}, {}, true, at_ms(13), at_ms(14));
+  const auto ends = table.take_ends();
+  REQUIRE(ends.size() == 1);
+  CHECK(ends[0].end.outcome == run_outcome::lost);
+}
+
 TEST_CASE("a worker that is only unreachable marks no run as crashed") {
   auto table = make_table();
   table.add(entry, make_order(1), at_ms(0));
