Keep isolated orders quarantined that a crashing worker returned

An isolated order that an agent returned counted as kept waiting by long runs, whatever the reason: after one return it went to any worker, after two it ran beside others. While several tasks crash workers, the quarantined worker crashes under one of them and its agent returns the orders of the others after about 0.1 s.

Only an order that waited for max_isolated_wait counts now.

--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -774,7 +774,10 @@
     break;
   case run_outcome::not_started:
     // Other entries used the worker's free resources first; its next report accounts for them.
-    ended_task->returned_isolated_orders += ended_task->isolated ? 1 : 0;
+    // An order that is returned sooner was not kept waiting by long runs: its worker crashed, for
+    // example.
+    ended_task->returned_isolated_orders +=
+        ended_task->isolated && end.waited >= policy_.max_isolated_wait ? 1 : 0;
     break;
   default:
     open_job.result.lost_runs += ended_task->stop_requested ? 0 : 1;
