Check in the soak that planned work interrupts no request

After recovery, without injected faults and with load, entries are terminated one after the other or two at once (one stays in service), two agents are terminated, processes get SIGHUP and new routes are published, for 12 s. Eleven callers for each entry keep their connections open, pause for up to 4 s and return to their entry until it is gone; some of their jobs run longer than the grace period, and some need more room than the workers have. Violations: a request that was sent whole and whose connection ends without a complete response, no response 2 s after the caller's deadline, a small job that no entry serves within 9 s, a process that runs beyond the grace period. The other checks go on, and new routes must be in force afterwards.

The check of new routes after recovery also restarts processes that exit meanwhile.

--- a/include/parsleylead/fleet/fleet_scheduler.hpp
+++ b/include/parsleylead/fleet/fleet_scheduler.hpp
@@ -89,10 +89,10 @@
 /// in; orders and results are collected with the `take_` functions. Not thread-safe.
 ///
 /// A task whose run may have crashed its worker runs again with nothing beside it, on a quarantined
-/// worker if there is one, so that a further crash shows whether it is the cause. While the tasks of a queue
-/// crash workers again and again, the queue is confined to the quarantined workers, and the other
-/// queues of the service use the others. All entries choose the same quarantined workers, by a hash
-/// of the agents' names.
+/// worker if there is one, so that a further crash shows whether it is the cause. While the tasks
+/// of a queue crash workers again and again, the queue is confined to the quarantined workers, and
+/// the other queues of the service use the others. All entries choose the same quarantined workers,
+/// by a hash of the agents' names.
 ///
 /// Two runs of a task never overlap: a task is placed again only after the agent has reported the
 /// end of its run, or after `lost_run_wait` without a frame of the agent.
--- a/tests/soak/soak_judge.cpp
+++ b/tests/soak/soak_judge.cpp
@@ -74,6 +74,16 @@
   jobs_.at(job).cancelled = std::chrono::steady_clock::now();
 }
 
+void soak_judge::request_lost(const std::string& request, const std::string& job,
+                              const std::string& circumstances) {
+  std::string description = "a request (" + request + (job.empty() ? "" : " " + job) +
+                            ") got no complete response, " + circumstances;
+  if (!job.empty()) {
+    description += jobs_.at(job).started ? "; a task had started" : "; no task had started";
+  }
+  record_violation(description);
+}
+
 void soak_judge::job_reported_failed(const std::string& job) {
   const auto& record = jobs_.at(job);
   const auto& failed_runs = record.failed_runs;
--- a/tests/soak/soak_judge.hpp
+++ b/tests/soak/soak_judge.hpp
@@ -27,6 +27,10 @@
   void job_accepted(const std::string& job) { jobs_.at(job).accepted = true; }
   /// The caller was told that the job is cancelled.
   void job_cancelled(const std::string& job);
+  /// A request was sent whole and its connection ended, or its deadline passed, without a complete
+  /// response. `job` is empty if the request submits none.
+  void request_lost(const std::string& request, const std::string& job,
+                    const std::string& circumstances);
   /// A query for a durable job returned that the job failed.
   void job_reported_failed(const std::string& job);
   /// Durable jobs that were accepted and not cancelled.
--- a/tests/soak/soak_site.cpp
+++ b/tests/soak/soak_site.cpp
@@ -1,5 +1,6 @@
 #include "soak_site.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cmath>
 #include <csignal>
@@ -7,6 +8,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <functional>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
@@ -41,6 +43,20 @@
 constexpr milliseconds drain_limit{2'000};
 constexpr int connections_per_client = 64;
 
+// Planned work. Processes get SIGKILL at the end of the stop grace period, so they must have
+// exited.
+constexpr milliseconds stop_grace{6'000};
+// Entries are terminated until this time of the phase, so that all have exited after 12 s.
+constexpr milliseconds last_termination{6'400};
+constexpr milliseconds planned_work_limit{12'500};
+// Jobs that run for up to 9 s are submitted until this time of the phase.
+constexpr milliseconds last_long_job{6'000};
+// An operator waits this long after an entry's start before the next one is terminated.
+constexpr milliseconds startup_time{200};
+// The workers then have room for the jobs of the persistent callers.
+constexpr double planned_work_jobs_per_second = 12;
+constexpr int terminated_agents = 2;
+
 // Durable jobs must end within this time after all faults are healed and the load has stopped.
 constexpr milliseconds durable_job_timeout{14'000};
 // How often a durable job is resubmitted while it is neither accepted nor refused.
@@ -186,6 +202,8 @@
   target.child = std::make_unique<faults::child_process>(target.command, options_.directory + "/" +
                                                                              target.name + ".log");
   target.stopped = false;
+  target.started_at = steady_clock::now();
+  target.terminated_at.reset();
 }
 
 void soak_site::restart_exited() {
@@ -401,6 +419,24 @@
              [this] { submit_next_job(); });
 }
 
+void soak_site::call_entry(int entry, web_request request, milliseconds timeout,
+                           web_client::callback done) {
+  if (callers_) {
+    const auto sent_at = steady_clock::now();
+    done = [this, sent_at, what = request.method + " " + request.target,
+            done = std::move(done)](const absl::StatusOr<web_response>& response) {
+      if (response.status().code() == absl::StatusCode::kUnknown) {
+        const auto waited = std::chrono::round<milliseconds>(steady_clock::now() - sent_at).count();
+        judge_.request_lost(what, "",
+                            std::to_string(waited) + " ms after it was sent: " +
+                                std::string(response.status().message()));
+      }
+      done(response);
+    };
+  }
+  clients_[entry]->call(std::move(request), timeout, std::move(done));
+}
+
 void soak_site::submit(std::uint64_t id, std::uint32_t tasks, int attempt) {
   const auto name = format_job(id);
   const bool second_route = second_route_jobs_.contains(name);
@@ -428,14 +464,15 @@
                                           {"cpu", 1'000 + id % 3'000},
                                           {"mem_mb", 64},
                                           {"estimate_ms", 20 + id % 300}}})}};
-  clients_[random_below(options_.entries)]->call(
-      {"POST",
-       path_of(name),
-       {{"host", "soak.example"}, {"x-deadline-ms", std::to_string(caller_timeout.count())}},
-       body.dump()},
-      caller_timeout, [this, id, tasks, attempt](const absl::StatusOr<web_response>& response) {
-        handle_response(id, tasks, attempt, response);
-      });
+  call_entry(random_below(options_.entries),
+             {"POST",
+              path_of(name),
+              {{"host", "soak.example"}, {"x-deadline-ms", std::to_string(caller_timeout.count())}},
+              body.dump()},
+             caller_timeout,
+             [this, id, tasks, attempt](const absl::StatusOr<web_response>& response) {
+               handle_response(id, tasks, attempt, response);
+             });
 }
 
 std::string soak_site::path_of(const std::string& job) const {
@@ -484,39 +521,38 @@
 }
 
 void soak_site::poll_job(const std::string& job) {
-  clients_[random_below(options_.entries)]->call(
-      {"GET", path_of(job), {{"host", "soak.example"}}, ""}, caller_timeout,
-      [this, job](const absl::StatusOr<web_response>& response) {
-        if (!response.ok() || !unfinished_jobs_.contains(job)) {
-          return;
-        }
-        if (response->status == 410) {
-          judge_.record_violation("durable job " + job + " is not known");
-          unfinished_jobs_.erase(job);
-        } else if (response->body.find("cancelled") != std::string::npos) {
-          judge_.job_cancelled(job); // The response to the cancellation was lost.
-          unfinished_jobs_.erase(job);
-        } else if (response->body.find("completed") != std::string::npos) {
-          judge_.job_completed(job);
-          unfinished_jobs_.erase(job);
-        } else if (response->body.find("failed") != std::string::npos) {
-          judge_.job_reported_failed(job);
-          unfinished_jobs_.erase(job);
-        }
-      });
+  call_entry(random_below(options_.entries), {"GET", path_of(job), {{"host", "soak.example"}}, ""},
+             caller_timeout, [this, job](const absl::StatusOr<web_response>& response) {
+               if (!response.ok() || !unfinished_jobs_.contains(job)) {
+                 return;
+               }
+               if (response->status == 410) {
+                 judge_.record_violation("durable job " + job + " is not known");
+                 unfinished_jobs_.erase(job);
+               } else if (response->body.find("cancelled") != std::string::npos) {
+                 judge_.job_cancelled(job); // The response to the cancellation was lost.
+                 unfinished_jobs_.erase(job);
+               } else if (response->body.find("completed") != std::string::npos) {
+                 judge_.job_completed(job);
+                 unfinished_jobs_.erase(job);
+               } else if (response->body.find("failed") != std::string::npos) {
+                 judge_.job_reported_failed(job);
+                 unfinished_jobs_.erase(job);
+               }
+             });
 }
 
 void soak_site::cancel_job(const std::string& job) {
-  clients_[random_below(options_.entries)]->call(
-      {"DELETE", path_of(job), {{"host", "soak.example"}}, ""}, caller_timeout,
-      [this, job](const absl::StatusOr<web_response>& response) {
-        if (response.ok() && response->status == 410) {
-          judge_.record_violation("durable job " + job + " is not known");
-        } else if (response.ok() && response->body.find("cancelled") != std::string::npos) {
-          judge_.job_cancelled(job);
-          unfinished_jobs_.erase(job);
-        }
-      });
+  call_entry(random_below(options_.entries),
+             {"DELETE", path_of(job), {{"host", "soak.example"}}, ""}, caller_timeout,
+             [this, job](const absl::StatusOr<web_response>& response) {
+               if (response.ok() && response->status == 410) {
+                 judge_.record_violation("durable job " + job + " is not known");
+               } else if (response.ok() && response->body.find("cancelled") != std::string::npos) {
+                 judge_.job_cancelled(job);
+                 unfinished_jobs_.erase(job);
+               }
+             });
 }
 
 void soak_site::check_durable_jobs() {
@@ -551,7 +587,7 @@
   }
 }
 
-void soak_site::check_recovery() {
+bool soak_site::check_recovery() {
   log("all faults healed; checking recovery");
   const auto required = report_.completed + 20;
   if (!run_until(
@@ -562,29 +598,178 @@
           recovery_timeout)) {
     judge_.record_violation("fewer than 20 jobs completed in the time allowed for recovery after "
                             "all faults were healed");
-    return;
+    return false;
   }
-  // New routes must come into force at every entry.
-  run_for(milliseconds(3'000));
+  // Entries that were terminated as the last fault exit within this time.
+  run_until(
+      [&] {
+        restart_exited();
+        return false;
+      },
+      milliseconds(3'000));
+  check_routes();
+  return true;
+}
+
+void soak_site::check_routes() {
   publish_routes();
   run_for(routes_timeout);
-  generating_load_ = false;
-  int entries_with_routes = 0;
+  // Shared with the responses, which may arrive after this function has returned.
+  const auto entries_with_routes = std::make_shared<int>(0);
   for (auto& client : clients_) {
     client->call({"GET", path_prefix_, {{"host", "soak.example"}}, ""}, milliseconds(2'000),
-                 [&entries_with_routes](const absl::StatusOr<web_response>& response) {
-                   entries_with_routes += response.ok() && response->status == 200 ? 1 : 0;
+                 [entries_with_routes](const absl::StatusOr<web_response>& response) {
+                   *entries_with_routes += response.ok() && response->status == 200 ? 1 : 0;
                  });
   }
-  if (!run_until([&] { return entries_with_routes == options_.entries; }, milliseconds(2'000))) {
-    judge_.record_violation("new routes are in force at " + std::to_string(entries_with_routes) +
+  if (!run_until([&] { return *entries_with_routes == options_.entries; }, milliseconds(2'000))) {
+    judge_.record_violation("new routes are in force at " + std::to_string(*entries_with_routes) +
                             " of " + std::to_string(options_.entries) + " entries after " +
                             std::to_string(routes_timeout.count()) + " ms");
   }
+}
+
+void soak_site::terminate(process& target) {
+  log("planned work: terminate " + target.name);
+  target.terminated_at = steady_clock::now();
+  target.child->send(SIGTERM);
+}
+
+bool soak_site::in_service(const process& target) {
+  return target.entry && !target.terminated_at &&
+         steady_clock::now() - target.started_at > startup_time;
+}
+
+void soak_site::terminate_entries(std::vector<process*>& pending) {
+  const auto now = steady_clock::now();
+  const auto available =
+      std::count_if(processes_.begin(), processes_.end(), [](const auto& target) {
+        return target->child->running() && in_service(*target);
+      });
+  // One entry always stays in service.
+  if (pending.empty() || now < next_entry_termination_ || available < 2 ||
+      !in_service(*pending.back())) {
+    return;
+  }
+  terminate(*pending.back());
+  pending.pop_back();
+  next_entry_termination_ =
+      now + milliseconds(random_below(3) == 0 ? 0 : 300 + random_below(2'000));
+}
+
+void soak_site::reload_processes() {
+  if (!planned_work_) {
+    return;
+  }
+  auto& target = *processes_[random_below(static_cast<int>(processes_.size()))];
+  // The handler of SIGHUP is installed within startup_time; before that the signal ends a process.
+  if (target.child->running() && steady_clock::now() - target.started_at > startup_time) {
+    log("planned work: reload " + target.name);
+    target.child->send(SIGHUP);
+  }
+  schedule(milliseconds(200 + random_below(600)), [this] { reload_processes(); });
+}
+
+void soak_site::publish_routes_repeatedly() {
+  if (!planned_work_) {
+    return;
+  }
+  log("planned work: publish routes");
+  publish_routes();
+  schedule(milliseconds(300 + random_below(1'200)), [this] { publish_routes_repeatedly(); });
+}
+
+void soak_site::poll_jobs_repeatedly() {
+  if (!planned_work_) {
+    return;
+  }
+  if (!unfinished_jobs_.empty()) {
+    poll_job(*std::next(unfinished_jobs_.begin(),
+                        random_below(static_cast<int>(unfinished_jobs_.size()))));
+  }
+  schedule(milliseconds(20 + random_below(100)), [this] { poll_jobs_repeatedly(); });
+}
+
+void soak_site::check_planned_work() {
+  log("planned work begins");
+  std::vector<endpoint> entries;
+  entries.reserve(options_.entries);
+  std::vector<process*> pending_entries;
+  std::vector<process*> agents;
+  for (int i = 0; i < options_.entries; ++i) {
+    entries.push_back({entry_ip(i), callers_port});
+  }
+  for (const auto& target : processes_) {
+    (target->entry ? pending_entries : agents).push_back(target.get());
+  }
+  std::shuffle(pending_entries.begin(), pending_entries.end(), random_);
+  std::shuffle(agents.begin(), agents.end(), random_);
+  planned_work_ = true;
+  jobs_per_second_ = planned_work_jobs_per_second;
+  callers_ = std::make_unique<persistent_callers>(
+      io_, entries, random_(), judge_,
+      [this](const std::string& job) { unfinished_jobs_.insert(job); });
+  callers_->start();
+  const auto begin = steady_clock::now();
+  next_entry_termination_ = begin + milliseconds(100 + random_below(400));
+  for (int i = 0; i < std::min(terminated_agents, options_.agents - 1); ++i) {
+    schedule(milliseconds(200 + random_below(5'000)), [this, agent = agents[i]] {
+      if (agent->child->running() && !agent->terminated_at) {
+        terminate(*agent);
+      }
+    });
+  }
+  reload_processes();
+  publish_routes_repeatedly();
+  poll_jobs_repeatedly();
+  const auto stopping = [this] {
+    return std::any_of(processes_.begin(), processes_.end(),
+                       [](const auto& target) { return target->terminated_at.has_value(); });
+  };
+  while (steady_clock::now() < begin + last_termination ||
+         (stopping() && steady_clock::now() < begin + planned_work_limit)) {
+    if (steady_clock::now() < begin + last_termination) {
+      terminate_entries(pending_entries);
+    }
+    if (steady_clock::now() > begin + last_long_job) {
+      callers_->stop_long_jobs();
+    }
+    for (const auto& target : processes_) {
+      if (target->terminated_at && target->child->running() &&
+          steady_clock::now() - *target->terminated_at > stop_grace) {
+        judge_.record_violation(target->name + " still runs at the end of the grace period");
+        target->child->kill();
+      }
+    }
+    restart_exited();
+    run_for(milliseconds(10));
+  }
+  planned_work_ = false;
+  callers_->stop();
+}
+
+void soak_site::check_ends() {
+  generating_load_ = false;
+  const auto load_end = steady_clock::now();
+  check_routes();
   // A job submitted just before the load stopped may still be resubmitted and run once more.
-  run_for(caller_timeout + resubmit_delay + caller_timeout);
+  const auto last_end = load_end + caller_timeout + resubmit_delay + caller_timeout;
+  run_for(std::chrono::round<milliseconds>(last_end - steady_clock::now()));
   check_service_beside_deadly_jobs();
   check_durable_jobs();
+  if (callers_) {
+    const auto& counts = callers_->counts();
+    log("persistent callers: " + std::to_string(counts.requests) + " requests, " +
+        std::to_string(counts.completed) + " completed, " + std::to_string(counts.stored) +
+        " stored, " + std::to_string(counts.refused) + " refused, " +
+        std::to_string(counts.expired) + " expired, " + std::to_string(counts.unresolved) +
+        " unresolved, " + std::to_string(counts.redirected) + " redirected, " +
+        std::to_string(counts.lost) + " lost");
+    if (callers_->open() > 0) {
+      judge_.record_violation(std::to_string(callers_->open()) +
+                              " requests of persistent callers have no end");
+    }
+  }
   std::size_t active_runs = 0;
   for (const auto& worker : workers_) {
     active_runs += worker->running();
@@ -676,7 +861,10 @@
       run_for(milliseconds(50));
     }
     heal();
-    check_recovery();
+    if (check_recovery()) {
+      check_planned_work();
+      check_ends();
+    }
     check_relays();
   }
   generating_load_ = false;
--- a/tests/soak/soak_site.hpp
+++ b/tests/soak/soak_site.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -14,6 +15,7 @@
 #include "../faults/child_process.hpp"
 #include "parsleylead/base/endpoint.hpp"
 #include "parsleylead/web/web_client.hpp"
+#include "persistent_callers.hpp"
 #include "soak_judge.hpp"
 #include "standin-platform/store_service.hpp"
 #include "standin-platform/worker_service.hpp"
@@ -67,7 +69,8 @@
   soak_site(const soak_site&) = delete;
   soak_site& operator=(const soak_site&) = delete;
 
-  /// Injects faults for the configured time, heals them, and checks that the site recovers.
+  /// Injects faults for the configured time, heals them, checks that the site recovers, and that
+  /// planned work then interrupts no request.
   soak_report run();
 
 private:
@@ -78,6 +81,9 @@
     std::unique_ptr<faults::child_process> child;
     bool stopped = false;
     bool entry = false;
+    std::chrono::steady_clock::time_point started_at;
+    /// When planned work terminated the process; empty once it has been started again.
+    std::optional<std::chrono::steady_clock::time_point> terminated_at;
   };
 
   std::string entry_ip(int number) const;
@@ -105,12 +111,30 @@
   void answered_stored(std::uint64_t id, int status);
   /// Returns the URL path of the job.
   std::string path_of(const std::string& job) const;
-  void check_recovery();
   /// Submits deadly jobs to the second route while no other faults are injected, so that their
   /// effect on the first route can be checked.
   void run_deadly_phases();
   /// Checks that the first route's jobs are served although jobs of another route crash workers.
   void check_service_beside_deadly_jobs();
+  /// Calls an entry. From the beginning of planned work, a request that is sent and whose
+  /// connection ends without a complete response is a violation.
+  void call_entry(int entry, web_request request, std::chrono::milliseconds timeout,
+                  web_client::callback done);
+  /// Returns whether jobs are served again and new routes are in force.
+  bool check_recovery();
+  void check_routes();
+  /// Terminates and reloads processes and publishes routes under load, without faults.
+  void check_planned_work();
+  void terminate_entries(std::vector<process*>& pending);
+  void reload_processes();
+  void publish_routes_repeatedly();
+  void poll_jobs_repeatedly();
+  /// Terminates a process as an operator does; it is restarted when it has exited.
+  void terminate(process& target);
+  /// The entry accepts requests and is not about to stop.
+  static bool in_service(const process& target);
+  /// Ends the load and checks that all that was begun ends, and that new routes are in force.
+  void check_ends();
   /// Checks that every accepted durable job ends and that a query for it returns how.
   void check_durable_jobs();
   void check_relays();
@@ -166,6 +190,9 @@
   std::map<std::string, phase_counts*> phase_of_job_;
   /// Current rate of the first route's jobs.
   double jobs_per_second_ = options_.jobs_per_second;
+  bool planned_work_ = false;
+  std::chrono::steady_clock::time_point next_entry_termination_;
+  std::unique_ptr<persistent_callers> callers_;
   /// Accepted durable jobs whose end no query has returned yet.
   std::set<std::string> unfinished_jobs_;
   soak_report report_;
