--- a/tests/soak/persistent_callers.cpp
+++ b/tests/soak/persistent_callers.cpp
@@ -131,11 +131,11 @@
     call->deadline = long_job_deadline;
     break;
   case caller_kind::wide_jobs:
-    // Fills the workers, so that tasks wait. The estimate, far above the work, keeps those of its
-    // tasks that wait from being refused before the stop.
+    // Its tasks need most of a worker, so that they or others wait. The estimate, far above the
+    // work, keeps the job from being refused before the entry stops.
     call->kind = call_kind::wide_job;
-    call->tasks = 2;
-    call->cpu_millis = 12'000;
+    call->tasks = 1 + random_below(2);
+    call->cpu_millis = call->tasks == 1 ? 15'500 : 12'000;
     call->work_ms = 1'500;
     call->estimate_ms = 8'000;
     call->deadline = long_job_deadline;
