Close the connection of a rejected request

A request is also rejected when its handler throws, on an entry that does not stop. Work that the handler had begun, such as a submission that it had registered as a caller, may still respond later. Since the connection stayed open, that response could have been sent as the one of the next request on it.

New test: "the connection of a rejected request serves no other one".

--- a/include/parsleylead/web/web_server.hpp
+++ b/include/parsleylead/web/web_server.hpp
@@ -22,7 +22,9 @@
   virtual void respond(web_response response) = 0;
 
   /// Sends the response instead of that of the work which was begun for the request: the handler of
-  /// `on_abandoned` is called to end that work. Has no effect after `respond`.
+  /// `on_abandoned` is called to end that work. The connection is closed then, so that a late
+  /// response of that work cannot be taken for that of another request. Has no effect after
+  /// `respond`.
   virtual void reject(web_response response) = 0;
 
   /// Closes the connection without a response.
--- a/src/web/web_server.cpp
+++ b/src/web/web_server.cpp
@@ -98,6 +98,7 @@
     if (const auto abandoned = std::exchange(on_abandoned_, nullptr)) {
       abandoned();
     }
+    keep_alive_ = false;
     respond(std::move(response));
   }
 
--- a/src/web/web_test.cpp
+++ b/src/web/web_test.cpp
@@ -375,6 +375,27 @@
   CHECK(client.receive().ends_with("unknown"));
 }
 
+TEST_CASE("the connection of a rejected request serves no other one") {
+  // Guards against a late response of the failed handler that would be sent as that of the next
+  // request.
+  asio::io_context io;
+  const auto address = free_address(io);
+  std::shared_ptr<web_exchange> rejected;
+  web_server server(io, {}, [&](const std::shared_ptr<web_exchange>& exchange) {
+    rejected = exchange;
+    exchange->reject({502, {}, "failed"});
+  });
+  REQUIRE(server.listen(address).ok());
+  kept_connection client(io, address);
+  const auto response = client.call("/");
+  CHECK(response.find("connection: close") != std::string::npos);
+  CHECK(response.ends_with("failed"));
+  while (server.connections() > 0 && io.run_one_for(milliseconds(100)) > 0) {
+  }
+  CHECK(server.connections() == 0);
+  rejected->respond({200, {}, "late"}); // Must have no effect.
+}
+
 TEST_CASE("a response that is not written yet counts as an open request") {
   // Guards against a process that exits before its last responses are sent.
   asio::io_context io;
