Confirm a cancellation that is stored while its partition is released

A cancellation whose append was in flight when its owner began to release the partition, as on SIGTERM, was stored and closed the job, but its caller got 503 as from an entry that does not own the job: the answer was looked up among partitions that accept requests only. It is now taken from the partition that stored it.

New test: "a cancellation that is stored during a release is confirmed". It fails on the code before (1 assertion) and passes now.

--- a/src/durable/durable_calls.cpp
+++ b/src/durable/durable_calls.cpp
@@ -147,7 +147,7 @@
                 [this, id, waiting](bool) {
                   if (auto* current = find_writable(id)) {
                     close_job(*current, id);
-                    waiting->answer(query(id));
+                    waiting->answer(state_of(*current, id)); // Also while it is being released.
                   }
                 }},
                now);
@@ -172,11 +172,12 @@
 
 durable_answer durable_jobs::query(std::uint64_t id) const {
   const auto* partition = find_partition(id);
-  if (partition == nullptr) {
-    return durable_answer::not_owner;
-  }
-  const auto found = partition->jobs.find(id);
-  if (found == partition->jobs.end() || found->second.forgotten) {
+  return partition == nullptr ? durable_answer::not_owner : state_of(*partition, id);
+}
+
+durable_answer durable_jobs::state_of(const partition_state& partition, std::uint64_t id) const {
+  const auto found = partition.jobs.find(id);
+  if (found == partition.jobs.end() || found->second.forgotten) {
     return durable_answer::no_such_job;
   }
   const auto& job = found->second;
@@ -194,7 +195,7 @@
     return durable_answer::unknown;
   }
   const bool begun =
-      job.pending_verdict || port_.has_begun(id) || job.record.first_epoch != partition->epoch;
+      job.pending_verdict || port_.has_begun(id) || job.record.first_epoch != partition.epoch;
   return begun ? durable_answer::running : durable_answer::pending;
 }
 
--- a/src/durable/durable_jobs_test.cpp
+++ b/src/durable/durable_jobs_test.cpp
@@ -506,6 +506,17 @@
   CHECK(two.port.running.empty());
 }
 
+TEST_CASE_FIXTURE(first_owner, "a cancellation that is stored during a release is confirmed") {
+  // Guards against reporting a stored cancellation as refused around the stop of its owner.
+  one.submit();
+  std::optional<durable_answer> got;
+  one.jobs->cancel(job_id, at_ms(one.now), [&](durable_answer answer) { got = answer; });
+  one.jobs->leave(at_ms(one.now));
+  CHECK_FALSE(got.has_value());
+  log.deliver();
+  CHECK(got == durable_answer::cancelled);
+}
+
 TEST_CASE_FIXTURE(first_owner, "ended jobs and their records are removed after their retention") {
   // Guards against unbounded growth of the store.
   one.submit();
