--- a/tests/soak/persistent_callers.cpp
+++ b/tests/soak/persistent_callers.cpp
@@ -176,8 +176,7 @@
                                                 {"estimate_ms", call->estimate_ms}}})}}
                        .dump();
     if (!call->submitted) {
-      judge_.job_submitted(name, call->payload(), call->tasks,
-                           call->kind == call_kind::durable);
+      judge_.job_submitted(name, call->payload(), call->tasks, call->kind == call_kind::durable);
     }
   }
   call->sent_at = steady_clock::now();
