--- a/src/fleet/fleet_crash_test.cpp
+++ b/src/fleet/fleet_crash_test.cpp
@@ -631,7 +631,7 @@
   // Besides, a crash loses the jobs that it interrupts, each with up to four tasks of 900 ms.
   const double quarantined =
       std::max(1.0, std::round(fleet_policy{}.quarantine_share * played.workers));
-  constexpr double lost_by_crash_ms = downtime_ms + 120 + 4 * 900;
+  constexpr double lost_by_crash_ms = downtime_ms + 120 + 4 * 900.0;
   const double bound = (quarantined + result.crashes_before_confinement * lost_by_crash_ms /
                                           static_cast<double>(storm_end_ms - storm_begin_ms)) /
                        played.workers;
@@ -681,5 +681,24 @@
   check_sound_queues(large, 1);
 }
 
+TEST_CASE("the rules on starts hold whichever part of the fleet an entry knows") {
+  // Guards against budgets and isolation that rely on one view of all crashes.
+  for (const std::uint64_t seed : {1, 2}) {
+    CAPTURE(seed);
+    scenario partial_view;
+    partial_view.seed = seed;
+    partial_view.sessions = 2;
+    check_rules(storm(partial_view).run());
+    scenario restarts;
+    restarts.seed = seed;
+    restarts.entry_restart_interval_ms = 1'500;
+    check_rules(storm(restarts).run());
+    scenario two_queues;
+    two_queues.seed = seed;
+    two_queues.queues.back().deadly_share = 0.03;
+    check_rules(storm(two_queues).run());
+  }
+}
+
 } // namespace
 } // namespace parsleylead
