Keep a leaving agent until orders that are on their way have arrived

On SIGTERM an agent without runs exited at its next tick, at the latest 20 ms later, before its report that it accepts no more orders had reached the entries or had even been sent (`status_interval` is 40 ms). Orders sent to it in the meantime were lost, and their entries placed them again only after `lost_run_wait` (1.6 s). The end of its last run was sent in the turn of the event loop in which it exited.

It now stays connected for 200 ms after its last run, within the same time limit as before.

New test: "an agent that leaves stays until the orders that may be on their way have arrived".

--- a/include/parsleylead/fleet/fleet_agent.hpp
+++ b/include/parsleylead/fleet/fleet_agent.hpp
@@ -65,7 +65,8 @@
   /// The worker has deregistered; all of its runs have ended.
   void worker_left(const std::string& id);
 
-  /// Stops accepting orders. Calls `done` once no run is active or waiting, or after `limit`.
+  /// Stops accepting orders. Calls `done` once no run has been active or waiting for
+  /// `link_timing::leave_notice`, or after `limit`.
   void leave(std::chrono::milliseconds limit, std::function<void()> done);
 
   std::size_t sessions() const;
@@ -155,6 +156,8 @@
   bool status_dirty_ = false;
   bool leaving_ = false;
   monotonic_time leave_deadline_{};
+  /// Time of the last tick at which runs were active or waiting, or of the call of `leave`.
+  monotonic_time last_busy_{};
   std::function<void()> on_left_;
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
--- a/include/parsleylead/fleet/link_timing.hpp
+++ b/include/parsleylead/fleet/link_timing.hpp
@@ -43,6 +43,10 @@
   /// Interval of the checks for links beyond the maximum. An agent that closes such a link reports
   /// itself as not accepting for at least as long before, so that no order is on its way.
   std::chrono::milliseconds surplus_check_interval{500};
+  /// An agent that leaves stays connected for this long after its last run, so that entries receive
+  /// the end of that run, and orders that were sent before its report arrived are returned. It
+  /// covers `status_interval` and a round trip between zones.
+  std::chrono::milliseconds leave_notice{200};
   /// An entry that has been unreachable for this long is removed from the known members.
   std::chrono::milliseconds member_expiry{30'000};
 };
--- a/src/fleet/fleet_agent.cpp
+++ b/src/fleet/fleet_agent.cpp
@@ -107,8 +107,11 @@
   }
   status_dirty_ = true;
   flush();
+  if (table_.running() + table_.waiting() > 0) {
+    last_busy_ = now;
+  }
   if (leaving_ && on_left_ &&
-      (table_.running() + table_.waiting() == 0 || now >= leave_deadline_)) {
+      (now - last_busy_ >= settings_.timing.leave_notice || now >= leave_deadline_)) {
     std::exchange(on_left_, nullptr)();
   }
   if (now - last_traffic_report_ >= settings_.timing.traffic_report_interval) {
@@ -686,7 +689,8 @@
 void fleet_agent::leave(std::chrono::milliseconds limit, std::function<void()> done) {
   leaving_ = true;
   on_left_ = std::move(done);
-  leave_deadline_ = lease_now() + limit;
+  last_busy_ = lease_now(); // Orders may be on their way.
+  leave_deadline_ = last_busy_ + limit;
   table_.set_accepting(false);
   status_dirty_ = true;
   log_.write("leaving", "runs", table_.running(), "waiting", table_.waiting());
--- a/src/fleet/fleet_link_test.cpp
+++ b/src/fleet/fleet_link_test.cpp
@@ -269,6 +269,18 @@
   CHECK_FALSE(answered);
 }
 
+TEST_CASE("an agent that leaves stays until the orders that may be on their way have arrived") {
+  // Guards against orders to an agent that has just exited: their entries learn only after
+  // `lost_run_wait` that they were lost.
+  small_fleet fleet;
+  const auto began = std::chrono::steady_clock::now();
+  bool left = false;
+  fleet.agent->leave(milliseconds(5'000), [&] { left = true; });
+  REQUIRE(fleet.run_until([&] { return left; }));
+  CHECK(std::chrono::steady_clock::now() - began >= link_timing{}.leave_notice);
+  CHECK_FALSE(fleet.entry->has_worker());
+}
+
 TEST_CASE("after a crash of the worker, lost runs are repeated and its new runs continue") {
   // Guards against a second run of a task that the restarted worker received before it announced
   // its new incarnation. Found by the soak test, seed 1.
