Use idle connections at the moment an entry is terminated

An entry that closes its idle connections at the SIGTERM loses only requests that arrive within that moment. The pausing callers of an entry now begin a request when it is terminated.

--- a/tests/soak/persistent_callers.cpp
+++ b/tests/soak/persistent_callers.cpp
@@ -54,6 +54,8 @@
   milliseconds longest_pause{0};
   /// Index of the entry that gets each new request first.
   std::size_t home = 0;
+  /// The caller pauses before its next request.
+  bool pausing = false;
   /// One connection to each entry.
   std::vector<std::unique_ptr<web_client>> connections;
   asio::steady_timer timer;
@@ -110,12 +112,23 @@
   }
 }
 
+void persistent_callers::use_idle_connections(std::size_t entry) {
+  for (const auto& each : callers_) {
+    if (each->home == entry && each->pausing && each->kind == caller_kind::small_jobs) {
+      each->timer.cancel();
+      begin(*each);
+    }
+  }
+}
+
 void persistent_callers::wait(caller& each) {
+  each.pausing = true;
   call_after(each.timer, milliseconds(random_below(static_cast<int>(each.longest_pause.count()))),
              [this, &each] { begin(each); });
 }
 
 void persistent_callers::begin(caller& each) {
+  each.pausing = false;
   if (!running_ || (each.kind != caller_kind::small_jobs && !long_jobs_)) {
     return;
   }
--- a/tests/soak/persistent_callers.hpp
+++ b/tests/soak/persistent_callers.hpp
@@ -48,6 +48,9 @@
   persistent_callers& operator=(const persistent_callers&) = delete;
 
   void start();
+  /// All callers of the entry that pause begin their next request at once, on connections that are
+  /// idle.
+  void use_idle_connections(std::size_t entry);
   /// Submits no more jobs that run for seconds.
   void stop_long_jobs() { long_jobs_ = false; }
   /// Begins no more requests. Open ones go on, as do further attempts for jobs not served yet.
--- a/tests/soak/soak_site.cpp
+++ b/tests/soak/soak_site.cpp
@@ -165,6 +165,7 @@
 void soak_site::add_process(int host, bool entry) {
   auto added = std::make_unique<process>();
   added->entry = entry;
+  added->number = static_cast<std::size_t>(host);
   added->name = (entry ? "entry-" : "agent-") + std::to_string(host);
   const auto ip = entry ? entry_ip(host) : agent_ip(host);
   json settings{
@@ -633,6 +634,11 @@
   log("planned work: terminate " + target.name);
   target.terminated_at = steady_clock::now();
   target.child->send(SIGTERM);
+  if (target.entry) {
+    // Requests that arrive as the entry handles the signal find closed connections if it closes
+    // idle ones.
+    callers_->use_idle_connections(target.number);
+  }
 }
 
 bool soak_site::in_service(const process& target) {
--- a/tests/soak/soak_site.hpp
+++ b/tests/soak/soak_site.hpp
@@ -81,6 +81,8 @@
     std::unique_ptr<faults::child_process> child;
     bool stopped = false;
     bool entry = false;
+    /// Number among the entries or agents.
+    std::size_t number = 0;
     std::chrono::steady_clock::time_point started_at;
     /// When planned work terminated the process; empty once it has been started again.
     std::optional<std::chrono::steady_clock::time_point> terminated_at;
