--- a/tests/soak/soak_site.hpp
+++ b/tests/soak/soak_site.hpp
@@ -106,7 +106,9 @@
   void heal();
   void inject_capacity_fault();
   void submit_next_job();
+  void submit_second_route_job(bool deadly);
   void submit_next_second_route_job();
+  void submit_next_regular_deadly_job();
   void submit(std::uint64_t id, std::uint32_t tasks, int attempt);
   void handle_response(std::uint64_t id, std::uint32_t tasks, int attempt,
                        const absl::StatusOr<web_response>& response);
@@ -182,6 +184,7 @@
   bool generating_load_ = false;
   bool injecting_faults_ = false;
   bool generating_deadly_jobs_ = false;
+  bool regular_deadly_jobs_ = false;
   std::set<std::string> second_route_jobs_;
   std::set<std::string> deadly_jobs_;
   /// The phase to which submitted jobs are counted, if any.
