Soak: restart exited processes while new routes are checked

An entry that was terminated last among the faults may take the whole grace period to stop. If it exited after the site had recovered, nothing restarted it before the check of the durable jobs, and the check of the routes asked a process that was not there.

The waits before and after the publication now restart exited processes, as those before do.

--- a/tests/soak/soak_site.cpp
+++ b/tests/soak/soak_site.cpp
@@ -225,6 +225,14 @@
   run_until([] { return false; }, time);
 }
 
+void soak_site::run_and_restart_exited(milliseconds time) {
+  const auto end = steady_clock::now() + time;
+  while (steady_clock::now() < end) {
+    restart_exited();
+    run_for(milliseconds(50));
+  }
+}
+
 template <class Condition>
 bool soak_site::run_until(Condition done, milliseconds limit) {
   const auto end = steady_clock::now() + limit;
@@ -615,19 +623,14 @@
     return false;
   }
   // Entries that were terminated as the last fault exit within this time.
-  run_until(
-      [&] {
-        restart_exited();
-        return false;
-      },
-      milliseconds(3'000));
+  run_and_restart_exited(milliseconds(3'000));
   check_routes();
   return true;
 }
 
 void soak_site::check_routes() {
   publish_routes();
-  run_for(routes_timeout);
+  run_and_restart_exited(routes_timeout);
   // Shared with the responses, which may arrive after this function has returned.
   const auto entries_with_routes = std::make_shared<int>(0);
   for (auto& client : clients_) {
--- a/tests/soak/soak_site.hpp
+++ b/tests/soak/soak_site.hpp
@@ -97,6 +97,7 @@
   /// Restarts the processes that have exited; an exit not caused by a fault is a violation.
   void restart_exited();
   void run_for(std::chrono::milliseconds time);
+  void run_and_restart_exited(std::chrono::milliseconds time);
   template <class Condition>
   bool run_until(Condition done, std::chrono::milliseconds limit);
   void publish_routes();
