Begin only one request at a time in each persistent caller of the soak

A caller's timer may have expired when use_idle_connections begins its next request; the caller then began two, and the pause after one replaced the timer of the other's next attempt, which was never made. Small jobs may also make attempts for 9 s after the load has ended, so the check waits up to 6 s more for their end.

--- a/tests/soak/persistent_callers.cpp
+++ b/tests/soak/persistent_callers.cpp
@@ -124,7 +124,12 @@
 void persistent_callers::wait(caller& each) {
   each.pausing = true;
   call_after(each.timer, milliseconds(random_below(static_cast<int>(each.longest_pause.count()))),
-             [this, &each] { begin(each); });
+             [this, &each] {
+               // use_idle_connections may have ended the pause after the timer had expired.
+               if (each.pausing) {
+                 begin(each);
+               }
+             });
 }
 
 void persistent_callers::begin(caller& each) {
--- a/tests/soak/soak_site.cpp
+++ b/tests/soak/soak_site.cpp
@@ -51,6 +51,9 @@
 constexpr milliseconds planned_work_limit{12'500};
 // Jobs that run for up to 9 s are submitted until this time of the phase.
 constexpr milliseconds last_long_job{6'000};
+// All requests of the persistent callers have reached their deadlines this long after the rest
+// ended.
+constexpr milliseconds last_deadline_wait{6'000};
 // An operator waits this long after an entry's start before the next one is terminated.
 constexpr milliseconds startup_time{200};
 // The workers then have room for the jobs of the persistent callers.
@@ -780,6 +783,7 @@
   check_service_beside_deadly_jobs();
   check_durable_jobs();
   if (callers_) {
+    run_until([&] { return callers_->open() == 0; }, last_deadline_wait);
     const auto& counts = callers_->counts();
     log("persistent callers: " + std::to_string(counts.requests) + " requests, " +
         std::to_string(counts.completed) + " completed, " + std::to_string(counts.stored) +
