Answer a job whose deadline passed with 504 instead of showing it as failed

A best-effort job that had begun and was not done at its caller's deadline was answered with 200 and the state "failed", although none of its tasks had used up its attempts. Mostly the caller has left by then. One that submitted the same job again and was joined to it, or that waits longer than it said, was told that accepted work had failed. The users' rules call that LOST: only ends "failed" count as attempts.

The outcome of such a job is not known, which a 504 says. The new test "a job whose deadline passes is not shown as failed" failed before (verdict failed). The test "a job is answered as not run only if none of its tasks was started" expected "failed" at the deadline and now expects "unknown"; it still tells both from "not run". The soak's callers no longer accept "failed" at a deadline.

--- a/include/parsleylead/fleet/fleet_job.hpp
+++ b/include/parsleylead/fleet/fleet_job.hpp
@@ -91,12 +91,13 @@
 /// Result of a job as its caller sees it.
 enum class job_verdict : std::uint8_t {
   completed,
-  /// A task used up its attempts, or the deadline passed after a task was placed.
+  /// A task used up its attempts, or crashed its workers.
   failed,
   /// No task was started, and none will be.
   not_run,
-  /// Tasks were started, and whether all of them will be done is not known: this process was
-  /// stalled, it stops, or the job was given up after the crash of a worker.
+  /// Tasks were started, and whether all of them would be done is not known: the caller's deadline
+  /// passed, this process was stalled, it stops, or the job was given up after the crash of a
+  /// worker.
   unknown,
   cancelled,
 };
--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -907,7 +907,7 @@
   }
   for (const auto id : expired) {
     auto& open_job = *jobs_.at(id);
-    finish(open_job, open_job.may_have_run() ? job_verdict::failed : job_verdict::not_run,
+    finish(open_job, open_job.may_have_run() ? job_verdict::unknown : job_verdict::not_run,
            job_cause::deadline_passed, now);
   }
   for (const auto id : unreachable) {
--- a/src/fleet/fleet_scheduler_test.cpp
+++ b/src/fleet/fleet_scheduler_test.cpp
@@ -205,7 +205,7 @@
   fleet.scheduler.tick(at_ms(501));
   auto results = fleet.scheduler.take_results();
   REQUIRE(results.size() == 1);
-  CHECK(results[0].verdict == job_verdict::failed);
+  CHECK(results[0].verdict == job_verdict::unknown);
   CHECK(fleet.scheduler.take_stops().size() == 1);
 
   fixture second(1);
@@ -450,6 +450,23 @@
   return job;
 }
 
+TEST_CASE("a job whose deadline passes is not shown as failed") {
+  // Guards against telling a caller that shares the job, or that waits longer than it said, that
+  // the job failed although none of its tasks used up its attempts.
+  fixture fleet(1);
+  auto job = make_job(1, 1);
+  job.answer_timeout = milliseconds(1'500);
+  REQUIRE(fleet.submit(std::move(job)).size() == 1);
+  fleet.scheduler.tick(at_ms(1'499));
+  CHECK(fleet.scheduler.take_results().empty());
+  fleet.scheduler.tick(at_ms(1'500));
+  const auto results = fleet.scheduler.take_results();
+  REQUIRE(results.size() == 1);
+  CHECK(results[0].verdict == job_verdict::unknown);
+  CHECK(results[0].cause == job_cause::deadline_passed);
+  CHECK(fleet.scheduler.take_stops().size() == 1);
+}
+
 run_end crash_of(const placed_start& start, bool suspect) {
   return {start.order.run, run_outcome::lost, milliseconds(20), {}, false, true, suspect};
 }
--- a/tests/soak/persistent_callers.cpp
+++ b/tests/soak/persistent_callers.cpp
@@ -290,11 +290,6 @@
   } else if (response.body.find("completed") != std::string::npos) {
     ++counts_.completed;
     judge_.job_completed(name);
-  } else if (steady_clock::now() - call->sent_at >= call->deadline) {
-    // The entry gave the job up at the caller's deadline; no task needs to have failed.
-    ++counts_.expired;
-    resubmit(call, resend_delay);
-    return;
   } else {
     judge_.job_reported_failed(name);
   }
--- a/tests/soak/persistent_callers.hpp
+++ b/tests/soak/persistent_callers.hpp
@@ -25,8 +25,6 @@
   std::size_t stored = 0;
   /// Responses 429 and 503.
   std::size_t refused = 0;
-  /// Jobs that did not end before the deadline that the caller had sent.
-  std::size_t expired = 0;
   /// Responses 504: the outcome is not known.
   std::size_t unresolved = 0;
   /// Requests that were not sent because the entry could not be reached; another entry gets them.
--- a/tests/soak/soak_site.cpp
+++ b/tests/soak/soak_site.cpp
@@ -788,9 +788,8 @@
     log("persistent callers: " + std::to_string(counts.requests) + " requests, " +
         std::to_string(counts.completed) + " completed, " + std::to_string(counts.stored) +
         " stored, " + std::to_string(counts.refused) + " refused, " +
-        std::to_string(counts.expired) + " expired, " + std::to_string(counts.unresolved) +
-        " unresolved, " + std::to_string(counts.redirected) + " redirected, " +
-        std::to_string(counts.lost) + " lost");
+        std::to_string(counts.unresolved) + " unresolved, " + std::to_string(counts.redirected) +
+        " redirected, " + std::to_string(counts.lost) + " lost");
     if (callers_->open() > 0) {
       judge_.record_violation(std::to_string(callers_->open()) +
                               " requests of persistent callers have no end");
