--- a/include/parsleylead/web/web_server.hpp
+++ b/include/parsleylead/web/web_server.hpp
@@ -75,8 +75,8 @@
   /// Number of open connections.
   std::size_t connections() const;
 
-  /// Number of connections on which a request is being received, or whose response has not been
-  /// written completely.
+  /// Number of connections on which a request has been received in part, including bytes that have
+  /// not been read from the socket, or whose response has not been written completely.
   std::size_t open_requests() const;
 
 private:
--- a/src/web/web_server.cpp
+++ b/src/web/web_server.cpp
@@ -129,7 +129,13 @@
     return now - last_activity_ > limit;
   }
 
-  bool idle() const { return !busy_ && !parser_.started() && receive_buffer_.empty(); }
+  /// Returns whether no request is in progress, including one that the kernel has received but that
+  /// has not been read.
+  bool idle() const {
+    asio::error_code error;
+    return !busy_ && !parser_.started() && receive_buffer_.empty() &&
+           (socket_.available(error) == 0 || error);
+  }
 
 private:
   void received(const asio::error_code& error, std::size_t count) {
--- a/src/web/web_test.cpp
+++ b/src/web/web_test.cpp
@@ -353,6 +353,23 @@
   CHECK(second.receive().ends_with("whole"));
 }
 
+TEST_CASE("a request that has arrived but was not read counts as an open request") {
+  // Guards against a process that exits with such a request because its connection looks idle.
+  asio::io_context io;
+  const auto address = free_address(io);
+  web_server server(io, {}, [](const std::shared_ptr<web_exchange>& exchange) {
+    exchange->respond({200, {}, "whole"});
+  });
+  REQUIRE(server.listen(address).ok());
+  kept_connection client(io, address);
+  REQUIRE(client.call("/").ends_with("whole"));
+  CHECK(server.open_requests() == 0);
+  client.send("/");
+  CHECK(server.open_requests() == 1);
+  CHECK(client.receive().ends_with("whole"));
+  CHECK(server.open_requests() == 0);
+}
+
 TEST_CASE("rejected requests get the response, and the work that they caused ends") {
   asio::io_context io;
   const auto address = free_address(io);
