--- a/src/fleet/crash_history_test.cpp
+++ b/src/fleet/crash_history_test.cpp
@@ -13,7 +13,7 @@
 TEST_CASE("crashes that are far apart confine no queue") {
   // Guards against confining a queue whose isolated tasks met two unrelated crashes.
   crash_history history;
-  for (int i = 0; i < 10; ++i) {
+  for (std::int64_t i = 0; i < 10; ++i) {
     history.record({deadly, true}, at_ms(10'000 * i));
     history.update(at_ms(10'000 * i));
     CHECK(!history.any_confined());
@@ -23,7 +23,7 @@
 TEST_CASE("a crash of many workers at once confines no queue") {
   // Guards against confining the only queue that the workers of a lost rack were running.
   crash_history history;
-  for (int i = 0; i < 100; ++i) {
+  for (std::int64_t i = 0; i < 100; ++i) {
     history.record({sound, false}, at_ms(i));
   }
   history.update(at_ms(100));
@@ -37,7 +37,7 @@
   CHECK(history.update(at_ms(100)));
   CHECK(history.is_confined(deadly));
   CHECK(!history.is_confined(sound));
-  for (int i = 1; i < 20; ++i) {
+  for (std::int64_t i = 1; i < 20; ++i) {
     history.record({deadly, false}, at_ms(2'000 * i));
     CHECK(!history.update(at_ms(2'000 * i)));
     CHECK(history.is_confined(deadly));
@@ -60,7 +60,7 @@
 TEST_CASE("a queue is released soon after its last crash, however many there were") {
   // Guards against a queue that stays confined for longer the more workers its tasks crashed.
   crash_history history;
-  for (int i = 0; i < 1'000; ++i) {
+  for (std::int64_t i = 0; i < 1'000; ++i) {
     history.record({deadly, true}, at_ms(10 * i));
     history.update(at_ms(10 * i));
   }
--- a/src/fleet/fleet_crash_test.cpp
+++ b/src/fleet/fleet_crash_test.cpp
@@ -631,7 +631,7 @@
   // Besides, a crash loses the jobs that it interrupts, each with up to four tasks of 900 ms.
   const double quarantined =
       std::max(1.0, std::round(fleet_policy{}.quarantine_share * played.workers));
-  constexpr double lost_by_crash_ms = downtime_ms + 120 + 4 * 900.0;
+  constexpr double lost_by_crash_ms = static_cast<double>(downtime_ms) + 120 + 4 * 900.0;
   const double bound = (quarantined + result.crashes_before_confinement * lost_by_crash_ms /
                                           static_cast<double>(storm_end_ms - storm_begin_ms)) /
                        played.workers;
--- a/src/fleet/fleet_scheduler_test.cpp
+++ b/src/fleet/fleet_scheduler_test.cpp
@@ -480,7 +480,7 @@
       job.ownership = job_ownership{1, 0, {}};
     }
     auto starts = fleet.submit(std::move(job));
-    std::uint32_t crashes = 0;
+    std::int64_t crashes = 0;
     while (!starts.empty()) {
       REQUIRE(starts.size() == 1);
       CHECK(starts[0].order.isolated == (crashes > 0));
