--- a/include/parsleylead/web/web_server.hpp
+++ b/include/parsleylead/web/web_server.hpp
@@ -69,6 +69,9 @@
   /// Open connections are not affected.
   void stop_listening();
 
+  /// Closes the connections on which no request is in progress. Returns whether none is left.
+  bool close_idle_connections();
+
   /// Rejects all requests that have no response yet.
   void reject_open_requests(const web_response& response);
 
--- a/src/web/web_server.cpp
+++ b/src/web/web_server.cpp
@@ -330,6 +330,17 @@
   state_->stop_listening();
 }
 
+bool web_server::close_idle_connections() {
+  const std::vector<std::shared_ptr<connection>> open_connections(state_->connections.begin(),
+                                                                  state_->connections.end());
+  for (const auto& open_connection : open_connections) {
+    if (open_connection->idle()) {
+      open_connection->close();
+    }
+  }
+  return state_->connections.empty();
+}
+
 void web_server::reject_open_requests(const web_response& response) {
   state_->reject_open_requests(response);
 }
--- a/src/web/web_test.cpp
+++ b/src/web/web_test.cpp
@@ -370,6 +370,26 @@
   CHECK(server.open_requests() == 0);
 }
 
+TEST_CASE("closing idle connections spares one on which a request has arrived") {
+  // Guards against a request that arrives as the process exits.
+  asio::io_context io;
+  const auto address = free_address(io);
+  web_server server(io, {}, [](const std::shared_ptr<web_exchange>& exchange) {
+    exchange->respond({200, {}, "whole"});
+  });
+  REQUIRE(server.listen(address).ok());
+  kept_connection used(io, address);
+  kept_connection unused(io, address);
+  REQUIRE(used.call("/").ends_with("whole"));
+  REQUIRE(unused.call("/").ends_with("whole"));
+  used.send("/");
+  CHECK_FALSE(server.close_idle_connections());
+  CHECK(server.connections() == 1);
+  CHECK(used.receive().ends_with("whole"));
+  CHECK(unused.receive().empty());
+  CHECK(server.close_idle_connections());
+}
+
 TEST_CASE("rejected requests get the response, and the work that they caused ends") {
   asio::io_context io;
   const auto address = free_address(io);
