--- a/review/common/proxy.py
+++ b/review/common/proxy.py
@@ -1,15 +1,12 @@
-"""A TCP proxy whose connections can be cut, as a partition does: bytes vanish, nothing is reset."""
+"""A TCP proxy that can be cut, as a partition does: bytes vanish, and nothing is reset."""
 
 import asyncio
 
 
 class Proxy:
-    """`label_of(first_bytes)` names the peer of a connection, so that single peers can be cut."""
-
-    def __init__(self, target, label_of=lambda _: ""):
+    def __init__(self, target):
         self._target = target
-        self._label_of = label_of
-        self._cut = set()
+        self._cut = False
         self._server = None
         self._writers = set()
 
@@ -22,30 +19,27 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
-    def cut(self, label):
-        """Discards all bytes to and from the peer, on the open connections and on new ones."""
-        self._cut.add(label)
+    def cut(self):
+        """Discards all bytes, on the open connections and on new ones."""
+        self._cut = True
 
-    def heal(self, label):
-        """New connections of the peer work again; those that have lost bytes stay silent."""
-        self._cut.discard(label)
+    def heal(self):
+        """New connections work again; those that have lost bytes stay silent."""
+        self._cut = False
 
     async def _serve(self, reader, writer):
         self._writers.add(writer)
         other = None
         try:
-            first = await reader.read(65536)
-            label = self._label_of(first)
-            state = {"silent": label in self._cut}
-            if state["silent"]:
+            state = {"silent": self._cut}
+            if self._cut:
                 while await reader.read(65536):
                     pass
                 return
             other_reader, other = await asyncio.open_connection(*self._target)
             self._writers.add(other)
-            other.write(first)
-            await asyncio.gather(self._pump(reader, other, label, state),
-                                 self._pump(other_reader, writer, label, state))
+            await asyncio.gather(self._pump(reader, other, state),
+                                 self._pump(other_reader, writer, state))
         except (OSError, ConnectionError):
             pass
         finally:
@@ -54,13 +48,10 @@
                     self._writers.discard(each)
                     each.transport.abort()
 
-    async def _pump(self, source, destination, label, state):
+    async def _pump(self, source, destination, state):
         try:
-            while True:
-                data = await source.read(65536)
-                state["silent"] = state["silent"] or label in self._cut
-                if not data:
-                    break
+            while data := await source.read(65536):
+                state["silent"] = state["silent"] or self._cut
                 if not state["silent"]:
                     destination.write(data)
                     await destination.drain()
--- a/review/common/site_stub.py
+++ b/review/common/site_stub.py
@@ -58,24 +58,27 @@
 class Process:
     """A program of the deploy file on a machine of its own."""
 
-    def __init__(self, site, name, role, ip, settings, flags=()):
-        self.site, self.name, self.role, self.ip, self.flags = site, name, role, ip, flags
+    def __init__(self, site, name, role, ip, settings):
+        self.site, self.name, self.role, self.ip, self.settings = site, name, role, ip, settings
         self.path = os.path.join(site.folder, name + ".json")
-        with open(self.path, "w", encoding="utf-8") as file:
-            json.dump(settings, file, indent=1)
         self.child = None
 
+    def change_settings(self, **sections):
+        for section, fields in sections.items():
+            self.settings[section].update(fields)
+
     def start(self):
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             words = tomllib.load(file)["roles"][self.role]["run"].split(" ")
+        with open(self.path, "w", encoding="utf-8") as file:
+            json.dump(self.settings, file, indent=1)
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG")
                        if name in os.environ}
         environment["PARSLEYLEAD_BOOT"] = self.path
         with open(os.path.join(self.site.folder, self.name + ".log"), "ab") as log:
-            self.child = subprocess.Popen([words[0], *self.flags, *words[1:]], cwd=ROOT,
+            self.child = subprocess.Popen(words, cwd=ROOT,
                                           env=environment, stdout=log, stderr=log,
                                           stdin=subprocess.DEVNULL)
-        self.started = time.monotonic()
         self.site.record.write("process_start", name=self.name, role=self.role)
 
     def kill(self):
@@ -93,14 +96,13 @@
 
 
 class Site:
-    def __init__(self, folder, bounds, zones, heartbeat_ms=1500, seed=1, seeds=3):
-        # The number of entries that the settings name as seeds.
-        self.seeds = seeds
+    def __init__(self, folder, bounds, zones, heartbeat_ms=1500, seed=1):
         self.random = random.Random(seed)
         self.bounds, self.zones, self.heartbeat_ms = bounds, zones, heartbeat_ms
         self.record = Record(os.path.join(folder, "record.txt"))
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.network = self._free_network()
+        self.store_ip = f"{self.network}.0.1"
         self.store = Store()
         self.entries, self.agents, self.workers = [], [], []
         self.in_rotation = set()
@@ -132,7 +134,7 @@
             "serves": ["side"] if side else ["edge", "control"], "ip": ip, "zone": zone,
             "region": "region-1", "zones": {each: "region-1" for each in self.zones},
             "bind_addresses": addresses, "internal_ports": [LINK, LINK + 15],
-            "seeds": [f"{self.network}.1.{number + 1}:{CONTROL}" for number in range(self.seeds)],
+            "seeds": [f"{self.network}.1.{number + 1}:{CONTROL}" for number in range(3)],
             "bootstrap": True, "tolerance_member": False,
             "limits": {"cpu_share": 0.15 if side else 0.25, "cores": 1,
                        "memory_mb": 128 if side else 260, "max_fds": 4096, "link_mbps": 1000.0,
@@ -142,7 +144,7 @@
             "contracts": ["base", "drain", "config", "cost", "recover", "sched", "platform"],
             "fault_tolerance": {"machines": 2, "zones": 0, "regions": 0}, "bounds": self.bounds,
             "orders": "call",
-            "platform": {"address": f"{self.network}.0.1:{STORE}", "form": "log",
+            "platform": {"address": f"{self.store_ip}:{STORE}", "form": "log",
                          "writes_per_s": 800, "reads_per_s": 2000, "parts": 16, "append_ms": 3.0,
                          "part_mb_s": 20.0, "read_mb_s": 80.0, "record_bytes": 262144,
                          "call_bytes": 2097152, "keep_s": 300, "part_mb": 200, "ttl_min_ms": 1000}}
@@ -150,11 +152,11 @@
             settings["app"] = f"{ip}:{APP}"
         return settings
 
-    def add_entry(self, zone, flags=()):
+    def add_entry(self, zone):
         number = len(self.entries) + 1
         ip = f"{self.network}.1.{number}"
         name = f"edge-{zone}-{number}"
-        entry = Process(self, name, "entry", ip, self._settings(name, ip, zone, False), flags)
+        entry = Process(self, name, "entry", ip, self._settings(name, ip, zone, False))
         self.entries.append(entry)
         return entry
 
@@ -173,7 +175,7 @@
         program = os.path.join(ROOT, "target", "bin", "parsleylead-platform")
         if not os.access(program, os.X_OK):
             raise CannotRun(f"{program} is missing: run the build of the deploy file first")
-        await self.store.start(f"{self.network}.0.1", STORE)
+        await self.store.start(self.store_ip, STORE)
         self.store.put("keyed.op", "config", configuration)
         for process in self.entries + self.agents:
             process.start()
