--- a/review/common/site_stub.py
+++ b/review/common/site_stub.py
@@ -224,15 +224,12 @@
         misses = {}
         while True:
             begun = time.monotonic()
-            present = [entry for entry in self.entries if entry.child is not None]
-            self.in_rotation &= {entry.name for entry in present}
-            await asyncio.gather(*(self._check_ready(entry, misses) for entry in present))
+            await asyncio.gather(*(self._check_ready(entry, misses) for entry in self.entries))
             await asyncio.sleep(max(0.05, 1 - (time.monotonic() - begun)))
 
     def pick_entry(self):
-        present = [entry for entry in self.entries if entry.child is not None]
-        ready = [entry for entry in present if entry.name in self.in_rotation]
-        return self.random.choice(ready or present)
+        ready = [entry for entry in self.entries if entry.name in self.in_rotation]
+        return self.random.choice(ready or self.entries)
 
     def new_job_id(self):
         return f"{self.random.getrandbits(64):016x}"
