--- a/review/common/site_stub.py
+++ b/review/common/site_stub.py
@@ -44,7 +44,8 @@
     "config_apply_ms": 3000, "max_stretch_ms": 6000, "cold_overage": 1.5, "cold_slack": 5,
     "evacuation_ms": 5000, "recovery_s": 15, "gang_ms": 4000, "cancel_ms": 4000,
     "remote_slowdown": 2, "checkpoint_s": 2, "restore_ms": 250, "notice_ms": 5500, "harm_ms": 4500}
-EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
+# Translated by run.sh. An error of Python exits with 1.
+EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 3, 2
 
 
 def trouble_wanted():
@@ -312,9 +313,9 @@
 
 async def idle_jobs(site, counts_of, watch_s=3.0):
     """LOST, some time after the traffic: returns those of the jobs, given with the numbers of tasks
-    of their steps, that for 3 s are not ended and have
-    nothing running while a task's turn has come, under half of the service is in use, and there is
-    room for the task twice over. Jobs that are not known or get no answer count as well."""
+    of their steps, that have not ended and for 3 s have nothing running while a task's turn has
+    come and under half of the service is in use. Jobs that are not known or get no answer count as
+    well."""
     states = {}
     for each in counts_of:
         states[each] = await site.state(each)
