--- a/src/fleet/fleet_link_test.cpp
+++ b/src/fleet/fleet_link_test.cpp
@@ -167,7 +167,7 @@
     agent.emplace(io, settings, worker, log, metrics);
     agent->add_members({{"", 0, to_string(address), ""}});
     agent->start();
-    announce(announcement());
+    CHECK(announce(announcement()).ok());
     run_until([&] { return entry->has_worker(); });
   }
 
@@ -318,7 +318,7 @@
   fleet.worker.run_time = milliseconds(20);
   auto restarted = announcement();
   restarted.incarnation = 2;
-  fleet.announce(restarted);
+  CHECK(fleet.announce(restarted).ok());
   REQUIRE(fleet.run_until([&] { return lost.has_value(); }));
   CHECK(lost->verdict == job_verdict::completed);
   // The run of the second job is still the first one of its task.
@@ -345,23 +345,23 @@
   small_fleet fleet;
   auto newest = announcement();
   newest.sequence = 5;
-  fleet.announce(newest);
+  CHECK(fleet.announce(newest).ok());
   auto late = newest;
   late.sequence = 4;
   late.draining = true;
-  fleet.announce(late);
+  CHECK(fleet.announce(late).ok());
   auto earlier_incarnation = newest;
   earlier_incarnation.incarnation = 0;
   earlier_incarnation.sequence = 9;
   earlier_incarnation.draining = true;
-  fleet.announce(earlier_incarnation);
+  CHECK(absl::IsNotFound(fleet.announce(earlier_incarnation)));
   std::optional<job_result> result;
   fleet.entry->submit(make_job(1, 1), [&](const job_result& got) { result = got; });
   REQUIRE(fleet.run_until([&] { return result.has_value(); }));
   CHECK(result->verdict == job_verdict::completed);
   fleet.agent->worker_left("w-1");
   REQUIRE(fleet.run_until([&] { return !fleet.entry->has_worker(); }));
-  fleet.announce(newest);
+  CHECK(fleet.announce(newest).ok());
   CHECK_FALSE(fleet.run_until([&] { return fleet.entry->has_worker(); }, milliseconds(200)));
 }
 
@@ -372,7 +372,7 @@
   auto restarted = announcement();
   restarted.incarnation = 9;
   fleet.worker.incarnation = 9;
-  fleet.announce(restarted);
+  CHECK(fleet.announce(restarted).ok());
   REQUIRE(fleet.run_until([&] { return fleet.entry->has_worker(); }));
   restarted.incarnation = 8;
   SUBCASE("under the same id") {}
@@ -390,8 +390,9 @@
   fleet.worker.lost_lists = 0;
   const auto used = [&] {
     ++restarted.sequence;
-    fleet.announce(restarted);
-    return fleet.log.buffered().find("event=worker_announced worker=" + restarted.id + " life=8") !=
+    const bool accepted = fleet.announce(restarted).ok();
+    return accepted &&
+           fleet.log.buffered().find("event=worker_announced worker=" + restarted.id + " life=8") !=
                std::string::npos &&
            fleet.entry->has_worker();
   };
@@ -540,7 +541,7 @@
   fleet.agent.emplace(fleet.io, settings, fleet.worker, fleet.log, fleet.metrics);
   fleet.agent->add_members({seeds[0]});
   fleet.agent->start();
-  fleet.announce(announcement());
+  CHECK(fleet.announce(announcement()).ok());
   REQUIRE(fleet.run_until([&] { return fleet.entry->has_worker(); }));
   // A long job of the first entry, whose session is beyond the maximum once a near one is linked.
   fleet.worker.run_time = milliseconds(1'200);
