Count failed runs by attempt, once each, in any order

`durable_jobs` counted a failed end only if its attempt was above all others that had ended. The ends that agents hold for an owner reach its successor in any order: if that of the fourth run came first, the other three were acknowledged and not counted. A failed end of a run that was not the task's current one was acknowledged without a count as well, as was one that arrived after its job had ended.

A task's progress now lists the attempts that failed. An end is added once, whatever comes before or after it, and duplicates are recognised for good. The list is stored in a further column; the columns of earlier versions stay, so that their processes read new rows, and their rows are read with the latest attempts in place of the unknown ones. A late failure is passed on to the scheduler. If it would have used up the attempts before a start that has been made meanwhile, it is superseded like a late `done`: the agent confirms it only after the worker's lease has lapsed, so it was never taken note of.

--- a/include/parsleylead/durable/durable_jobs.hpp
+++ b/include/parsleylead/durable/durable_jobs.hpp
@@ -164,6 +164,7 @@
 
   static bool is_superseded(const partition_state& partition, const durable_job& job,
                             const run_end& end, bool is_current);
+  void count_end(durable_job& job, const run_end& end, bool is_current);
   void close_job(partition_state& partition, std::uint64_t id);
   durable_answer state_of(const partition_state& partition, std::uint64_t id) const;
   void queue_change(partition_state& partition, store_change change, monotonic_time now,
--- a/include/parsleylead/durable/durable_port.hpp
+++ b/include/parsleylead/durable/durable_port.hpp
@@ -24,6 +24,9 @@
   /// Allows the job to start a task again whose run `durable_jobs::run_lost` was told of. Does
   /// nothing if the job is not open or the task has another current run.
   virtual void restart_task(const run_id& lost) = 0;
+  /// A run failed that is not the task's current one: it counts towards the task's attempts. Does
+  /// nothing if the job is not open.
+  virtual void failure_counted(const run_id& failed) = 0;
   virtual bool is_placed(std::uint64_t job) const = 0;
   virtual bool has_begun(std::uint64_t job) const = 0;
   /// Sends the claims to all agents.
--- a/include/parsleylead/fleet/fleet_job.hpp
+++ b/include/parsleylead/fleet/fleet_job.hpp
@@ -44,8 +44,9 @@
 /// Progress of one task of a durable job.
 struct task_progress {
   bool done = false;
-  /// Number of failed runs.
-  std::uint32_t failures = 0;
+  /// Attempts whose runs failed, in ascending order. An end counts once, however often and in
+  /// whatever order ends are reported.
+  std::vector<std::uint32_t> failed_attempts;
   /// Latest attempt whose end is included in this progress.
   std::uint32_t ended_attempt = 0;
   /// Latest attempt that was given up as lost, so that the task may have been started again. An end
@@ -57,6 +58,12 @@
   bool operator==(const task_progress&) const = default;
 };
 
+/// Adds an attempt to a list in ascending order. Returns false if the list contains it. Thread-safe
+/// for different lists.
+bool add_attempt(std::vector<std::uint32_t>& attempts, std::uint32_t attempt);
+/// Returns whether a list in ascending order contains the attempt. Thread-safe.
+bool contains_attempt(const std::vector<std::uint32_t>& attempts, std::uint32_t attempt);
+
 /// Number of attempts of a task that each epoch reserves. They last for an hour if an agent returns
 /// every order after 60 ms, the shortest possible time.
 inline constexpr std::uint32_t attempts_per_epoch = 1U << 16U;
--- a/include/parsleylead/fleet/fleet_scheduler.hpp
+++ b/include/parsleylead/fleet/fleet_scheduler.hpp
@@ -137,6 +137,9 @@
   /// Allows a task of a durable job to start again after the loss of its run, which
   /// `take_lost_runs` returned, has been stored. Does nothing if the run is not the task's latest.
   void restart_task(const run_id& lost, monotonic_time now);
+  /// Adds a failed run that was not the task's current one, and does not use up its attempts. Does
+  /// nothing if the job is not open.
+  void failure_counted(const run_id& failed);
   /// Returns the runs that are placed on the worker, for resuming its session.
   std::vector<run_id> outstanding(worker_index worker) const;
 
--- a/src/durable/durable_calls.cpp
+++ b/src/durable/durable_calls.cpp
@@ -200,14 +200,17 @@
 }
 
 /// Returns whether the end's task was started again before the end was known, because its agent
-/// could not be reached.
+/// could not be reached, and would not have been if it had been known.
 bool durable_jobs::is_superseded(const partition_state& partition, const durable_job& job,
                                  const run_end& end, bool is_current) {
   const auto attempt = end.run.attempt;
   const auto& task = job.record.progress[end.run.task.step][end.run.task.index];
   const bool done = end.outcome == run_outcome::done;
-  if (attempt <= task.ended_attempt) {
-    return done && attempt < task.ended_attempt;
+  if (!done && contains_attempt(task.failed_attempts, attempt)) {
+    return false;
+  }
+  if (attempt <= task.ended_attempt && (done || job.record.ended)) {
+    return attempt < task.ended_attempt;
   }
   if (job.record.ended) {
     return false;
@@ -217,7 +220,28 @@
       epoch_of_attempt(job.record, attempt) < partition.restart_epoch) {
     return true;
   }
-  return done && !task.done && job.running && !is_current;
+  if (!job.running || is_current) {
+    return false;
+  }
+  // A failure that uses up the task's attempts would have prevented a later start.
+  return done ? !task.done : task.failed_attempts.size() + 1 >= job.record.job.terms.max_attempts;
+}
+
+/// Adds an end that is not superseded to the job's progress.
+void durable_jobs::count_end(durable_job& job, const run_end& end, bool is_current) {
+  auto& task = job.record.progress[end.run.task.step][end.run.task.index];
+  const bool counts_as_current = is_current || !job.running;
+  if (end.outcome == run_outcome::done) {
+    if (task.done || !counts_as_current) {
+      return;
+    }
+    task.done = true;
+  } else if (!add_attempt(task.failed_attempts, end.run.attempt)) {
+    return;
+  } else if (!counts_as_current) {
+    port_.failure_counted(end.run);
+  }
+  task.ended_attempt = std::max(task.ended_attempt, end.run.attempt);
 }
 
 void durable_jobs::run_ended(worker_index worker, const run_end& end, bool is_current,
@@ -235,8 +259,6 @@
     return;
   }
   auto& job = found->second;
-  auto& task = job.record.progress[end.run.task.step][end.run.task.index];
-  const bool done = end.outcome == run_outcome::done;
   const bool superseded = is_superseded(*partition, job, end, is_current);
   if (superseded || job.record.ended) {
     events_.write("end_after_restart", "run", format_run(end.run), "outcome",
@@ -244,11 +266,7 @@
     port_.acknowledge_end(worker, {end.run, superseded});
     return;
   }
-  if (!task.done && end.run.attempt > task.ended_attempt && (is_current || !job.running)) {
-    task.ended_attempt = end.run.attempt;
-    task.done = done;
-    task.failures += done ? 0 : 1;
-  }
+  count_end(job, end, is_current);
   // An end that was applied before is stored or queued. Changes of a partition are stored in order,
   // so the acknowledgement below is sent after that.
   queue_change(*partition,
--- a/src/durable/durable_jobs_test.cpp
+++ b/src/durable/durable_jobs_test.cpp
@@ -27,6 +27,7 @@
   }
   void suspend_job(std::uint64_t job) override { suspended.push_back(job); }
   void restart_task(const run_id& lost) override { restarted.push_back(lost); }
+  void failure_counted(const run_id& failed) override { late_failures.push_back(failed); }
   bool is_placed(std::uint64_t job) const override { return placed && running.contains(job); }
   bool has_begun(std::uint64_t) const override { return placed; }
   void announce_claims(const std::vector<partition_claim>& claims) override {
@@ -40,6 +41,7 @@
   std::vector<partition_claim> announced;
   std::vector<end_ack> acks;
   std::vector<run_id> restarted;
+  std::vector<run_id> late_failures;
   bool placed = false;
 };
 
@@ -243,7 +245,73 @@
   REQUIRE(two.port.running.contains(job_id));
   const auto& ownership = *two.port.running[job_id].ownership;
   CHECK(ownership.progress[0][0].done);
-  CHECK(ownership.progress[0][1].failures == 1);
+  CHECK(ownership.progress[0][1].failed_attempts == std::vector<std::uint32_t>{1});
+}
+
+TEST_CASE_FIXTURE(first_owner, "failed runs count once each, in whatever order their ends arrive") {
+  // Guards against a task that is started again after all of its attempts failed: a new owner
+  // counted an end only if its attempt was above all others (review/5).
+  one.submit();
+  log.holder = "two";
+  owner two(log, "two", one.now);
+  two.advance(500);
+  for (const auto attempt : {3U, 1U, 2U, 1U, 3U}) {
+    two.end(make_end(0, attempt, run_outcome::failed), false);
+  }
+  two.advance(100);
+  CHECK(two.port.acks.size() == 5);
+  two.end(make_end(0, 2, run_outcome::failed), false); // Its acknowledgement was lost.
+  two.advance(100);
+  CHECK(std::none_of(two.port.acks.begin(), two.port.acks.end(),
+                     [](const end_ack& ack) { return ack.superseded; }));
+  log.holder = "three";
+  owner three(log, "three", two.now);
+  three.advance(5'000);
+  REQUIRE(three.port.running.contains(job_id));
+  const auto& progress = three.port.running[job_id].ownership->progress;
+  CHECK(progress[0][0].failed_attempts == std::vector<std::uint32_t>{1, 2, 3});
+  CHECK(progress[0][0].ended_attempt == 3);
+}
+
+TEST_CASE_FIXTURE(first_owner, "a failure that is known late counts, or its end is superseded") {
+  // Guards against starts beyond a task's three attempts when an earlier end arrives after them.
+  one.submit();
+  one.end(make_end(0, 2, run_outcome::failed));
+  one.end(make_end(0, 1, run_outcome::failed), false);
+  one.advance(100);
+  REQUIRE(one.port.acks.size() == 2);
+  CHECK_FALSE(one.port.acks[1].superseded);
+  CHECK(one.port.late_failures == std::vector<run_id>{{{job_id, 0, 0}, 1}});
+  // With this one known, the current run would not have been started.
+  one.end(make_end(0, 3, run_outcome::failed), false);
+  REQUIRE(one.port.acks.size() == 3);
+  CHECK(one.port.acks[2].superseded);
+  CHECK(one.port.late_failures.size() == 1);
+}
+
+TEST_CASE_FIXTURE(first_owner,
+                  "a late failure of a task that has been started again is superseded after the "
+                  "job has ended, at the next owner too") {
+  // Guards against an end that is acknowledged although a start followed it, unknown to the owner.
+  one.submit();
+  one.end(make_end(0, 1, run_outcome::failed));
+  one.end(make_end(0, 3));
+  one.end(make_end(1, 1));
+  one.jobs->job_ended(make_result(), at_ms(one.now));
+  one.advance(200);
+  const auto check = [](owner& any) {
+    any.port.acks.clear();
+    any.end(make_end(0, 1, run_outcome::failed), false); // Counted before.
+    any.end(make_end(0, 2, run_outcome::failed), false);
+    REQUIRE(any.port.acks.size() == 2);
+    CHECK_FALSE(any.port.acks[0].superseded);
+    CHECK(any.port.acks[1].superseded);
+  };
+  check(one);
+  log.holder = "two";
+  owner two(log, "two", one.now);
+  two.advance(200);
+  check(two);
 }
 
 TEST_CASE_FIXTURE(first_owner,
--- a/src/durable/durable_record.cpp
+++ b/src/durable/durable_record.cpp
@@ -1,7 +1,9 @@
 #include "parsleylead/durable/durable_record.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
+#include <numeric>
 
 #include "parsleylead/fleet/format_run.hpp"
 
@@ -16,11 +18,32 @@
 constexpr std::size_t id_digits = 16;
 constexpr std::size_t lost_attempt_column = 5;
 constexpr std::size_t crashes_column = 6;
+constexpr std::size_t failed_attempts_column = 7;
+// More than the attempts of any task; keeps a malformed count from taking up the memory.
+constexpr std::uint32_t max_assumed_attempts = 10'000;
 
 absl::Status malformed(const std::exception& error) {
   return absl::InvalidArgumentError(std::string("malformed record: ") + error.what());
 }
 
+/// Reads a list of attempts, which a foreign writer may have left unsorted.
+std::vector<std::uint32_t> read_attempts(const json& in) {
+  std::vector<std::uint32_t> attempts;
+  for (const auto& attempt : in) {
+    add_attempt(attempts, attempt.get<std::uint32_t>());
+  }
+  return attempts;
+}
+
+/// Earlier versions stored the number of failed runs only. The latest attempts stand for them: most
+/// runs of a task that fails have no other ends between them.
+std::vector<std::uint32_t> assumed_attempts(std::uint32_t count, std::uint32_t latest) {
+  std::vector<std::uint32_t> attempts(std::min({count, latest, max_assumed_attempts}));
+  std::iota(attempts.begin(), attempts.end(),
+            latest - static_cast<std::uint32_t>(attempts.size()) + 1);
+  return attempts;
+}
+
 json write_step(const job_step& step) {
   return {{"count", step.count},
           {"cpu_millis", step.needs.cpu_millis},
@@ -79,14 +102,23 @@
 std::string write_submission(const durable_record& record) {
   if (record.ended) {
     json attempts = json::array();
-    for (const auto& step : record.progress) {
+    json failed = json::array();
+    for (std::size_t step = 0; step < record.progress.size(); ++step) {
       json row = json::array();
-      for (const auto& task : step) {
+      for (std::size_t index = 0; index < record.progress[step].size(); ++index) {
+        const auto& task = record.progress[step][index];
         row.push_back(task.ended_attempt);
+        if (!task.failed_attempts.empty()) {
+          failed.push_back({step, index, task.failed_attempts});
+        }
       }
       attempts.push_back(std::move(row));
     }
-    return json{{"ended", to_string(*record.ended)}, {"attempts", std::move(attempts)}}.dump();
+    json result{{"ended", to_string(*record.ended)}, {"attempts", std::move(attempts)}};
+    if (!failed.empty()) {
+      result["failed"] = std::move(failed);
+    }
+    return result.dump();
   }
   const auto& terms = record.job.terms;
   json steps = json::array();
@@ -119,9 +151,14 @@
       for (const auto& row : root.at("attempts")) {
         auto& step = record.progress.emplace_back();
         for (const auto& attempt : row) {
-          step.push_back({true, 0, attempt.get<std::uint32_t>(), 0, 0});
+          step.push_back({true, {}, attempt.get<std::uint32_t>(), 0, 0});
         }
       }
+      for (const auto& row : root.value("failed", json::array())) {
+        record.progress.at(row.at(0).get<std::size_t>())
+            .at(row.at(1).get<std::size_t>())
+            .failed_attempts = read_attempts(row.at(2));
+      }
       return record;
     }
     record.job.terms = {root.at("queue").get<std::string>(),
@@ -137,21 +174,31 @@
     }
     record.progress = empty_progress(record.job);
     return record;
-  } catch (const json::exception& error) {
+  } catch (const std::exception& error) { // Includes rows of unknown tasks.
     return malformed(error);
   }
 }
 
 std::string write_progress(const durable_record& record) {
-  // One row per task with an ended run: step, index, done, failures, ended attempt, lost attempt,
-  // crashes. Rows of processes of earlier versions lack the last one or two.
+  // One row per task with an ended run: step, index, done, number of failures, ended attempt, lost
+  // attempt, crashes, failed attempts if there are any. Rows of processes of earlier versions lack
+  // the last one to three, and these processes ignore what they don't know.
   json rows = json::array();
   for (std::size_t step = 0; step < record.progress.size(); ++step) {
     for (std::size_t index = 0; index < record.progress[step].size(); ++index) {
       const auto& task = record.progress[step][index];
       if (task != task_progress{}) {
-        rows.push_back({step, index, task.done, task.failures, task.ended_attempt,
-                        task.lost_attempt, task.crashes});
+        json row{step,
+                 index,
+                 task.done,
+                 task.failed_attempts.size(),
+                 task.ended_attempt,
+                 task.lost_attempt,
+                 task.crashes};
+        if (!task.failed_attempts.empty()) {
+          row.push_back(task.failed_attempts);
+        }
+        rows.push_back(std::move(row));
       }
     }
   }
@@ -166,8 +213,13 @@
     auto progress = record.progress;
     for (const auto& row : json::parse(text)) {
       auto& task = progress.at(row.at(0).get<std::size_t>()).at(row.at(1).get<std::size_t>());
-      task = {row.at(2).get<bool>(), row.at(3).get<std::uint32_t>(), row.at(4).get<std::uint32_t>(),
-              optional_column(row, lost_attempt_column), optional_column(row, crashes_column)};
+      const auto ended_attempt = row.at(4).get<std::uint32_t>();
+      task = {row.at(2).get<bool>(),
+              row.size() > failed_attempts_column
+                  ? read_attempts(row.at(failed_attempts_column))
+                  : assumed_attempts(row.at(3).get<std::uint32_t>(), ended_attempt),
+              ended_attempt, optional_column(row, lost_attempt_column),
+              optional_column(row, crashes_column)};
     }
     record.progress = std::move(progress);
     return absl::OkStatus();
--- a/src/fleet/fleet_entry.cpp
+++ b/src/fleet/fleet_entry.cpp
@@ -57,6 +57,7 @@
     entry.scheduler_.restart_task(lost, lease_now());
     entry.flush_soon_();
   }
+  void failure_counted(const run_id& failed) override { entry.scheduler_.failure_counted(failed); }
   bool is_placed(std::uint64_t job) const override { return entry.scheduler_.is_placed(job); }
   bool has_begun(std::uint64_t job) const override { return entry.scheduler_.has_begun(job); }
   void announce_claims(const std::vector<partition_claim>& claims) override {
--- a/src/fleet/fleet_job.cpp
+++ b/src/fleet/fleet_job.cpp
@@ -18,4 +18,17 @@
   return longest;
 }
 
+bool add_attempt(std::vector<std::uint32_t>& attempts, std::uint32_t attempt) {
+  const auto position = std::lower_bound(attempts.begin(), attempts.end(), attempt);
+  if (position != attempts.end() && *position == attempt) {
+    return false;
+  }
+  attempts.insert(position, attempt);
+  return true;
+}
+
+bool contains_attempt(const std::vector<std::uint32_t>& attempts, std::uint32_t attempt) {
+  return std::binary_search(attempts.begin(), attempts.end(), attempt);
+}
+
 } // namespace parsleylead
--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -201,7 +201,7 @@
         continue;
       }
       const auto& known = ownership.progress.at(step).at(index);
-      restored.failures = known.failures;
+      restored.failures = static_cast<std::uint32_t>(known.failed_attempts.size());
       restored.crashes = known.crashes;
       restored.needs_isolation = known.crashes > 0;
       open_job.any_run_ended = open_job.any_run_ended || known.ended_attempt > 0;
@@ -209,7 +209,7 @@
         restored.current_state = task::state::done;
         --open_job.remaining_tasks[step];
       }
-      failed = failed || (!known.done && known.failures >= open_job.spec.terms.max_attempts);
+      failed = failed || (!known.done && restored.failures >= open_job.spec.terms.max_attempts);
     }
   }
   const auto now = open_job.arrived;
@@ -830,6 +830,14 @@
   }
 }
 
+void fleet_scheduler::failure_counted(const run_id& failed) {
+  const auto found = jobs_.find(failed.task.job);
+  if (found != jobs_.end()) {
+    ++found->second->tasks.at(failed.task.step).at(failed.task.index).failures;
+    ++found->second->result.failed_runs;
+  }
+}
+
 void fleet_scheduler::run_is_slow(worker_index index, const slow_run& slow, monotonic_time now) {
   auto* slow_task = find_task(slow.run, index);
   if (slow_task == nullptr || slow_task->stop_requested || slow_task->moves >= max_moves ||
--- a/src/fleet/fleet_scheduler_test.cpp
+++ b/src/fleet/fleet_scheduler_test.cpp
@@ -350,7 +350,7 @@
   // Guards against repeating finished tasks, reusing attempt numbers and losing failure counts.
   fixture fleet(2);
   auto job = make_durable_job(1, 3, attempts_per_epoch);
-  job.ownership->progress = {{{true, 0, 1}, {false, 2, 2}, {}}};
+  job.ownership->progress = {{{true, {}, 1}, {false, {1, 2}, 2}, {}}};
   const auto starts = fleet.submit(job);
   REQUIRE(starts.size() == 2);
   CHECK(starts[0].order.run == run_id{{1, 0, 1}, attempts_per_epoch + 1});
@@ -364,7 +364,7 @@
 TEST_CASE("a durable job whose tasks are all done is completed at once") {
   fixture fleet(1);
   auto job = make_durable_job(1, 1);
-  job.ownership->progress = {{{true, 0, 1}}};
+  job.ownership->progress = {{{true, {}, 1}}};
   CHECK(fleet.submit(job).empty());
   REQUIRE(fleet.scheduler.take_results().size() == 1);
 }
