Check every number and type that other writers may leave in what is read

Reports from operators of similar systems: one odd entry among those of the workers (deeply nested, a number too large, a port out of range) ended each machine that read it, or kept it from following the list. The other readers had faults of their own:

- a step of a stored job that depends on a later one, or a count of billions, threw or took the memory when the job was restored;
- partitions in group assignments and lists of holders, and most numbers of stored jobs, progress and owners were narrowed to 32 bits without a check;

All integers are now read with a check of their range (base/json_number.hpp).

--- a/src/durable/durable_jobs.cpp
+++ b/src/durable/durable_jobs.cpp
@@ -139,6 +139,10 @@
     }
   }
   for (const auto number : assignment.partitions) {
+    if (number >= settings_.partitions) {
+      events_.write("partition_unknown", "partition", number);
+      continue;
+    }
     auto& slot = partitions_[number];
     if (!slot) {
       slot = std::make_unique<partition_state>();
--- a/src/durable/durable_record.cpp
+++ b/src/durable/durable_record.cpp
@@ -4,7 +4,9 @@
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <numeric>
+#include <stdexcept>
 
+#include "../base/json_number.hpp"
 #include "parsleylead/fleet/format_run.hpp"
 
 namespace parsleylead {
@@ -20,6 +22,12 @@
 constexpr std::size_t crashes_column = 6;
 constexpr std::size_t failed_attempts_column = 7;
 constexpr std::size_t crashed_attempts_column = 8;
+// Limits of what a record may hold; submissions are limited to less.
+constexpr std::uint64_t max_tasks = 100'000;
+constexpr std::int64_t max_milliseconds = 366LL * 24 * 3600 * 1000;
+constexpr double max_stretch = 1'000;
+// Each claim raises the epoch by one, so that this one is never reached.
+constexpr std::uint64_t max_epoch = std::uint64_t{1} << 48U;
 // More than the attempts of any task; keeps a malformed count from taking up the memory.
 constexpr std::uint32_t max_assumed_attempts = 10'000;
 
@@ -27,11 +35,43 @@
   return absl::InvalidArgumentError(std::string("malformed record: ") + error.what());
 }
 
+/// Thrown within this file only; returned as kInvalidArgument.
+struct record_error : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+template <class Integer>
+Integer integer(const json& value) {
+  const auto number = read_integer<Integer>(value);
+  if (!number) {
+    throw record_error("not an integer in range");
+  }
+  return *number;
+}
+
+template <class Integer>
+Integer integer_at(const json& object, const char* name) {
+  const auto number = read_integer<Integer>(object.at(name));
+  if (!number) {
+    throw record_error(std::string(name) + " is not an integer in range");
+  }
+  return *number;
+}
+
+/// Reads a time; larger ones could not be added to others.
+milliseconds milliseconds_at(const json& object, const char* name) {
+  const auto count = integer_at<std::int64_t>(object, name);
+  if (count < 0 || count > max_milliseconds) {
+    throw record_error(std::string(name) + " is out of range");
+  }
+  return milliseconds(count);
+}
+
 /// Reads a list of attempts, which a foreign writer may have left unsorted.
 std::vector<std::uint32_t> read_attempts(const json& in) {
   std::vector<std::uint32_t> attempts;
   for (const auto& attempt : in) {
-    add_attempt(attempts, attempt.get<std::uint32_t>());
+    add_attempt(attempts, integer<std::uint32_t>(attempt));
   }
   return attempts;
 }
@@ -59,14 +99,16 @@
 
 job_step read_step(const json& in) {
   job_step step;
-  step.count = in.at("count").get<std::uint32_t>();
-  step.needs = {in.at("cpu_millis").get<std::uint32_t>(), in.at("memory_mb").get<std::uint32_t>(),
-                in.at("gpus").get<std::uint32_t>()};
-  step.estimate = milliseconds(in.at("estimate_ms").get<std::int64_t>());
-  step.depends_on = in.at("after").get<std::vector<std::uint32_t>>();
+  step.count = integer_at<std::uint32_t>(in, "count");
+  step.needs = {integer_at<std::uint32_t>(in, "cpu_millis"),
+                integer_at<std::uint32_t>(in, "memory_mb"), integer_at<std::uint32_t>(in, "gpus")};
+  step.estimate = milliseconds_at(in, "estimate_ms");
+  for (const auto& earlier : in.at("after")) {
+    step.depends_on.push_back(integer<std::uint32_t>(earlier));
+  }
   step.required_label = in.at("required_label").get<std::string>();
   step.preferred_rack = in.at("preferred_rack").get<std::string>();
-  step.max_per_worker = in.at("max_per_worker").get<std::uint32_t>();
+  step.max_per_worker = integer_at<std::uint32_t>(in, "max_per_worker");
   return step;
 }
 
@@ -152,26 +194,34 @@
       for (const auto& row : root.at("attempts")) {
         auto& step = record.progress.emplace_back();
         for (const auto& attempt : row) {
-          step.push_back({true, {}, attempt.get<std::uint32_t>(), 0, {}});
+          step.push_back({true, {}, integer<std::uint32_t>(attempt), 0, {}});
         }
       }
       for (const auto& row : root.value("failed", json::array())) {
-        record.progress.at(row.at(0).get<std::size_t>())
-            .at(row.at(1).get<std::size_t>())
+        record.progress.at(integer<std::size_t>(row.at(0)))
+            .at(integer<std::size_t>(row.at(1)))
             .failed_attempts = read_attempts(row.at(2));
       }
       return record;
     }
     record.job.terms = {root.at("queue").get<std::string>(),
                         root.at("service").get<std::string>(),
-                        milliseconds(root.at("target_ms").get<std::int64_t>()),
-                        root.at("stretch").get<double>(),
-                        root.at("max_attempts").get<std::uint32_t>(),
-                        root.at("priority").get<std::uint32_t>()};
+                        milliseconds_at(root, "target_ms"),
+                        std::clamp(root.at("stretch").get<double>(), 1.0, max_stretch),
+                        integer_at<std::uint32_t>(root, "max_attempts"),
+                        integer_at<std::uint32_t>(root, "priority")};
     record.job.payload = root.at("payload").get<std::string>();
-    record.first_epoch = root.at("first_epoch").get<std::uint64_t>();
+    record.first_epoch = integer_at<std::uint64_t>(root, "first_epoch");
+    std::uint64_t tasks = 0;
     for (const auto& step : root.at("steps")) {
+      const auto number = record.job.steps.size();
       record.job.steps.push_back(read_step(step));
+      tasks += record.job.steps.back().count;
+      const auto& earlier = record.job.steps.back().depends_on;
+      if (tasks > max_tasks || std::any_of(earlier.begin(), earlier.end(),
+                                           [number](auto each) { return each >= number; })) {
+        return absl::InvalidArgumentError("malformed record: too many tasks, or a later step");
+      }
     }
     record.progress = empty_progress(record.job);
     return record;
@@ -210,21 +260,21 @@
 
 absl::Status parse_durable_progress(const std::string& text, durable_record& record) {
   const auto optional_column = [](const json& row, std::size_t column) {
-    return row.size() > column ? row.at(column).get<std::uint32_t>() : 0;
+    return row.size() > column ? integer<std::uint32_t>(row.at(column)) : 0;
   };
   try {
     auto progress = record.progress;
     for (const auto& row : json::parse(text)) {
-      auto& task = progress.at(row.at(0).get<std::size_t>()).at(row.at(1).get<std::size_t>());
+      auto& task = progress.at(integer<std::size_t>(row.at(0))).at(integer<std::size_t>(row.at(1)));
       const auto attempts = [&row](std::size_t column, std::uint32_t count, std::uint32_t latest) {
         return row.size() > column ? read_attempts(row.at(column))
                                    : assumed_attempts(count, latest);
       };
-      const auto ended_attempt = row.at(4).get<std::uint32_t>();
+      const auto ended_attempt = integer<std::uint32_t>(row.at(4));
       const auto lost_attempt = optional_column(row, lost_attempt_column);
       task = {
           row.at(2).get<bool>(),
-          attempts(failed_attempts_column, row.at(3).get<std::uint32_t>(), ended_attempt),
+          attempts(failed_attempts_column, integer<std::uint32_t>(row.at(3)), ended_attempt),
           ended_attempt, lost_attempt,
           attempts(crashed_attempts_column, optional_column(row, crashes_column), lost_attempt)};
     }
@@ -246,10 +296,15 @@
 absl::StatusOr<durable_owner> parse_durable_owner(const std::string& text) {
   try {
     const auto root = json::parse(text);
-    return durable_owner{root.at("epoch").get<std::uint64_t>(),
-                         root.at("member").get<std::string>(), root.at("released").get<bool>(),
-                         root.value("restart_epoch", std::uint64_t{0})};
-  } catch (const json::exception& error) {
+    const durable_owner owner{
+        integer_at<std::uint64_t>(root, "epoch"), root.at("member").get<std::string>(),
+        root.at("released").get<bool>(),
+        root.contains("restart_epoch") ? integer_at<std::uint64_t>(root, "restart_epoch") : 0};
+    if (owner.epoch > max_epoch || owner.restart_epoch > owner.epoch) {
+      return absl::InvalidArgumentError("malformed record: epoch is out of range");
+    }
+    return owner;
+  } catch (const std::exception& error) {
     return malformed(error);
   }
 }
