Don't ask a new agent process for the runs of the one before

A job could be refused as "not run" although one of its tasks had run. When an agent restarts, its entry waits until the runs of the old process have certainly ended. If the session of the new process broke in that wait and was resumed, the wait was cancelled, and the runs were listed to the new process as outstanding. It answered that it had not started them, which it could not know: the worker may have run them, or may still.

The runs of an earlier agent process now have their own time of release, which later sessions don't change, and are not listed to the new process. Their ends, which it finds in the worker's lists, still count.

The new case of fleet_scheduler_test.cpp failed with the previous scheduler ("a new agent process is not asked for the runs of the old one when it reconnects", both parts).

--- a/include/parsleylead/fleet/fleet_scheduler.hpp
+++ b/include/parsleylead/fleet/fleet_scheduler.hpp
@@ -143,7 +143,7 @@
   /// Adds a crash under a run that was not the task's current one. Does nothing if the job is not
   /// open.
   void crash_counted(const run_id& crashed, monotonic_time now);
-  /// Returns the runs that are placed on the worker, for resuming its session.
+  /// Returns the runs that the worker's present agent process was sent, for resuming its session.
   std::vector<run_id> outstanding(worker_index worker) const;
 
   /// Places waiting tasks on workers with enough free resources.
@@ -209,6 +209,8 @@
   void stop_runs(job& open_job);
   void finish(job& open_job, job_verdict verdict, job_cause cause, monotonic_time now);
   void release_lost_runs(monotonic_time now);
+  /// Ends the runs on the worker that were placed up to a time as lost.
+  void lose_runs(worker_index index, monotonic_time placed_up_to, monotonic_time now);
   void expire_jobs(monotonic_time now);
   std::chrono::duration<double, std::milli> expected_wait() const;
 
--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -68,6 +68,10 @@
   /// Runs that were placed up to `lost_before` count as lost at `release_at`.
   std::optional<monotonic_time> release_at;
   monotonic_time lost_before{};
+  /// Runs that were placed up to `restarted_at` belong to an earlier agent process. The present one
+  /// does not know them, so they count as lost at `restart_release_at`, whatever sessions follow.
+  std::optional<monotonic_time> restart_release_at;
+  monotonic_time restarted_at{};
 };
 
 struct fleet_scheduler::task {
@@ -424,12 +428,13 @@
   auto& target = *workers_.at(index);
   target.connected = true;
   target.status = {};
-  if (same_agent) {
-    target.release_at.reset();
-  } else if (!target.release_at && !target.runs.empty()) {
-    target.release_at = now + policy_.lost_run_wait;
-    target.lost_before = now;
+  if (!same_agent && !target.runs.empty()) {
+    const auto release_at = target.release_at.value_or(now + policy_.lost_run_wait);
+    target.restart_release_at =
+        std::max(release_at, target.restart_release_at.value_or(release_at));
+    target.restarted_at = now;
   }
+  target.release_at.reset();
 }
 
 void fleet_scheduler::session_lost(worker_index index, monotonic_time last_heard,
@@ -441,9 +446,13 @@
 }
 
 std::vector<run_id> fleet_scheduler::outstanding(worker_index index) const {
+  const auto& target = *workers_.at(index);
   std::vector<run_id> all;
-  for (const auto& [key, attempt] : workers_.at(index)->runs) {
-    all.push_back({key, attempt});
+  for (const auto& [key, attempt] : target.runs) {
+    const auto& placed_task = jobs_.at(key.job)->tasks[key.step][key.index];
+    if (!target.restart_release_at || placed_task.placed > target.restarted_at) {
+      all.push_back({key, attempt});
+    }
   }
   return all;
 }
@@ -904,15 +913,25 @@
 void fleet_scheduler::release_lost_runs(monotonic_time now) {
   for (worker_index index = 0; index < workers_.size(); ++index) {
     auto& target = *workers_[index];
-    if (!target.release_at || *target.release_at > now) {
-      continue;
+    if (target.restart_release_at && *target.restart_release_at <= now) {
+      target.restart_release_at.reset();
+      lose_runs(index, target.restarted_at, now);
     }
-    target.release_at.reset();
-    for (const auto& run : outstanding(index)) {
-      auto* lost = find_task(run, index);
-      if (lost != nullptr && lost->placed <= target.lost_before) {
-        run_ended(index, {run, run_outcome::lost, {}, {}}, now);
-      }
+    if (target.release_at && *target.release_at <= now) {
+      target.release_at.reset();
+      lose_runs(index, target.lost_before, now);
+    }
+  }
+}
+
+void fleet_scheduler::lose_runs(worker_index index, monotonic_time placed_up_to,
+                                monotonic_time now) {
+  const auto runs = workers_[index]->runs; // Each end changes the worker's runs.
+  for (const auto& [key, attempt] : runs) {
+    const run_id run{key, attempt};
+    const auto* lost = find_task(run, index);
+    if (lost != nullptr && lost->placed <= placed_up_to) {
+      run_ended(index, {run, run_outcome::lost, {}, {}}, now);
     }
   }
 }
--- a/src/fleet/fleet_scheduler_test.cpp
+++ b/src/fleet/fleet_scheduler_test.cpp
@@ -170,6 +170,36 @@
   CHECK(fleet.scheduler.take_starts().size() == 1);
 }
 
+TEST_CASE("a new agent process is not asked for the runs of the old one when it reconnects") {
+  // Guards against a job that is refused as not run although a task of it ran: the new process
+  // answered that it had not started the run, which it could not know.
+  fixture fleet(2);
+  const auto starts = fleet.submit(make_job(1, 1));
+  const auto worker = starts[0].worker;
+  fleet.scheduler.session_lost(worker, at_ms(10), at_ms(20));
+  fleet.scheduler.session_opened(worker, false, at_ms(200));
+  fleet.scheduler.session_lost(worker, at_ms(210), at_ms(300));
+  fleet.scheduler.session_opened(worker, true, at_ms(400));
+  fleet.scheduler.worker_reported(worker, idle_worker(), at_ms(400));
+  CHECK(fleet.scheduler.outstanding(worker).empty());
+  const auto certain_end = at_ms(10) + fleet_policy{}.lost_run_wait;
+  fleet.scheduler.tick(certain_end - milliseconds(1));
+  CHECK(fleet.scheduler.take_starts().empty());
+  SUBCASE("the run is lost in the end") {
+    fleet.scheduler.tick(certain_end + milliseconds(1));
+    const auto repeated = fleet.scheduler.take_starts();
+    REQUIRE(repeated.size() == 1);
+    CHECK(repeated[0].order.run.attempt == 2);
+    CHECK(fleet.scheduler.outstanding(repeated[0].worker).size() == 1);
+  }
+  SUBCASE("its end, found in the worker's lists, still counts") {
+    fleet.end(starts[0], run_outcome::done, 1'000);
+    const auto results = fleet.scheduler.take_results();
+    REQUIRE(results.size() == 1);
+    CHECK(results[0].verdict == job_verdict::completed);
+  }
+}
+
 TEST_CASE("lost runs are not repeated after this process was stalled") {
   // Guards against overlapping runs when the caller has submitted the job to another entry.
   fixture fleet(2);
