Send announcements of another writer in the soak

Every 250 ms of the faults, an agent gets a heartbeat that is not its worker's: of another id and service, with a sequence number or a `born` far too large, a port out of range, labels nested 15,000 deep, control characters in the id, or under the worker's own id. One that is accepted is a violation, as are runs that overlap because of it.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -53,9 +53,11 @@
                 report.stored, report.starts);
     std::printf(
         "  second route: %zu jobs, %zu of them deadly; %zu worker crashes by tasks, at most "
-        "%d under one durable task; served %.2f before, %.2f beside deadly jobs\n",
+        "%d under one durable task; served %.2f before, %.2f beside deadly jobs; %zu foreign "
+        "announcements refused\n",
         report.second_route_jobs, report.deadly_jobs, report.worker_crashes,
-        report.max_durable_crashes, report.served_before, report.served_beside_deadly);
+        report.max_durable_crashes, report.served_before, report.served_beside_deadly,
+        report.refused_announcements);
     for (const auto& violation : report.violations) {
       std::printf("  violation: %s\n", violation.c_str());
     }
--- a/tests/soak/soak_site.cpp
+++ b/tests/soak/soak_site.cpp
@@ -80,6 +80,8 @@
 constexpr double deadly_share = 0.2;
 // Distinguishes the generator of the second route from that of the faults.
 constexpr std::uint64_t crash_seed_offset = 1'000'000;
+constexpr std::uint64_t foreign_seed_offset = 2'000'000;
+constexpr milliseconds foreign_announcement_interval{250};
 constexpr milliseconds shortest_downtime{500};
 constexpr milliseconds longest_downtime{2'000};
 // When the window of deadly jobs begins and how long it lasts, within the time of the faults.
@@ -128,7 +130,8 @@
 soak_site::soak_site(soak_options options)
     : options_(std::move(options)), random_(options_.seed),
       crash_random_(options_.seed + crash_seed_offset), load_timer_(io_), second_route_timer_(io_),
-      store_(io_), started_at_(steady_clock::now()) {
+      foreign_writer_(io_, options_.seed + foreign_seed_offset, judge_), store_(io_),
+      started_at_(steady_clock::now()) {
   throw_if_error(store_.listen(store_address()));
   publish_routes();
   for (int i = 0; i < options_.agents; ++i) {
@@ -137,6 +140,7 @@
         endpoint{agent_ip(i), announcements_port}, options_.seed * 100 + i, judge_));
     workers_.back()->set_downtime(shortest_downtime, longest_downtime);
     throw_if_error(workers_.back()->listen());
+    foreign_writer_.add_agent({agent_ip(i), announcements_port});
     add_process(i, false);
   }
   for (int i = 0; i < options_.entries; ++i) {
@@ -402,6 +406,18 @@
   schedule(milliseconds(500 + crash_random_below(2'000)), [this] { inject_capacity_fault(); });
 }
 
+void soak_site::send_foreign_announcement() {
+  if (!injecting_faults_) {
+    return;
+  }
+  std::vector<std::string> ids;
+  for (const auto& worker : workers_) {
+    ids.push_back(worker->id());
+  }
+  foreign_writer_.send(ids);
+  schedule(foreign_announcement_interval, [this] { send_foreign_announcement(); });
+}
+
 void soak_site::submit_second_route_job(bool deadly) {
   const auto id = crash_random_();
   const auto name = format_job(id);
@@ -872,6 +888,7 @@
     injecting_faults_ = true;
     inject_fault();
     inject_capacity_fault();
+    send_foreign_announcement();
     const milliseconds window_start(crash_random_below(max_deadly_window_start_ms));
     schedule(window_start, [this] {
       log("deadly jobs begin");
@@ -895,6 +912,7 @@
   }
   generating_load_ = false;
   report_.starts = judge_.starts();
+  report_.refused_announcements = foreign_writer_.refused();
   report_.max_durable_crashes = judge_.max_durable_crashes();
   for (const auto& worker : workers_) {
     report_.worker_crashes += worker->crashes();
--- a/tests/soak/soak_site.hpp
+++ b/tests/soak/soak_site.hpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "../faults/child_process.hpp"
+#include "foreign_writer.hpp"
 #include "parsleylead/base/endpoint.hpp"
 #include "parsleylead/web/web_client.hpp"
 #include "persistent_callers.hpp"
@@ -49,6 +50,8 @@
   /// Jobs of the second route; the counts above, but for `stored`, leave them out.
   std::size_t second_route_jobs = 0;
   std::size_t deadly_jobs = 0;
+  /// Announcements of another writer that agents refused.
+  std::size_t refused_announcements = 0;
   /// Crashes of workers that deadly tasks caused.
   std::size_t worker_crashes = 0;
   /// Highest number of workers that crashed under one deadly task of a durable job.
@@ -106,6 +109,7 @@
   void schedule(std::chrono::milliseconds delay, std::function<void()> action);
   void heal();
   void inject_capacity_fault();
+  void send_foreign_announcement();
   void submit_next_job();
   void submit_second_route_job(bool deadly);
   void submit_next_second_route_job();
@@ -174,6 +178,7 @@
   asio::steady_timer load_timer_;
   asio::steady_timer second_route_timer_;
   soak_judge judge_;
+  foreign_writer foreign_writer_;
   standin::store_service store_;
   std::vector<std::unique_ptr<standin::worker_service>> workers_;
   std::vector<std::unique_ptr<standin::relay>> relays_;
