Find the owner of held ends whose claimant is gone

Agents hold the ends of durable runs for the partition's owner and connect to all entries while an end's partition is unclaimed. The claim of an entry that was gone stayed, so that its ends counted as claimed. If the new owner was not among the agent's six sessions, they were never acknowledged, and after 500 more ends the worker's lists showed no end any more. The same happened when a partition moved between two entries that were both there.

A claim now ends with its owner's lease at the agent or with the owner's restart, and an owner that gives a partition up withdraws its claim (a claim of epoch 0, which processes of earlier versions ignore). The epoch stays known, so that orders of earlier owners are still refused.

New cases: run_table_test "held ends look for another owner once theirs is gone", durable_jobs_test "an owner that gives a partition up withdraws its claim".

--- a/include/parsleylead/durable/durable_port.hpp
+++ b/include/parsleylead/durable/durable_port.hpp
@@ -32,7 +32,7 @@
   virtual void crash_counted(const run_id& crashed) = 0;
   virtual bool is_placed(std::uint64_t job) const = 0;
   virtual bool has_begun(std::uint64_t job) const = 0;
-  /// Sends the claims to all agents.
+  /// Sends the claims, and those that are withdrawn (`withdrawn_epoch`), to all agents.
   virtual void announce_claims(const std::vector<partition_claim>& claims) = 0;
   /// Sends an acknowledgement to the worker's agent.
   virtual void acknowledge_end(worker_index worker, const end_ack& ack) = 0;
--- a/include/parsleylead/fleet/run_types.hpp
+++ b/include/parsleylead/fleet/run_types.hpp
@@ -125,6 +125,10 @@
   bool operator==(const partition_claim&) const = default;
 };
 
+/// Epoch of a claim that withdraws the sender's earlier one. Processes of earlier versions ignore
+/// it, as it is below all others.
+inline constexpr std::uint64_t withdrawn_epoch = 0;
+
 /// Returns the partition of a durable job. Precondition: `partitions` > 0. Thread-safe.
 inline partition_number partition_of(std::uint64_t job, std::uint32_t partitions) {
   constexpr std::uint64_t mix = 0x9e3779b97f4a7c15ULL; // 2^64 divided by the golden ratio
--- a/include/parsleylead/runs/run_table.hpp
+++ b/include/parsleylead/runs/run_table.hpp
@@ -99,7 +99,7 @@
   void add(owner_id owner, start_order order, monotonic_time now);
   /// Removes a waiting order or stops a run. Without `report_end`, its end is not reported.
   void stop(owner_id owner, const run_id& run, bool report_end, monotonic_time now);
-  /// Stops all runs and removes all orders of the owner.
+  /// The owner is gone: stops all of its runs, removes all of its orders, and withdraws its claims.
   void stop_owner(owner_id owner, monotonic_time now);
   /// Reconciles the table with the runs that the owner still expects after its session was resumed:
   /// stops runs that are not in `outstanding`, and reports those that have ended or never arrived.
@@ -108,6 +108,9 @@
   /// The owner claimed a partition of durable jobs. Stops the partition's runs of earlier epochs
   /// and reports its held ends to the owner. Claims older than a known one are ignored.
   void partition_claimed(owner_id owner, const partition_claim& claim, monotonic_time now);
+  /// The owner no longer holds the partition. The epoch stays known; the partition's ends count as
+  /// unclaimed until another owner claims it.
+  void claim_withdrawn(owner_id owner, partition_number partition);
   /// Returns the newer claim that invalidates the order, if there is one.
   std::optional<partition_claim> later_claim(const start_order& order) const;
   /// Releases a held end or crash that its owner has stored, or marks the end as superseded.
@@ -190,6 +193,7 @@
     bool superseded = false;
   };
   struct known_claim {
+    /// 0 if the owner is gone or has withdrawn the claim.
     owner_id owner = 0;
     std::uint64_t epoch = 0;
   };
@@ -203,6 +207,8 @@
   void hold_end(std::uint64_t number, run_end end);
   void hold_crash(const run_end& end);
   void report_held_end(const run_end& end);
+  /// Returns the owner that claims the end's partition; 0 if there is none.
+  owner_id claimant_of(const run_end& end) const;
   void remember_end(const owned_end& end, monotonic_time now);
   void request_stop(run& target, monotonic_time now);
   void end_all(run_outcome outcome, monotonic_time now);
--- a/src/durable/durable_histories_test.cpp
+++ b/src/durable/durable_histories_test.cpp
@@ -296,7 +296,7 @@
 
   void claim(std::size_t agent, std::uint64_t epoch, std::size_t process) {
     auto& told = agents[agent];
-    if (epoch >= told.known_epoch) {
+    if (epoch != withdrawn_epoch && epoch >= told.known_epoch) {
       told.known_epoch = epoch;
       told.claimant = process;
     }
--- a/src/durable/durable_jobs.cpp
+++ b/src/durable/durable_jobs.cpp
@@ -181,6 +181,9 @@
   partitions_.erase(found);
   events_.write("partition_given_up", "partition", number, "epoch", dropped->epoch, "cause", cause,
                 "jobs", dropped->jobs.size());
+  if (dropped->writable()) {
+    port_.announce_claims({{number, withdrawn_epoch}});
+  }
   std::set<std::uint64_t> sent_jobs;
   for (const auto& change : dropped->sent_changes) {
     sent_jobs.insert(change.job);
--- a/src/durable/durable_jobs_test.cpp
+++ b/src/durable/durable_jobs_test.cpp
@@ -410,6 +410,16 @@
         std::vector<std::uint32_t>{1});
 }
 
+TEST_CASE_FIXTURE(first_owner, "an owner that gives a partition up withdraws its claim") {
+  // Guards against agents that hold ends for an entry that will never acknowledge them (review/2).
+  one.submit();
+  REQUIRE(one.port.announced.size() == 1);
+  one.jobs->claim_seen({0, 9}, at_ms(one.now));
+  CHECK_FALSE(one.jobs->owns(job_id));
+  REQUIRE(one.port.announced.size() == 2);
+  CHECK(one.port.announced[1] == partition_claim{0, withdrawn_epoch});
+}
+
 TEST_CASE_FIXTURE(first_owner, "a crash that an owner could not store counts at the next one") {
   // Guards against a task that crashes more workers with each change of its owner: the crashes that
   // the last owner learnt of while it could not write were forgotten (soak, seed 2).
--- a/src/fleet/fleet_agent.cpp
+++ b/src/fleet/fleet_agent.cpp
@@ -291,7 +291,11 @@
     log_.write("partitions_claimed", "entry", from.entry, "claims", format_claims(frame.claims));
   }
   for (const auto& claim : frame.claims) {
-    table_.partition_claimed(from.owner, claim, now);
+    if (claim.epoch == withdrawn_epoch) {
+      table_.claim_withdrawn(from.owner, claim.partition);
+    } else {
+      table_.partition_claimed(from.owner, claim, now);
+    }
   }
   for (const auto& ack : frame.end_acks) {
     if (ack.superseded) {
--- a/src/runs/run_table.cpp
+++ b/src/runs/run_table.cpp
@@ -159,9 +159,20 @@
 }
 
 void run_table::report_held_end(const run_end& end) {
+  if (const auto owner = claimant_of(end); owner != 0) {
+    ends_.push_back({owner, end});
+  }
+}
+
+owner_id run_table::claimant_of(const run_end& end) const {
   const auto claim = claims_.find(partition_of(end.run.task.job, partitions_));
-  if (claim != claims_.end()) {
-    ends_.push_back({claim->second.owner, end});
+  return claim == claims_.end() ? 0 : claim->second.owner;
+}
+
+void run_table::claim_withdrawn(owner_id owner, partition_number partition) {
+  const auto claim = claims_.find(partition);
+  if (claim != claims_.end() && claim->second.owner == owner) {
+    claim->second.owner = 0;
   }
 }
 
@@ -193,9 +204,7 @@
 }
 
 bool run_table::has_unclaimed_end() const {
-  const auto is_unclaimed = [this](const run_end& end) {
-    return !claims_.contains(partition_of(end.run.task.job, partitions_));
-  };
+  const auto is_unclaimed = [this](const run_end& end) { return claimant_of(end) == 0; };
   return std::any_of(held_ends_.begin(), held_ends_.end(),
                      [&](const auto& held) { return is_unclaimed(held.second.end); }) ||
          std::any_of(held_crashes_.begin(), held_crashes_.end(), is_unclaimed);
@@ -273,6 +282,9 @@
   for (const auto& id : owned) {
     stop(owner, id, false, now);
   }
+  for (auto& [partition, claim] : claims_) {
+    claim.owner = claim.owner == owner ? 0 : claim.owner;
+  }
 }
 
 void run_table::reconcile(owner_id owner, const std::vector<run_id>& outstanding,
--- a/src/runs/run_table_test.cpp
+++ b/src/runs/run_table_test.cpp
@@ -409,6 +409,37 @@
   CHECK(started(table).size() == 1);
 }
 
+TEST_CASE("held ends look for another owner once theirs is gone") {
+  // Guards against a worker that is lost to the system: ends that a removed owner had not
+  // acknowledged stayed with its claim, and after 500 more no end was listed any more (review/2).
+  auto table = make_table();
+  auto order = make_order(1);
+  order.epoch = 3;
+  table.partition_claimed(entry, {0, 3}, at_ms(0));
+  table.add(entry, order, at_ms(0));
+  table.start_waiting(at_ms(0));
+  table.start_answered(order.run, start_answer::started, at_ms(1));
+  table.observe({}, {{order.run, run_outcome::done, 1}}, true, at_ms(50), at_ms(51));
+  REQUIRE(table.take_ends().size() == 1);
+  CHECK_FALSE(table.has_unclaimed_end());
+  SUBCASE("its lease has expired, or it has restarted") {
+    table.stop_owner(entry, at_ms(800));
+  }
+  SUBCASE("it has given the partition up") {
+    table.claim_withdrawn(entry, 0);
+  }
+  CHECK(table.has_unclaimed_end());
+  table.partition_claimed(other_entry, {0, 4}, at_ms(5'000));
+  table.claim_withdrawn(entry, 0); // Late.
+  CHECK_FALSE(table.has_unclaimed_end());
+  const auto ends = table.take_ends();
+  REQUIRE(ends.size() == 1);
+  CHECK(ends[0].owner == other_entry);
+  // Orders of the earlier epoch stay refused.
+  table.stop_owner(other_entry, at_ms(6'000));
+  CHECK(table.later_claim(order).has_value());
+}
+
 TEST_CASE("a crash under a durable run is reported to each owner until one has counted it") {
   // Guards against a crash that is forgotten because the owner could not store it (soak, seed 2).
   auto table = make_table();
