Pass over waiting jobs by what they need, not after 32 of any kind

`place_waiting` stopped after 32 jobs whose tasks did not fit on any worker, whatever they lacked: stored jobs that need a label which no worker has any more come first each time, as the oldest, and hid all jobs behind them.

A pass now remembers, for each service, required label and confinement, what did not fit: tasks that need as much are left out without a look at the workers. The limit of 32 holds for each of these groups, and only for tasks that wait for resources that workers have but not free, so that the order within a group and the cost of a pass stay as they were.

--- a/include/parsleylead/fleet/fleet_scheduler.hpp
+++ b/include/parsleylead/fleet/fleet_scheduler.hpp
@@ -173,6 +173,7 @@
   struct worker;
   struct task;
   struct job;
+  struct placement_pass;
 
   /// A worker for a task, with the task's expected run time there.
   struct placement {
@@ -197,8 +198,7 @@
                                          const task& waiting);
   std::optional<placement> choose_isolated_worker(const job& open_job, std::uint32_t step,
                                                   const task& waiting) const;
-  /// Returns whether a task waits for free resources that other jobs compete for.
-  bool place_ready(job& open_job, monotonic_time now);
+  void place_ready(job& open_job, placement_pass& pass, monotonic_time now);
   void place(job& open_job, std::uint32_t step, std::uint32_t index, placement target,
              monotonic_time now);
   void unplace(job& open_job, std::uint32_t step, std::uint32_t index);
--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <string_view>
+#include <tuple>
 #include <utility>
 
 #include "parsleylead/base/invariant.hpp"
@@ -25,7 +27,8 @@
 constexpr double min_extrapolated_progress = 0.05;
 // A restarted run is assumed to take at most this many times its estimate.
 constexpr double max_estimate_error = 3.0;
-// `place_waiting` stops after this many jobs with tasks that do not fit on any worker.
+// `place_waiting` passes over the jobs of a group after this many of them did not fit on any
+// worker.
 constexpr int max_unplaced_jobs = 32;
 // Maximum number of times that a task is moved because of a slow run.
 constexpr std::uint32_t max_moves = 2;
@@ -120,6 +123,8 @@
   /// This process was stalled while tasks of the job were placed.
   bool stalled = false;
   bool suspended = false;
+  /// A task of the job has to run isolated, or had to.
+  bool has_suspects = false;
   job_result result;
 
   bool is_durable() const { return spec.ownership.has_value(); }
@@ -127,6 +132,31 @@
   bool may_have_run() const { return any_run_ended || placed > 0; }
 };
 
+/// What one call of `place_waiting` has found out about the workers, so that it asks once for jobs
+/// that need the same. Placements only take resources away, so what did not fit will not.
+struct fleet_scheduler::placement_pass {
+  struct misfit {
+    resource_needs needs;
+    /// Workers have these resources, but not free.
+    bool waits_for_resources = false;
+  };
+  /// Tasks that may run on the same workers.
+  struct group {
+    std::vector<misfit> misfits;
+    int unplaced_jobs = 0;
+
+    const misfit* find_misfit(const resource_needs& needs) const {
+      const auto found = std::find_if(misfits.begin(), misfits.end(), [&](const misfit& each) {
+        return fits(each.needs, {}, needs);
+      });
+      return found == misfits.end() ? nullptr : &*found;
+    }
+  };
+  /// By service, required label, and whether the queue is confined. The names are those of open
+  /// jobs, which a pass does not remove.
+  std::map<std::tuple<std::string_view, std::string_view, bool>, group> groups;
+};
+
 fleet_scheduler::fleet_scheduler(fleet_policy policy, std::string availability_zone,
                                  std::uint64_t seed)
     : policy_(policy), availability_zone_(std::move(availability_zone)), random_(seed),
@@ -208,6 +238,7 @@
       restored.failures = static_cast<std::uint32_t>(known.failed_attempts.size());
       restored.crashes = static_cast<std::uint32_t>(known.crashed_attempts.size());
       restored.needs_isolation = restored.crashes > 0;
+      open_job.has_suspects = open_job.has_suspects || restored.needs_isolation;
       open_job.any_run_ended = open_job.any_run_ended || known.ended_attempt > 0;
       if (known.done) {
         restored.current_state = task::state::done;
@@ -666,26 +697,45 @@
   --open_job.placed;
 }
 
-bool fleet_scheduler::place_ready(job& open_job, monotonic_time now) {
-  // Isolated tasks and those of confined queues wait for workers that other jobs do not use.
-  bool lacks_resources = false;
+void fleet_scheduler::place_ready(job& open_job, placement_pass& pass, monotonic_time now) {
+  const bool confined = is_confined(open_job.spec.terms);
   for (std::uint32_t step = 0; step < open_job.tasks.size() && open_job.ready > 0; ++step) {
+    const auto& shape = open_job.spec.steps[step];
+    auto& group = pass.groups[{open_job.spec.terms.service, shape.required_label, confined}];
+    if (group.unplaced_jobs > max_unplaced_jobs && !open_job.has_suspects) {
+      continue;
+    }
+    bool step_fits = true;
     for (std::uint32_t index = 0; index < open_job.tasks[step].size(); ++index) {
       auto& candidate = open_job.tasks[step][index];
-      if (candidate.current_state != task::state::ready ||
+      // Isolated tasks wait for workers that other jobs do not use.
+      const bool isolated = candidate.is_to_be_isolated();
+      if (candidate.current_state != task::state::ready || (!isolated && !step_fits) ||
           attempts_used_up(open_job.spec, candidate.attempts)) {
         continue;
       }
-      const auto target = choose_worker(open_job, step, candidate);
+      const auto* misfit = isolated ? nullptr : group.find_misfit(shape.needs);
+      const auto target =
+          misfit == nullptr ? choose_worker(open_job, step, candidate) : std::nullopt;
       if (target) {
         place(open_job, step, index, *target, now);
-      } else if (!candidate.is_to_be_isolated()) {
-        lacks_resources = !is_confined(open_job.spec.terms);
+        continue;
+      }
+      if (isolated) {
+        continue;
+      }
+      const bool waits = misfit != nullptr ? misfit->waits_for_resources
+                                           : !confined && could_ever_run(open_job, step);
+      group.unplaced_jobs += waits ? 1 : 0;
+      if (misfit == nullptr && shape.max_per_worker == 0) { // That limit is the job's own.
+        group.misfits.push_back({shape.needs, waits});
+      }
+      step_fits = false;
+      if (!open_job.has_suspects) {
         break;
       }
     }
   }
-  return lacks_resources;
 }
 
 void fleet_scheduler::place_waiting(monotonic_time now) {
@@ -710,12 +760,9 @@
     }
     return a->objective < b->objective;
   });
-  int unplaced = 0;
+  placement_pass pass;
   for (auto* open_job : ready) {
-    unplaced += place_ready(*open_job, now) ? 1 : 0;
-    if (unplaced > max_unplaced_jobs) {
-      break;
-    }
+    place_ready(*open_job, pass, now);
   }
 }
 
@@ -825,6 +872,7 @@
   }
   crashed.needs_isolation =
       crashed.needs_isolation || suspect || crashed.crashes >= isolating_crashes;
+  open_job.has_suspects = open_job.has_suspects || crashed.needs_isolation;
   return false;
 }
 
@@ -859,6 +907,7 @@
   }
   ++open_job.result.crashed_runs;
   crashed_task.needs_isolation = true;
+  open_job.has_suspects = true;
   if (++crashed_task.crashes >= policy_.max_crashes_beside_others) {
     finish(open_job, job_verdict::failed, job_cause::crashes_workers, now);
   }
--- a/src/fleet/fleet_scheduler_test.cpp
+++ b/src/fleet/fleet_scheduler_test.cpp
@@ -391,6 +391,43 @@
   CHECK(results[0].verdict == job_verdict::failed);
 }
 
+TEST_CASE("jobs that no worker can run do not hold up the jobs behind them") {
+  // Guards against accepted jobs that are never started although workers are idle: the scheduler
+  // gave up after 32 jobs whose tasks did not fit, whatever they lacked (review/3).
+  fixture fleet(2);
+  constexpr std::uint64_t stuck_jobs = 100;
+  for (std::uint64_t id = 1; id <= stuck_jobs; ++id) {
+    auto job = make_durable_job(id, 1);
+    SUBCASE("for want of a label") {
+      job.steps[0].required_label = "missing";
+    }
+    SUBCASE("for want of memory that no worker has") {
+      job.steps[0].needs.memory_mb = 1'000'000 - static_cast<std::uint32_t>(id);
+    }
+    CHECK(fleet.submit(std::move(job)).empty());
+  }
+  CHECK(fleet.submit(make_durable_job(stuck_jobs + 1, 1)).size() == 1);
+}
+
+TEST_CASE("jobs that wait for busy workers do not hold up those for other workers") {
+  // The same for tasks that have to wait for the few workers with a label.
+  fixture fleet(2);
+  auto labelled = idle_worker(8'000);
+  labelled.description.labels = {"gpu"};
+  fleet.scheduler.worker_reported(fleet.workers[0], labelled, at_ms(0));
+  for (std::uint64_t id = 1; id <= 100; ++id) {
+    auto job = make_durable_job(id, 1);
+    job.steps[0].required_label = "gpu";
+    // Each needs less than the one before it, so that none can be left out because of an earlier
+    // one.
+    job.steps[0].needs.cpu_millis = 7'000 - static_cast<std::uint32_t>(id);
+    CHECK(fleet.submit(std::move(job)).size() == (id == 1 ? 1 : 0));
+  }
+  const auto starts = fleet.submit(make_durable_job(101, 1));
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].worker == fleet.workers[1]);
+}
+
 TEST_CASE("a durable job whose tasks are all done is completed at once") {
   fixture fleet(1);
   auto job = make_durable_job(1, 1);
