Count the jobs that wait out a hand-over as waiting

An entry that was killed and started again owned all waiting jobs of one queue.

`durable_jobs` now counts the stored jobs of such partitions that have not begun, as far as is stored, and the entry adds them to its own counts. Jobs that the earlier owner had started without storing an end are counted too.

The new case of durable_jobs_test.cpp asks for what was not there before.

--- a/include/parsleylead/durable/durable_jobs.hpp
+++ b/include/parsleylead/durable/durable_jobs.hpp
@@ -99,6 +99,9 @@
   void submit(fleet_job job, monotonic_time now, const reply& done);
   void cancel(std::uint64_t job, monotonic_time now, const reply& done);
   durable_answer query(std::uint64_t job) const;
+  /// Returns the number of jobs of earlier owners that have not begun, as far as is stored, and
+  /// that are not run yet because runs of these owners may be active; by queue.
+  std::vector<queue_count> waiting_jobs() const;
   /// Returns whether this entry owns the job's partition.
   bool owns(std::uint64_t job) const;
 
--- a/src/durable/durable_calls.cpp
+++ b/src/durable/durable_calls.cpp
@@ -1,6 +1,7 @@
 // Durable jobs: calls of callers, ends of runs, and lookup of partition holders.
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 #include "durable_state.hpp"
@@ -191,6 +192,26 @@
                 to_string(*job.pending_verdict));
 }
 
+std::vector<queue_count> durable_jobs::waiting_jobs() const {
+  std::map<std::string, std::uint32_t> counts;
+  for (const auto& [number, partition] : partitions_) {
+    if (partition->current_stage != partition_state::stage::settling) {
+      continue;
+    }
+    for (const auto& [id, job] : partition->jobs) {
+      if (job.awaits_restart() && job.record.progress == empty_progress(job.record.job)) {
+        ++counts[job.record.job.terms.queue];
+      }
+    }
+  }
+  std::vector<queue_count> all;
+  all.reserve(counts.size());
+  for (const auto& [queue, jobs] : counts) {
+    all.push_back({queue, jobs});
+  }
+  return all;
+}
+
 durable_answer durable_jobs::query(std::uint64_t id) const {
   const auto* partition = find_partition(id);
   return partition == nullptr ? durable_answer::not_owner : state_of(*partition, id);
--- a/src/durable/durable_jobs_test.cpp
+++ b/src/durable/durable_jobs_test.cpp
@@ -410,6 +410,22 @@
         std::vector<std::uint32_t>{1});
 }
 
+TEST_CASE_FIXTURE(first_owner, "jobs that wait for the runs of an earlier owner are counted") {
+  // Guards against a queue that is said to be empty while its jobs wait out a hand-over.
+  one.submit();
+  one.submit(make_job(job_id + 1));
+  one.end(make_end(0, 1));
+  one.advance(200);
+  CHECK(one.jobs->waiting_jobs().empty()); // The scheduler counts them.
+  log.holder = "two";
+  owner two(log, "two", one.now);
+  two.advance(1'000);
+  CHECK(two.jobs->waiting_jobs() == std::vector<queue_count>{{"queue", 1}});
+  two.advance(4'000);
+  CHECK(two.port.running.size() == 2);
+  CHECK(two.jobs->waiting_jobs().empty());
+}
+
 TEST_CASE_FIXTURE(first_owner, "an owner that gives a partition up withdraws its claim") {
   // Guards against agents that hold ends for an entry that will never acknowledge them (review/2).
   one.submit();
--- a/src/fleet/fleet_entry.cpp
+++ b/src/fleet/fleet_entry.cpp
@@ -131,12 +131,27 @@
 
 std::size_t fleet_entry::waiting_durable_jobs(const std::string& queue) const {
   std::size_t jobs = waiting_counts_.of_others(queue, lease_now());
-  for (const auto& count : scheduler_.waiting_durable_jobs()) {
+  for (const auto& count : own_waiting_durable_jobs()) {
     jobs += count.queue == queue ? count.jobs : 0;
   }
   return jobs;
 }
 
+std::vector<queue_count> fleet_entry::own_waiting_durable_jobs() const {
+  auto counts = scheduler_.waiting_durable_jobs();
+  for (const auto& restored : durable_ ? durable_->waiting_jobs() : std::vector<queue_count>{}) {
+    const auto known = std::find_if(counts.begin(), counts.end(), [&](const auto& count) {
+      return count.queue == restored.queue;
+    });
+    if (known == counts.end()) {
+      counts.push_back(restored);
+    } else {
+      known->jobs += restored.jobs;
+    }
+  }
+  return counts;
+}
+
 void fleet_entry::set_routes(const route_update& routes) {
   if (routes.version <= routes_.version) {
     return;
@@ -223,7 +238,7 @@
       peer->outgoing.routes_version = routes_.version;
       if (durable_ && !peer->is_agent) {
         if (!waiting) {
-          waiting_counts_.set_own(scheduler_.waiting_durable_jobs(), now);
+          waiting_counts_.set_own(own_waiting_durable_jobs(), now);
           waiting = waiting_counts_.report(now);
         }
         peer->outgoing.waiting_durable_jobs = *waiting;
