Say in logs and counters what showed the loss of a run

The end of a lost run now carries its cause, which the agent logs with `run_ended` and the entry with the new line `run_given_up` and the counter `parsleylead_entry_runs_given_up_total`. `worker_suspected` and `worker_answers` say how many runs are active and how old the last lists are.

--- a/include/parsleylead/fleet/fleet_scheduler.hpp
+++ b/include/parsleylead/fleet/fleet_scheduler.hpp
@@ -84,6 +84,14 @@
   bool worker_crashed = false;
 };
 
+/// A run that the entry no longer waits for, with the agent it was placed at.
+struct given_up_run {
+  run_id run;
+  std::string agent;
+  loss_cause cause = loss_cause::none;
+  bool worker_crashed = false;
+};
+
 /// Schedules the jobs of one entry: places their tasks on the workers that agents report, retries
 /// tasks where that is allowed, and determines the results. Does no I/O: the current time is passed
 /// in; orders and results are collected with the `take_` functions. Not thread-safe.
@@ -155,6 +163,8 @@
   std::vector<placed_stop> take_stops() { return std::exchange(stops_, {}); }
   /// Runs of durable jobs that were lost. Their tasks wait for `restart_task`.
   std::vector<lost_run> take_lost_runs() { return std::exchange(lost_runs_, {}); }
+  /// Lost runs of all jobs since the last call, for the log.
+  std::vector<given_up_run> take_given_up_runs() { return std::exchange(given_up_runs_, {}); }
   std::vector<job_result> take_results() { return std::exchange(results_, {}); }
 
   std::size_t open_jobs() const { return jobs_.size(); }
@@ -223,6 +233,7 @@
   std::vector<placed_start> starts_;
   std::vector<placed_stop> stops_;
   std::vector<lost_run> lost_runs_;
+  std::vector<given_up_run> given_up_runs_;
   std::vector<job_result> results_;
   std::size_t backlog_ = 0;
   monotonic_time first_submission_{};
--- a/include/parsleylead/fleet/run_types.hpp
+++ b/include/parsleylead/fleet/run_types.hpp
@@ -161,6 +161,47 @@
   }
 }
 
+/// Why a run counts as lost. The numeric values are those of schema/fleet.capnp.
+enum class loss_cause : std::uint8_t {
+  /// The run is not lost, or its agent does not state the cause.
+  none = 0,
+  /// The worker listed the end: the lease lapsed, or the run was broken off.
+  listed = 1,
+  /// The worker answers and no longer lists the run.
+  not_listed = 2,
+  /// The worker has restarted since the run was started, and does not list it.
+  worker_restarted = 3,
+  /// Another worker answers at the address.
+  worker_replaced = 4,
+  /// The worker did not answer until its leases had expired.
+  worker_silent = 5,
+  /// The worker refused connections.
+  connection_refused = 6,
+  /// The agent was out of reach until the leases of its worker had expired.
+  agent_lost = 7,
+};
+
+inline const char* to_string(loss_cause cause) {
+  switch (cause) {
+  case loss_cause::listed:
+    return "listed";
+  case loss_cause::not_listed:
+    return "not_listed";
+  case loss_cause::worker_restarted:
+    return "worker_restarted";
+  case loss_cause::worker_replaced:
+    return "worker_replaced";
+  case loss_cause::worker_silent:
+    return "worker_silent";
+  case loss_cause::connection_refused:
+    return "connection_refused";
+  case loss_cause::agent_lost:
+    return "agent_lost";
+  default:
+    return "none";
+  }
+}
+
 /// Report of an agent that a run has ended.
 struct run_end {
   run_id run;
@@ -173,6 +214,7 @@
   bool worker_crashed = false;
   /// The run was started so shortly before the crash that it may be the cause.
   bool suspect = false;
+  loss_cause cause = loss_cause::none;
 };
 
 /// Acknowledgement of an end that an agent holds.
--- a/include/parsleylead/runs/run_table.hpp
+++ b/include/parsleylead/runs/run_table.hpp
@@ -85,7 +85,7 @@
   void worker_replaced(const resource_needs& capacity, monotonic_time now);
   void set_capacity(const resource_needs& capacity) { capacity_ = capacity; }
   /// The worker has crashed, or is unreachable and all of its leases have expired.
-  void worker_lost(monotonic_time now);
+  void worker_lost(monotonic_time now, loss_cause cause = loss_cause::worker_silent);
   /// The worker crashed at about `crashed_at`. Marks the runs that were active then, unless a later
   /// list shows that they are active after all. Does not end them.
   void worker_crashed(monotonic_time crashed_at);
@@ -202,8 +202,9 @@
   run_map::iterator locate(const run_id& id);
   run* find(const run_id& id);
   const run* find(const run_id& id) const;
+  /// `number`: the worker's number of an end that is held for its owner.
   void finish(run_map::iterator ended, run_outcome outcome, monotonic_time now,
-              std::uint64_t number = 0);
+              loss_cause cause = loss_cause::none, std::uint64_t number = 0);
   void hold_end(std::uint64_t number, run_end end);
   void hold_crash(const run_end& end);
   void report_held_end(const run_end& end);
@@ -211,7 +212,8 @@
   owner_id claimant_of(const run_end& end) const;
   void remember_end(const owned_end& end, monotonic_time now);
   void request_stop(run& target, monotonic_time now);
-  void end_all(run_outcome outcome, monotonic_time now);
+  /// Ends the started runs as lost and returns the waiting orders.
+  void lose_all(loss_cause cause, monotonic_time now);
   void count_end(run_outcome outcome, monotonic_time now);
   void remove_waiting(const task_key& key);
   void start(run& candidate, monotonic_time now);
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -52,6 +52,25 @@
   notStarted @4;
 }
 
+enum LossCause {
+  # The run is not lost, or the sender does not state the cause.
+  none @0;
+  # The worker listed the end: the lease lapsed, or the run was broken off.
+  listed @1;
+  # The worker answers and no longer lists the run.
+  notListed @2;
+  # The worker has restarted since the run was started, and does not list it.
+  workerRestarted @3;
+  # Another worker answers at the address.
+  workerReplaced @4;
+  # The worker did not answer until its leases had expired.
+  workerSilent @5;
+  # The worker refused connections.
+  connectionRefused @6;
+  # Not sent: an entry lost the agent.
+  agentLost @7;
+}
+
 struct RunEnd {
   run @0 :RunId;
   outcome @1 :Outcome;
@@ -63,6 +82,8 @@
   workerCrashed @5 :Bool;
   # The run was started so shortly before the crash that it may be the cause.
   suspect @6 :Bool;
+  # Why the run counts as lost.
+  cause @7 :LossCause;
 }
 
 # A crash of a worker that ran tasks of one queue only.
--- a/src/fleet/fleet_agent.cpp
+++ b/src/fleet/fleet_agent.cpp
@@ -429,7 +429,8 @@
     suspected_ = suspected;
     status_dirty_ = true;
     log_.write(suspected ? "worker_suspected" : "worker_answers", "worker",
-               worker_ ? worker_->id : "", "cause", cause);
+               worker_ ? worker_->id : "", "runs", table_.running(), "list_age_ms",
+               (lease_now() - last_list_at_) / milliseconds(1), "cause", cause);
   }
 }
 
@@ -583,7 +584,7 @@
       if (crashed && !worker_->draining && !departed_at_) {
         table_.worker_crashed(failing_since_);
       }
-      table_.worker_lost(now);
+      table_.worker_lost(now, crashed ? loss_cause::connection_refused : loss_cause::worker_silent);
     }
     if (gone && departed_at_) {
       log_.write("worker_gone", "worker", worker_->id);
@@ -647,7 +648,7 @@
   for (auto& [owner, end] : table_.take_ends()) {
     log_.write("run_ended", "run", format_run(end.run), "outcome", to_string(end.outcome), "ran_ms",
                end.ran.count(), "waited_ms", end.waited.count(), "worker_crashed",
-               end.worker_crashed, "suspect", end.suspect);
+               end.worker_crashed, "suspect", end.suspect, "cause", to_string(end.cause));
     metrics_.add("parsleylead_agent_runs_total", {{"outcome", to_string(end.outcome)}});
     if (auto* to = find_session(owner)) {
       to->outgoing.ends.push_back(end);
--- a/src/fleet/fleet_entry.cpp
+++ b/src/fleet/fleet_entry.cpp
@@ -614,6 +614,11 @@
       send(*agent, std::exchange(agent->outgoing, {}));
     }
   }
+  for (const auto& lost : scheduler_.take_given_up_runs()) {
+    log_.write("run_given_up", "run", format_run(lost.run), "agent", lost.agent, "cause",
+               to_string(lost.cause), "worker_crashed", lost.worker_crashed);
+    metrics_.add("parsleylead_entry_runs_given_up_total", {{"cause", to_string(lost.cause)}});
+  }
   for (const auto& lost : scheduler_.take_lost_runs()) {
     durable_->run_lost(lost, now); // Only durable jobs report lost runs.
   }
--- a/src/fleet/fleet_frame.cpp
+++ b/src/fleet/fleet_frame.cpp
@@ -139,6 +139,7 @@
   out.setHeld(end.held);
   out.setWorkerCrashed(end.worker_crashed);
   out.setSuspect(end.suspect);
+  out.setCause(static_cast<wire::LossCause>(end.cause));
 }
 
 run_end read(wire::RunEnd::Reader in) {
@@ -148,7 +149,8 @@
           milliseconds(in.getWaitedMs()),
           in.getHeld(),
           in.getWorkerCrashed(),
-          in.getSuspect()};
+          in.getSuspect(),
+          static_cast<loss_cause>(in.getCause())};
 }
 
 void write(wire::CrashReport::Builder out, const crash_report& report) {
--- a/src/fleet/fleet_frame_test.cpp
+++ b/src/fleet/fleet_frame_test.cpp
@@ -26,8 +26,14 @@
                           17});
   frame.stops.push_back({{5, 0, 1}, 2});
   frame.moves.push_back({{6, 0, 1}, 2});
-  frame.ends.push_back(
-      {{{7, 0, 1}, 1}, run_outcome::lost, milliseconds(30), milliseconds(4), true, true, true});
+  frame.ends.push_back({{{7, 0, 1}, 1},
+                        run_outcome::lost,
+                        milliseconds(30),
+                        milliseconds(4),
+                        true,
+                        true,
+                        true,
+                        loss_cause::worker_silent});
   frame.slow_runs.push_back({{{8, 0, 1}, 1}, 12, milliseconds(900)});
   worker_status status;
   status.present = true;
@@ -70,6 +76,7 @@
   CHECK(got->ends[0].held);
   CHECK(got->ends[0].worker_crashed);
   CHECK(got->ends[0].suspect);
+  CHECK(got->ends[0].cause == loss_cause::worker_silent);
   CHECK(got->starts[0].isolated);
   CHECK(got->starts[0].queue == 17);
   CHECK(got->crashes == sent.crashes);
--- a/src/fleet/fleet_link_test.cpp
+++ b/src/fleet/fleet_link_test.cpp
@@ -513,6 +513,9 @@
   REQUIRE(fleet.run_until([&] { return result.has_value(); }));
   CHECK(result->verdict == job_verdict::completed);
   CHECK(result->lost_runs == 2);
+  const auto log = fleet.log.buffered();
+  CHECK(log.find("event=run_given_up run=0000000000000001.0.0#1 agent=agent "
+                 "cause=worker_replaced") != std::string::npos);
 }
 
 TEST_CASE("an agent closes sessions that it does not need, and no job is lost by it") {
--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -837,6 +837,9 @@
     break;
   default:
     open_job.result.lost_runs += ended_task->stop_requested ? 0 : 1;
+    if (end.outcome == run_outcome::lost) {
+      given_up_runs_.push_back({end.run, workers_[index]->agent, end.cause, end.worker_crashed});
+    }
     if (end.worker_crashed) {
       if (record_crash(open_job, *ended_task, end.suspect)) {
         finish(open_job, job_verdict::failed, job_cause::crashes_workers, now);
@@ -980,7 +983,9 @@
     const run_id run{key, attempt};
     const auto* lost = find_task(run, index);
     if (lost != nullptr && lost->placed <= placed_up_to) {
-      run_ended(index, {run, run_outcome::lost, {}, {}}, now);
+      run_end end{run, run_outcome::lost, {}, {}};
+      end.cause = loss_cause::agent_lost;
+      run_ended(index, end, now);
     }
   }
 }
--- a/src/runs/run_table.cpp
+++ b/src/runs/run_table.cpp
@@ -58,7 +58,7 @@
 }
 
 void run_table::worker_replaced(const resource_needs& capacity, monotonic_time now) {
-  end_all(run_outcome::lost, now);
+  lose_all(loss_cause::worker_replaced, now);
   foreign_runs_.clear();
   capacity_ = capacity;
   pace_ = {};
@@ -66,8 +66,8 @@
   counted_ends_ = 0;
 }
 
-void run_table::worker_lost(monotonic_time now) {
-  end_all(run_outcome::lost, now);
+void run_table::worker_lost(monotonic_time now, loss_cause cause) {
+  lose_all(cause, now);
   foreign_runs_.clear();
 }
 
@@ -210,11 +210,11 @@
          std::any_of(held_crashes_.begin(), held_crashes_.end(), is_unclaimed);
 }
 
-void run_table::end_all(run_outcome outcome, monotonic_time now) {
+void run_table::lose_all(loss_cause cause, monotonic_time now) {
   while (!runs_.empty()) {
     const auto first = runs_.begin();
-    finish(first,
-           first->second.current_state == state::waiting ? run_outcome::not_started : outcome, now);
+    const bool waiting = first->second.current_state == state::waiting;
+    finish(first, waiting ? run_outcome::not_started : run_outcome::lost, now, cause);
   }
 }
 
@@ -437,7 +437,8 @@
                    estimate * ((100.0 - known.percent) / 100.0), now);
     }
     count_end(item.outcome, now);
-    finish(found, item.outcome, now, final && known.order.epoch != 0 ? item.number : 0);
+    finish(found, item.outcome, now, loss_cause::listed,
+           final && known.order.epoch != 0 ? item.number : 0);
   }
   last_observed_ = now;
   if (!complete) {
@@ -456,11 +457,10 @@
   }
   for (const auto& key : ended) {
     const auto position = runs_.find(key);
-    finish(position,
-           position->second.current_state == state::revoking && !position->second.may_have_crashed
-               ? run_outcome::not_started
-               : run_outcome::lost,
-           now);
+    const bool restarted = position->second.may_have_crashed;
+    const bool never_started = position->second.current_state == state::revoking && !restarted;
+    finish(position, never_started ? run_outcome::not_started : run_outcome::lost, now,
+           restarted ? loss_cause::worker_restarted : loss_cause::not_listed);
   }
 }
 
@@ -479,7 +479,7 @@
 }
 
 void run_table::finish(run_map::iterator ended, run_outcome outcome, monotonic_time now,
-                       std::uint64_t number) {
+                       loss_cause cause, std::uint64_t number) {
   auto& target = ended->second;
   if (target.current_state == state::waiting) {
     queued_cpu_millis_ -= target.reserved.cpu_millis;
@@ -496,7 +496,8 @@
                     std::chrono::round<milliseconds>(began - target.added),
                     number != 0,
                     lost && target.worker_crashed,
-                    lost && target.suspect};
+                    lost && target.suspect,
+                    lost ? cause : loss_cause::none};
   if (number != 0) {
     hold_end(number, end);
   }
--- a/src/runs/run_table_test.cpp
+++ b/src/runs/run_table_test.cpp
@@ -627,6 +627,45 @@
   CHECK(table.take_crashes().empty());
 }
 
+TEST_CASE("the end of a lost run says what showed the loss") {
+  // Guards against records of incidents in which different losses look the same.
+  auto table = make_table();
+  const auto order = make_order(1);
+  table.add(entry, order, at_ms(0));
+  table.start_waiting(at_ms(0));
+  table.start_answered(order.run, start_answer::started, at_ms(1));
+  auto expected = loss_cause::none;
+  SUBCASE("the worker listed it as lapsed") {
+    expected = loss_cause::listed;
+    table.observe({}, {{order.run, run_outcome::lost, 1}}, true, at_ms(20), at_ms(21));
+  }
+  SUBCASE("the worker does not list it") {
+    expected = loss_cause::not_listed;
+    table.observe({}, {}, true, at_ms(20), at_ms(21));
+  }
+  SUBCASE("the worker has restarted and does not list it") {
+    expected = loss_cause::worker_restarted;
+    table.worker_crashed(at_ms(10));
+    table.observe({}, {}, true, at_ms(20), at_ms(21));
+  }
+  SUBCASE("another worker took the place") {
+    expected = loss_cause::worker_replaced;
+    table.worker_replaced({8'000, 1'024, 0}, at_ms(20));
+  }
+  SUBCASE("the worker refused connections") {
+    expected = loss_cause::connection_refused;
+    table.worker_lost(at_ms(20), loss_cause::connection_refused);
+  }
+  SUBCASE("the worker was silent") {
+    expected = loss_cause::worker_silent;
+    table.worker_lost(at_ms(1'100), loss_cause::worker_silent);
+  }
+  const auto ends = table.take_ends();
+  REQUIRE(ends.size() == 1);
+  CHECK(ends[0].end.outcome == run_outcome::lost);
+  CHECK(ends[0].end.cause == expected);
+}
+
 TEST_CASE("a run that the restarted worker lists was not lost in the crash") {
   auto table = make_table();
   const auto order = make_order(1);
