Ask workers for leases of 500 ms instead of the longest ones

Runs of a worker that cannot be reached may start elsewhere only once its leases have ended. Leases were as long as the worker grants them, 1 s, though they are renewed every 60 ms, so that this took up to 1.1 s.

An agent now asks for 500 ms from each request on, and as before for no more than 1 s from the time at which it last heard every owner of the runs. The port takes the end of the lease instead of its start. An agent that stands still for more than 500 ms loses its runs, instead of more than 1 s.

The test of silent owners compares ends of leases now, which bounds the same time: the latest moment at which a run can be active.

--- a/include/parsleylead/fleet/fleet_agent.hpp
+++ b/include/parsleylead/fleet/fleet_agent.hpp
@@ -36,6 +36,9 @@
   std::size_t max_sessions = 6;
   /// Longest lease that the worker grants.
   std::chrono::milliseconds worker_lease{1'000};
+  /// Lease that the worker is asked for with each request. Runs of a worker that cannot be reached
+  /// start elsewhere once it has ended. An agent that stands still for longer loses its runs.
+  std::chrono::milliseconds renewed_lease{500};
   /// Longest interval between two requests for the worker's lists of runs. If an answer is lost,
   /// ended runs stay unknown and their resources unused for about this time; each request costs
   /// about 0.2 ms of CPU time on a small host.
@@ -118,12 +121,12 @@
   /// confirmed before.
   void expire_lease_if_superseded(monotonic_time now);
   /// Latest time at which the worker's runs have certainly ended if no lease is extended any more.
-  monotonic_time lease_end() const;
-  /// Time from which a lease is extended now: when the owner of the worker's runs that has been
-  /// silent for longest was heard. An entry that loses this agent repeats its runs after
-  /// `fleet_policy::lost_run_wait`, so the worker must not run them for longer than a lease after
-  /// that, also if this process ends before it has stopped them.
-  monotonic_time next_lease_start(monotonic_time now) const;
+  monotonic_time runs_end() const;
+  /// Time up to which a lease is extended now. At most `worker_lease` after the owner of the
+  /// worker's runs that has been silent for longest was heard: an entry that loses this agent
+  /// repeats its runs after `fleet_policy::lost_run_wait`, also if this process ends before it has
+  /// stopped them.
+  monotonic_time next_lease_end(monotonic_time now) const;
   void schedule_list(std::chrono::milliseconds delay);
   void set_worker_suspected(bool suspected, const std::string& cause);
   void flush();
@@ -165,8 +168,8 @@
   monotonic_time failing_since_{};
   monotonic_time last_list_at_{};
   bool connection_refused_ = false;
-  /// Latest start of a lease that the worker was sent.
-  monotonic_time lease_start_{};
+  /// Latest end of a lease that the worker was sent.
+  monotonic_time lease_end_{};
   monotonic_time last_tick_{};
   monotonic_time last_traffic_report_{};
   monotonic_time last_surplus_check_{};
--- a/include/parsleylead/fleet/worker_port.hpp
+++ b/include/parsleylead/fleet/worker_port.hpp
@@ -52,17 +52,16 @@
   /// `worker_id`; others if there is no answer.
   virtual void query_incarnation(const std::string& worker_id,
                                  std::function<void(absl::StatusOr<std::int64_t>)> done) = 0;
-  /// Leases are for the whole worker, never shortened, and last for the longest lease from
-  /// `lease_start` on, which may be in the past.
-  virtual void start(const start_order& order, monotonic_time lease_start,
+  /// Leases are for the whole worker and never shortened. `lease_end` may be in the past.
+  virtual void start(const start_order& order, monotonic_time lease_end,
                      std::function<void(start_answer)> done) = 0;
   /// `done(true)`: the worker is stopping the run or will never start it.
   virtual void stop(const run_id& run, std::function<void(bool)> done) = 0;
   /// Confirms the ends up to number `confirmed_end` and requests the lists. The worker answers at
   /// the next end or after `wait`, or immediately while there are unconfirmed ends. With
-  /// `lease_start`, the leases of all runs are extended, see `start`. Errors: kUnavailable if the
+  /// `lease_end`, the leases of all runs are extended, see `start`. Errors: kUnavailable if the
   /// worker refuses connections; others if its state is unknown.
-  virtual void list_runs(std::uint64_t confirmed_end, std::optional<monotonic_time> lease_start,
+  virtual void list_runs(std::uint64_t confirmed_end, std::optional<monotonic_time> lease_end,
                          std::chrono::milliseconds wait,
                          std::function<void(absl::StatusOr<run_lists>)> done) = 0;
 };
--- a/src/fleet/fleet_agent.cpp
+++ b/src/fleet/fleet_agent.cpp
@@ -382,7 +382,7 @@
   // A restarted worker with the same id may already execute orders that were sent since its
   // restart. Its next list shows which runs are lost.
   port_.attach(announcement);
-  lease_start_ = now;
+  lease_end_ = now + settings_.worker_lease;
   set_worker_suspected(true, "new worker");
   apply_announcement(announcement);
   log_worker();
@@ -444,16 +444,16 @@
   // After a failed request the lease is not extended until the worker answers, so that the time at
   // which all runs have certainly ended does not move.
   expire_lease_if_superseded(now);
-  std::optional<monotonic_time> lease_start;
+  std::optional<monotonic_time> lease_end;
   if (!last_list_failed_ && !awaiting_lease_expiry_) {
-    lease_start = next_lease_start(now);
-    lease_start_ = std::max(lease_start_, *lease_start);
+    lease_end = next_lease_end(now);
+    lease_end_ = std::max(lease_end_, *lease_end);
   }
-  const auto wait = lease_start ? settings_.list_interval : milliseconds{0};
+  const auto wait = lease_end ? settings_.list_interval : milliseconds{0};
   // After a failed request the worker may have restarted, so that the known end numbers would
   // confirm ends of its new incarnation that were not read yet.
   const auto confirmed = last_list_failed_ ? 0 : table_.confirmable_end();
-  port_.list_runs(confirmed, lease_start, wait,
+  port_.list_runs(confirmed, lease_end, wait,
                   [this, now, alive = std::weak_ptr<int>(alive_)](absl::StatusOr<run_lists> lists) {
                     if (alive.expired()) {
                       return;
@@ -480,21 +480,22 @@
   });
 }
 
-monotonic_time fleet_agent::lease_end() const {
-  return lease_start_ +
-         std::chrono::round<milliseconds>(settings_.worker_lease * (1 + worker_clock_error)) +
+monotonic_time fleet_agent::runs_end() const {
+  return lease_end_ +
+         std::chrono::round<milliseconds>(settings_.worker_lease * worker_clock_error) +
          worker_stop_time;
 }
 
-monotonic_time fleet_agent::next_lease_start(monotonic_time now) const {
-  auto start = now;
+monotonic_time fleet_agent::next_lease_end(monotonic_time now) const {
+  auto end = now + settings_.renewed_lease;
   for (const auto& [address, peer] : sessions_) {
     if (peer->owner != 0 && table_.has_started_runs(peer->owner)) {
-      start = std::min(start, peer->link ? std::max(peer->last_heard, peer->link->last_received())
-                                         : peer->last_heard);
+      const auto heard =
+          peer->link ? std::max(peer->last_heard, peer->link->last_received()) : peer->last_heard;
+      end = std::min(end, heard + settings_.worker_lease);
     }
   }
-  return start;
+  return end;
 }
 
 void fleet_agent::expire_lease_if_superseded(monotonic_time now) {
@@ -504,7 +505,7 @@
   }
   // Starts would extend the lease again.
   table_.set_suspended(true);
-  if (awaiting_lease_expiry_ && now > lease_end()) {
+  if (awaiting_lease_expiry_ && now > runs_end()) {
     awaiting_lease_expiry_ = false;
     table_.release_superseded();
     table_.set_suspended(suspected_);
@@ -577,7 +578,7 @@
     }
     first_refusal = absl::IsUnavailable(status) && !connection_refused_;
     const bool crashed = absl::IsUnavailable(status) && std::exchange(connection_refused_, true);
-    const bool gone = crashed || now > lease_end();
+    const bool gone = crashed || now > runs_end();
     if (gone && table_.running() > 0) {
       log_.write("worker_lost", "worker", worker_->id, "crashed", crashed, "runs", table_.running(),
                  "cause", std::string(status.message()));
@@ -630,9 +631,9 @@
     if (order == nullptr) {
       continue;
     }
-    const auto lease_start = next_lease_start(now);
-    lease_start_ = std::max(lease_start_, lease_start);
-    port_.start(*order, lease_start, [this, run = call.run, alive](start_answer answer) {
+    const auto lease_end = next_lease_end(now);
+    lease_end_ = std::max(lease_end_, lease_end);
+    port_.start(*order, lease_end, [this, run = call.run, alive](start_answer answer) {
       if (alive.expired()) {
         return;
       }
--- a/src/fleet/fleet_link_test.cpp
+++ b/src/fleet/fleet_link_test.cpp
@@ -47,10 +47,10 @@
     post([done = std::move(done), answer] { done(answer); });
   }
 
-  void start(const start_order& order, monotonic_time lease_start,
+  void start(const start_order& order, monotonic_time lease_end,
              std::function<void(start_answer)> done) override {
     ++starts;
-    latest_lease_start = std::max(latest_lease_start, lease_start);
+    latest_lease_end = std::max(latest_lease_end, lease_end);
     auto& slot = active_[order.run.task];
     CHECK_MESSAGE(!slot, "two runs of one task at a time");
     slot = std::make_unique<running>(running{order.run, asio::steady_timer(io_, run_time)});
@@ -71,9 +71,9 @@
     post([done = std::move(done)] { done(true); });
   }
 
-  void list_runs(std::uint64_t, std::optional<monotonic_time> lease_start, milliseconds wait,
+  void list_runs(std::uint64_t, std::optional<monotonic_time> lease_end, milliseconds wait,
                  std::function<void(absl::StatusOr<run_lists>)> done) override {
-    latest_lease_start = std::max(latest_lease_start, lease_start.value_or(monotonic_time{}));
+    latest_lease_end = std::max(latest_lease_end, lease_end.value_or(monotonic_time{}));
     if (lost_lists > 0) {
       --lost_lists;
       auto timer = std::make_shared<asio::steady_timer>(io_, wait);
@@ -114,7 +114,7 @@
   int lost_lists = 0;
   std::string id = "w-1";
   std::int64_t incarnation = 1;
-  monotonic_time latest_lease_start{};
+  monotonic_time latest_lease_end{};
 
 private:
   struct running {
@@ -265,8 +265,9 @@
   fleet.entry.reset();
   const auto last_frame = lease_now();
   REQUIRE(fleet.run_until([&] { return fleet.worker.stops > 0; }));
-  CHECK(fleet.worker.latest_lease_start <= last_frame);
-  CHECK(fleet.run_until([&] { return fleet.worker.latest_lease_start > last_frame; }));
+  const auto latest_allowed = last_frame + fleet_agent_settings{}.worker_lease;
+  CHECK(fleet.worker.latest_lease_end <= latest_allowed);
+  CHECK(fleet.run_until([&] { return fleet.worker.latest_lease_end > latest_allowed; }));
 }
 
 TEST_CASE("agents reconnect to an entry that restarts at its address") {
