--- a/src/fleet/fleet_link_test.cpp
+++ b/src/fleet/fleet_link_test.cpp
@@ -27,7 +27,8 @@
   return {"127.0.0.1", probe.local_endpoint().port()};
 }
 
-/// Simulated worker that runs each task for a fixed time and can fail requests for its lists.
+/// Simulated worker that runs each task for a fixed time, can fail requests for its lists, and can
+/// refuse connections while its runs go on.
 class fake_worker : public worker_port {
 public:
   explicit fake_worker(asio::io_context& io) : io_(io) {}
@@ -44,11 +45,18 @@
       --lost_lists;
       answer = absl::DeadlineExceededError("no answer");
     }
+    if (refusing) {
+      answer = absl::UnavailableError("connection refused");
+    }
     post([done = std::move(done), answer] { done(answer); });
   }
 
   void start(const start_order& order, monotonic_time lease_end,
              std::function<void(start_answer)> done) override {
+    if (refusing) {
+      post([done = std::move(done)] { done(start_answer::refused); });
+      return;
+    }
     ++starts;
     latest_lease_end = std::max(latest_lease_end, lease_end);
     auto& slot = active_[order.run.task];
@@ -63,6 +71,10 @@
   }
 
   void stop(const run_id& run, std::function<void(bool)> done) override {
+    if (refusing) {
+      post([done = std::move(done)] { done(false); });
+      return;
+    }
     ++stops;
     if (const auto found = active_.find(run.task); found != active_.end()) {
       found->second->end.cancel();
@@ -73,6 +85,11 @@
 
   void list_runs(std::uint64_t, std::optional<monotonic_time> lease_end, milliseconds wait,
                  std::function<void(absl::StatusOr<run_lists>)> done) override {
+    if (refusing) {
+      ++refused_lists;
+      post([done = std::move(done)] { done(absl::UnavailableError("connection refused")); });
+      return;
+    }
     latest_lease_end = std::max(latest_lease_end, lease_end.value_or(monotonic_time{}));
     if (lost_lists > 0) {
       --lost_lists;
@@ -112,6 +129,8 @@
   int starts = 0;
   int stops = 0;
   int lost_lists = 0;
+  bool refusing = false;
+  int refused_lists = 0;
   std::string id = "w-1";
   std::int64_t incarnation = 1;
   monotonic_time latest_lease_end{};
@@ -519,6 +538,83 @@
                  "cause=worker_replaced") != std::string::npos);
 }
 
+TEST_CASE("the runs of a worker that refuses connections for a while are not started again") {
+  // Guards against two runs of a task at a time: two refused connections counted as a crash.
+  small_fleet fleet;
+  fleet.worker.run_time = milliseconds(700);
+  std::optional<job_result> result;
+  fleet.entry->submit(make_job(1, 3), [&](const job_result& got) { result = got; });
+  REQUIRE(fleet.run_until([&] { return fleet.worker.starts == 3; }));
+  fleet.run_until([] { return false; }, milliseconds(50));
+  fleet.worker.refusing = true;
+  milliseconds refused_for{0};
+  SUBCASE("for 30 ms") {
+    refused_for = milliseconds(30);
+  }
+  SUBCASE("for 400 ms") {
+    refused_for = milliseconds(400);
+  }
+  CHECK_FALSE(fleet.run_until([&] { return result.has_value(); }, refused_for));
+  fleet.worker.refusing = false;
+  CHECK(fleet.worker.refused_lists >= 2);
+  REQUIRE(fleet.run_until([&] { return result.has_value(); }));
+  CHECK(result->verdict == job_verdict::completed);
+  CHECK(result->lost_runs == 0);
+  CHECK(result->crashed_runs == 0);
+  CHECK(fleet.worker.starts == 3);
+}
+
+TEST_CASE("the runs of a worker that refuses connections are lost once its leases have expired") {
+  // Guards against a restart before that: the worker may be up and go on with them until then.
+  small_fleet fleet;
+  fleet.worker.run_time = std::chrono::minutes(1);
+  fleet.entry->submit(make_job(1, 3), [](const job_result&) {});
+  REQUIRE(fleet.run_until([&] { return fleet.worker.starts == 3; }));
+  fleet.run_until([] { return false; }, milliseconds(50));
+  fleet.worker.refusing = true;
+  const auto lost = [&] {
+    return fleet.log.buffered().find("event=run_given_up") != std::string::npos;
+  };
+  REQUIRE(fleet.run_until(lost));
+  CHECK(lease_now() > fleet.worker.latest_lease_end);
+}
+
+TEST_CASE("the runs of a crashed worker start again once its next incarnation answers") {
+  // Guards against a wait for leases that nothing can use any more, and against crashes that are
+  // not counted because the runs were given up before.
+  small_fleet fleet;
+  fleet.worker.run_time = std::chrono::minutes(1);
+  std::optional<job_result> result;
+  fleet.entry->submit(make_job(1, 3), [&](const job_result& got) { result = got; });
+  REQUIRE(fleet.run_until([&] { return fleet.worker.starts == 3; }));
+  fleet.run_until([] { return false; }, milliseconds(50));
+  fleet.worker.refusing = true;
+  std::string cause;
+  milliseconds downtime{0};
+  SUBCASE("before its leases would have expired") {
+    cause = "worker_restarted";
+    downtime = milliseconds(300);
+  }
+  SUBCASE("after its leases have expired") {
+    cause = "connection_refused";
+    downtime = milliseconds(1'500);
+  }
+  fleet.run_until([] { return false; }, downtime);
+  fleet.worker.crash();
+  fleet.worker.run_time = milliseconds(20);
+  fleet.worker.refusing = false;
+  auto restarted = announcement();
+  restarted.incarnation = 2;
+  CHECK(fleet.announce(restarted).ok());
+  REQUIRE(fleet.run_until([&] { return result.has_value(); }));
+  CHECK(result->verdict == job_verdict::completed);
+  CHECK(result->lost_runs == 3);
+  CHECK(result->crashed_runs == 3);
+  CHECK(fleet.log.buffered().find("event=run_given_up run=0000000000000001.0.0#1 agent=agent "
+                                  "cause=" +
+                                  cause) != std::string::npos);
+}
+
 TEST_CASE("an agent closes sessions that it does not need, and no job is lost by it") {
   // Guards against entries whose sessions grow with the site: all 240 agents of a site stayed
   // linked to its seeds and to each entry that had stood in for another one.
