Give up runs of a worker only on its word or after its leases

Two refused connections 10 ms apart counted as a crash of the worker: its runs were reported as lost and crashed, and started elsewhere, while the worker, which was up, went on with them under its lease.

The class of fault: an absence was taken for a fact. That a connection cannot be opened says nothing about runs. They count as lost now only if a list of the worker no longer contains them, if another incarnation or worker answers at its address, or if all leases have expired on the worker's clock.

What hung on the same belief: - A crash counts under a task once another incarnation or worker has answered. Runs that are lost before that are suspects, which run again alone, and are reported again, with or without a crash, when the worker answers. A task that as many possible crashes as would fail its job have hit waits up to 3 s for these reports, so that a deadly task is not started on ever more workers, and a sound one is not given up for crashes that did not happen. - Orders that wait at the agent are returned after the second refusal, as before, since nothing of them has started. - The evidence against a queue is reported after 200 ms of refusals; it only decides where tasks are placed, for some seconds.

--- a/include/parsleylead/fleet/fleet_agent.hpp
+++ b/include/parsleylead/fleet/fleet_agent.hpp
@@ -48,7 +48,8 @@
   std::chrono::milliseconds held_list_interval{10};
   /// Number of partitions of durable jobs; must be the same at all entries.
   std::uint32_t partitions = 1;
-  /// A worker that has not answered a request for lists for this long gets no new runs.
+  /// A worker that has not answered a request for lists for this long gets no new runs. One that
+  /// has refused connections for this long may have crashed.
   std::chrono::milliseconds suspect_after{200};
 };
 
@@ -117,6 +118,8 @@
   /// its ends from 1. Called for announcements and lists, as either may arrive first.
   void update_worker_incarnation(std::int64_t incarnation);
   void list_failed(const absl::Status& status, monotonic_time now);
+  /// The worker refuses connections.
+  void worker_refused(monotonic_time now);
   /// Lets the lease of an idle worker expire if the worker holds superseded ends, which must not be
   /// confirmed before.
   void expire_lease_if_superseded(monotonic_time now);
@@ -167,7 +170,10 @@
   /// When the first of the latest failed requests for lists failed.
   monotonic_time failing_since_{};
   monotonic_time last_list_at_{};
+  /// The latest request for lists failed because the worker refused the connection.
   bool connection_refused_ = false;
+  /// The worker has refused connections for so long that it may have crashed.
+  bool crash_suspected_ = false;
   /// Latest end of a lease that the worker was sent.
   monotonic_time lease_end_{};
   monotonic_time last_tick_{};
--- a/include/parsleylead/fleet/fleet_scheduler.hpp
+++ b/include/parsleylead/fleet/fleet_scheduler.hpp
@@ -46,13 +46,17 @@
   std::chrono::milliseconds first_report_wait{5'000};
   /// Maximum number of waiting tasks at one entry.
   std::size_t max_backlog = 20'000;
-  /// Number of workers that may crash under a task before its job fails, if the last one ran
-  /// nothing else, so that the task is the cause.
+  /// Number of workers that may crash under a task before its job fails, if one of them ran nothing
+  /// else, so that the task is the cause.
   std::uint32_t max_crashes = 2;
   /// The same for durable jobs, whose callers rely on their completion.
   std::uint32_t max_durable_crashes = 3;
   /// The same, whatever ran beside the task.
   std::uint32_t max_crashes_beside_others = 5;
+  /// A task whose runs were lost at workers that refused connections waits for this long for a
+  /// report whether these have crashed, if that many crashes would fail its job. A crashed worker
+  /// restarts within a few seconds.
+  std::chrono::milliseconds loss_report_wait{3'000};
   /// Share of a service's workers, at least one, that run the tasks which may crash workers.
   double quarantine_share = 0.2;
   /// Time after which an agent returns an isolated order that its worker could not start.
@@ -134,7 +138,8 @@
   /// A session to the agent was opened. `same_agent`: by the agent process of the session before.
   void session_opened(worker_index worker, bool same_agent, monotonic_time now);
   void session_lost(worker_index worker, monotonic_time last_heard, monotonic_time now);
-  /// Handles the end of a run. Returns whether it was the current run of its task.
+  /// Handles the end of a run, or a later report whether its worker had crashed. Returns whether it
+  /// was the current run of its task.
   bool run_ended(worker_index worker, const run_end& end, monotonic_time now);
   void run_is_slow(worker_index worker, const slow_run& run, monotonic_time now);
   /// This process made no progress since `since`, for longer than the leases of its sessions. Jobs
@@ -199,8 +204,13 @@
   /// Returns whether the queue's tasks may use quarantined workers only.
   bool is_confined(const job_terms& terms) const;
   void update_quarantine(monotonic_time now);
-  /// Returns whether the job has to fail.
-  bool record_crash(job& open_job, task& crashed, bool suspect);
+  /// Adds a crash under a run that was `isolated`. Returns whether the job has to fail.
+  bool record_crash(job& open_job, task& crashed, bool suspect, bool isolated);
+  /// Adds a run that was lost at a worker which refused connections and may have crashed.
+  void record_unexplained_loss(job& open_job, task& lost, const run_end& end, monotonic_time now);
+  /// Handles the later report on a run that was lost at such a worker.
+  void explain_loss(const run_end& end, monotonic_time now);
+  std::uint32_t max_crashes(const job& open_job) const;
   bool service_may_appear(const std::string& service, monotonic_time now) const;
   double free_cpu(const worker& candidate) const;
   double run_time_ms(const worker& candidate, const job_step& step) const;
--- a/include/parsleylead/fleet/run_types.hpp
+++ b/include/parsleylead/fleet/run_types.hpp
@@ -175,7 +175,8 @@
   worker_replaced = 4,
   /// The worker did not answer until its leases had expired.
   worker_silent = 5,
-  /// The worker refused connections.
+  /// As `worker_silent`, and the worker refused connections. It may have crashed; a later report of
+  /// the same end says whether it has.
   connection_refused = 6,
   /// The agent was out of reach until the leases of its worker had expired.
   agent_lost = 7,
--- a/include/parsleylead/fleet/worker_port.hpp
+++ b/include/parsleylead/fleet/worker_port.hpp
@@ -59,8 +59,8 @@
   virtual void stop(const run_id& run, std::function<void(bool)> done) = 0;
   /// Confirms the ends up to number `confirmed_end` and requests the lists. The worker answers at
   /// the next end or after `wait`, or immediately while there are unconfirmed ends. With
-  /// `lease_end`, the leases of all runs are extended, see `start`. Errors: kUnavailable if the
-  /// worker refuses connections; others if its state is unknown.
+  /// `lease_end`, the leases of all runs are extended, see `start`. Errors: kUnavailable if no
+  /// connection could be opened. No error says anything about the runs.
   virtual void list_runs(std::uint64_t confirmed_end, std::optional<monotonic_time> lease_end,
                          std::chrono::milliseconds wait,
                          std::function<void(absl::StatusOr<run_lists>)> done) = 0;
--- a/include/parsleylead/runs/run_table.hpp
+++ b/include/parsleylead/runs/run_table.hpp
@@ -69,6 +69,10 @@
 /// resources until the worker lists it, or until the worker has confirmed a stop, after which it
 /// rejects the run, and a list requested after the confirmation does not contain it.
 ///
+/// That a worker cannot be reached says nothing about its runs: it may be up and go on with them.
+/// They have ended once a list no longer contains them, once another worker answers at the address,
+/// or once all leases have expired.
+///
 /// An isolated order is started only while no other run is active, and nothing else is started
 /// until it has ended. Other orders wait meanwhile, so that it is not postponed forever.
 ///
@@ -84,11 +88,21 @@
   /// A worker with another id replaced the previous one. All runs end as lost.
   void worker_replaced(const resource_needs& capacity, monotonic_time now);
   void set_capacity(const resource_needs& capacity) { capacity_ = capacity; }
-  /// The worker has crashed, or is unreachable and all of its leases have expired.
+  /// The worker cannot be reached, and all of its leases have expired: its runs have ended.
   void worker_lost(monotonic_time now, loss_cause cause = loss_cause::worker_silent);
-  /// The worker crashed at about `crashed_at`. Marks the runs that were active then, unless a later
-  /// list shows that they are active after all. Does not end them.
+  /// The worker has refused connections since about `refused_since` and may have crashed then.
+  /// Marks the runs that were active at that time. If these are lost before the worker answers
+  /// again, `worker_crashed` or `worker_answered` report later whether it had crashed.
+  void suspect_crash(monotonic_time refused_since);
+  /// The worker crashed at about `crashed_at`, as another incarnation or worker has answered since.
+  /// Marks the runs that were active then, unless a later list shows that they are active after
+  /// all. Does not end them. Those lost since the worker refused connections are reported again.
   void worker_crashed(monotonic_time crashed_at);
+  /// The worker answers in the same incarnation as before, so that the runs lost meanwhile were not
+  /// lost in a crash. They are reported again, without a suspicion.
+  void worker_answered();
+  /// Returns the waiting orders unstarted, because the worker cannot start them.
+  void return_waiting(monotonic_time now);
   /// The worker numbers its ends from 1 again.
   void end_numbers_reset();
   /// While false, no run is started, and `start_waiting` returns the waiting orders.
@@ -139,6 +153,9 @@
 
   std::vector<worker_call> take_calls() { return std::exchange(calls_, {}); }
   std::vector<owned_end> take_ends() { return std::exchange(ends_, {}); }
+  /// Returns the later reports on runs whose worker refused connections: the same ends, now with
+  /// whether the worker had crashed.
+  std::vector<owned_end> take_loss_reports() { return std::exchange(loss_reports_, {}); }
   /// Returns the crashes since the last call during which only tasks of one queue were active.
   std::vector<crash_report> take_crashes() { return std::exchange(crashes_, {}); }
 
@@ -170,6 +187,8 @@
     /// See `run_end`.
     bool worker_crashed = false;
     bool suspect = false;
+    /// The run was active when the worker began to refuse connections.
+    bool crash_suspected = false;
     /// The worker crashed after the start was sent. A later incarnation's lists do not tell whether
     /// the earlier one had executed it.
     bool may_have_crashed = false;
@@ -192,6 +211,13 @@
     run_end end;
     bool superseded = false;
   };
+  /// The end of a run whose worker refused connections until its leases had expired.
+  struct unexplained_loss {
+    owner_id owner = 0;
+    run_end end;
+    bool durable = false;
+    bool abandoned = false;
+  };
   struct known_claim {
     /// 0 if the owner is gone or has withdrawn the claim.
     owner_id owner = 0;
@@ -207,6 +233,11 @@
               loss_cause cause = loss_cause::none, std::uint64_t number = 0);
   void hold_end(std::uint64_t number, run_end end);
   void hold_crash(const run_end& end);
+  /// Reports the unexplained losses again, now with whether the worker had crashed.
+  void explain_losses(bool worker_crashed);
+  /// Sets `mark` on the runs that were active at `crashed_at`, and the suspects among them. Reports
+  /// the crash, at the first suspicion, if only tasks of one queue were active.
+  void mark_active_runs(monotonic_time crashed_at, bool run::*mark);
   void report_held_end(const run_end& end);
   /// Returns the owner that claims the end's partition; 0 if there is none.
   owner_id claimant_of(const run_end& end) const;
@@ -228,6 +259,7 @@
   std::uint64_t last_end_ = 0;
   /// Ends of runs of durable jobs that were lost in a crash, until their owner has counted them.
   std::deque<run_end> held_crashes_;
+  std::vector<unexplained_loss> unexplained_losses_;
   run_map runs_;
   std::vector<task_key> waiting_;
   std::deque<recent_end> recent_ends_;
@@ -236,6 +268,7 @@
   std::unordered_map<task_key, monotonic_time, task_key_hash> foreign_runs_;
   std::vector<worker_call> calls_;
   std::vector<owned_end> ends_;
+  std::vector<owned_end> loss_reports_;
   std::vector<crash_report> crashes_;
   resource_needs capacity_;
   resource_needs committed_;
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -65,7 +65,8 @@
   workerReplaced @4;
   # The worker did not answer until its leases had expired.
   workerSilent @5;
-  # The worker refused connections.
+  # As workerSilent, and the worker refused connections. It may have crashed; a later report of the
+  # same end says whether it has.
   connectionRefused @6;
   # Not sent: an entry lost the agent.
   agentLost @7;
--- a/src/fleet/fleet_agent.cpp
+++ b/src/fleet/fleet_agent.cpp
@@ -22,14 +22,14 @@
 // Delay before lists are requested again after a failure. It is longer while the worker is
 // suspected, because each attempt then opens a connection.
 constexpr milliseconds list_retry{2};
-constexpr milliseconds suspected_list_retry{100};
+constexpr milliseconds suspected_list_retry{50};
 // Announcements may be this much late. A worker announces itself several times in this time.
 constexpr milliseconds late_announcement_limit{10'000};
 // Largest difference between the sequence numbers of two announcements within that time.
 constexpr std::uint64_t max_sequence_step = 1'000;
 // A worker that has deregistered ends within this time. One that still answers then has not left.
 constexpr milliseconds departed_worker_retention{3'000};
-// Delay after the first refused connection. A second one shows that the worker has crashed.
+// Delay after the first refused connection. After the second one, waiting orders are returned.
 constexpr milliseconds refused_list_retry{10};
 
 /// The partitions and epochs, as "3:12 5:14".
@@ -552,9 +552,11 @@
 void fleet_agent::apply_lists(const run_lists& lists, monotonic_time requested) {
   const auto now = lease_now();
   update_worker_incarnation(lists.incarnation);
+  table_.worker_answered();
   last_list_at_ = now;
   last_list_failed_ = false;
   connection_refused_ = false;
+  crash_suspected_ = false;
   set_worker_suspected(false, "");
   table_.observe(lists.active, lists.finished, lists.complete, requested, now);
   for (const auto& [owner, slow] : table_.slow_runs(now)) {
@@ -571,21 +573,22 @@
   if (!std::exchange(last_list_failed_, true)) {
     failing_since_ = now;
   }
-  bool first_refusal = false;
+  const bool refused = absl::IsUnavailable(status);
+  const bool first_refusal = refused && !connection_refused_;
+  connection_refused_ = refused;
   if (worker_) {
-    if (now - last_list_at_ > settings_.suspect_after || absl::IsUnavailable(status)) {
+    if (now - last_list_at_ > settings_.suspect_after || refused) {
       set_worker_suspected(true, std::string(status.message()));
     }
-    first_refusal = absl::IsUnavailable(status) && !connection_refused_;
-    const bool crashed = absl::IsUnavailable(status) && std::exchange(connection_refused_, true);
-    const bool gone = crashed || now > runs_end();
+    if (refused && !first_refusal) {
+      worker_refused(now);
+    }
+    // Until then a worker that refuses connections may be up and go on with its runs.
+    const bool gone = now > runs_end();
     if (gone && table_.running() > 0) {
-      log_.write("worker_lost", "worker", worker_->id, "crashed", crashed, "runs", table_.running(),
+      log_.write("worker_lost", "worker", worker_->id, "refused", refused, "runs", table_.running(),
                  "cause", std::string(status.message()));
-      if (crashed && !worker_->draining && !departed_at_) {
-        table_.worker_crashed(failing_since_);
-      }
-      table_.worker_lost(now, crashed ? loss_cause::connection_refused : loss_cause::worker_silent);
+      table_.worker_lost(now, refused ? loss_cause::connection_refused : loss_cause::worker_silent);
     }
     if (gone && departed_at_) {
       log_.write("worker_gone", "worker", worker_->id);
@@ -599,6 +602,17 @@
                               : (suspected_ ? suspected_list_retry : list_retry));
 }
 
+void fleet_agent::worker_refused(monotonic_time now) {
+  table_.return_waiting(now);
+  // A worker that leaves ends its runs itself.
+  const bool leaving = worker_->draining || departed_at_;
+  if (!leaving && !crash_suspected_ && now - failing_since_ > settings_.suspect_after) {
+    crash_suspected_ = true;
+    table_.suspect_crash(failing_since_);
+    log_.write("worker_crash_suspected", "worker", worker_->id, "runs", table_.running());
+  }
+}
+
 fleet_agent::session* fleet_agent::find_session(owner_id owner) {
   for (auto& [address, peer] : sessions_) {
     if (peer->owner == owner) {
@@ -656,6 +670,13 @@
     }
     status_dirty_ = true;
   }
+  for (auto& [owner, end] : table_.take_loss_reports()) {
+    log_.write("loss_explained", "run", format_run(end.run), "worker_crashed", end.worker_crashed,
+               "suspect", end.suspect);
+    if (auto* to = find_session(owner)) {
+      to->outgoing.ends.push_back(end);
+    }
+  }
   for (const auto& crash : table_.take_crashes()) {
     log_.write("worker_crashed", "queue", crash.queue, "isolated", crash.isolated);
     for (auto& [address, peer] : sessions_) {
--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -78,6 +78,11 @@
 };
 
 struct fleet_scheduler::task {
+  struct unexplained_loss {
+    std::uint32_t attempt = 0;
+    /// The run had been ordered to run isolated.
+    bool isolated = false;
+  };
   /// `lost`: the run of a durable task was lost, and that is not stored yet.
   enum class state : std::uint8_t { blocked, ready, placed, lost, done };
   state current_state = state::blocked;
@@ -86,6 +91,12 @@
   std::uint32_t moves = 0;
   /// Number of workers that crashed under the task.
   std::uint32_t crashes = 0;
+  /// One of them ran nothing else.
+  bool crashed_alone = false;
+  /// Runs lost at workers that refused connections and may have crashed.
+  std::vector<unexplained_loss> unexplained_losses;
+  /// The task is not placed before this time.
+  monotonic_time withheld_until{};
   /// The task has to run with nothing beside it.
   bool needs_isolation = false;
   std::uint32_t returned_isolated_orders = 0;
@@ -96,6 +107,24 @@
   monotonic_time placed{};
   std::vector<worker_index> avoided_workers;
 
+  /// Removes an unexplained loss; returns it if there is one of this attempt.
+  std::optional<unexplained_loss> take_unexplained_loss(std::uint32_t attempt) {
+    const auto found =
+        std::find_if(unexplained_losses.begin(), unexplained_losses.end(),
+                     [attempt](const unexplained_loss& each) { return each.attempt == attempt; });
+    if (found == unexplained_losses.end()) {
+      return std::nullopt;
+    }
+    const auto taken = *found;
+    unexplained_losses.erase(found);
+    return taken;
+  }
+
+  /// Number of workers that crashed under the task or may have.
+  std::uint32_t possible_crashes() const {
+    return crashes + static_cast<std::uint32_t>(unexplained_losses.size());
+  }
+
   bool is_to_be_isolated() const {
     return needs_isolation && returned_isolated_orders < max_returned_isolated_orders;
   }
@@ -711,7 +740,7 @@
       // Isolated tasks wait for workers that other jobs do not use.
       const bool isolated = candidate.is_to_be_isolated();
       if (candidate.current_state != task::state::ready || (!isolated && !step_fits) ||
-          attempts_used_up(open_job.spec, candidate.attempts)) {
+          candidate.withheld_until > now || attempts_used_up(open_job.spec, candidate.attempts)) {
         continue;
       }
       const auto* misfit = isolated ? nullptr : group.find_misfit(shape.needs);
@@ -808,6 +837,7 @@
 bool fleet_scheduler::run_ended(worker_index index, const run_end& end, monotonic_time now) {
   auto* ended_task = find_task(end.run, index);
   if (ended_task == nullptr) {
+    explain_loss(end, now);
     return false;
   }
   auto& open_job = *jobs_.at(end.run.task.job);
@@ -841,16 +871,19 @@
       given_up_runs_.push_back({end.run, workers_[index]->agent, end.cause, end.worker_crashed});
     }
     if (end.worker_crashed) {
-      if (record_crash(open_job, *ended_task, end.suspect)) {
+      if (record_crash(open_job, *ended_task, end.suspect, ended_task->isolated)) {
         finish(open_job, job_verdict::failed, job_cause::crashes_workers, now);
         return true;
       }
-      if (!open_job.is_durable() && is_confined(open_job.spec.terms)) {
-        // Another run would be late and could cost another worker. The task may be sound, so that
-        // the caller may submit the job again.
-        finish(open_job, job_verdict::unknown, job_cause::queue_confined, now);
-        return true;
-      }
+    } else if (end.cause == loss_cause::connection_refused) {
+      record_unexplained_loss(open_job, *ended_task, end, now);
+    }
+    if ((end.worker_crashed || end.cause == loss_cause::connection_refused) &&
+        !open_job.is_durable() && is_confined(open_job.spec.terms)) {
+      // Another run would be late and could cost another worker. The task may be sound, so that
+      // the caller may submit the job again.
+      finish(open_job, job_verdict::unknown, job_cause::queue_confined, now);
+      return true;
     }
     if (open_job.is_durable() && end.outcome == run_outcome::lost) {
       // The worker may still report that the run was done.
@@ -864,12 +897,15 @@
   return true;
 }
 
-bool fleet_scheduler::record_crash(job& open_job, task& crashed, bool suspect) {
+std::uint32_t fleet_scheduler::max_crashes(const job& open_job) const {
+  return open_job.is_durable() ? policy_.max_durable_crashes : policy_.max_crashes;
+}
+
+bool fleet_scheduler::record_crash(job& open_job, task& crashed, bool suspect, bool isolated) {
   ++open_job.result.crashed_runs;
   ++crashed.crashes;
-  const auto max_crashes =
-      open_job.is_durable() ? policy_.max_durable_crashes : policy_.max_crashes;
-  if ((crashed.isolated && crashed.crashes >= max_crashes) ||
+  crashed.crashed_alone = crashed.crashed_alone || isolated;
+  if ((crashed.crashed_alone && crashed.crashes >= max_crashes(open_job)) ||
       crashed.crashes >= policy_.max_crashes_beside_others) {
     return true;
   }
@@ -879,6 +915,46 @@
   return false;
 }
 
+void fleet_scheduler::record_unexplained_loss(job& open_job, task& lost, const run_end& end,
+                                              monotonic_time now) {
+  lost.unexplained_losses.push_back({end.run.attempt, lost.isolated});
+  // To run alone costs a sound task little; to be given up is decided by crashes only.
+  lost.needs_isolation =
+      lost.needs_isolation || end.suspect || lost.possible_crashes() >= isolating_crashes;
+  open_job.has_suspects = open_job.has_suspects || lost.needs_isolation;
+  if (lost.isolated && lost.possible_crashes() >= max_crashes(open_job)) {
+    lost.withheld_until = now + policy_.loss_report_wait;
+  }
+}
+
+void fleet_scheduler::explain_loss(const run_end& end, monotonic_time now) {
+  const auto found = jobs_.find(end.run.task.job);
+  if (end.outcome != run_outcome::lost || found == jobs_.end()) {
+    return;
+  }
+  auto& open_job = *found->second;
+  // The crashes of durable jobs are stored first, see `crash_counted`.
+  if (end.worker_crashed && open_job.is_durable()) {
+    return;
+  }
+  const auto [id, step, index] = end.run.task;
+  if (step >= open_job.tasks.size() || index >= open_job.tasks[step].size()) {
+    return;
+  }
+  auto& lost = open_job.tasks[step][index];
+  const auto loss = lost.take_unexplained_loss(end.run.attempt);
+  if (!loss || lost.current_state == task::state::done) {
+    return;
+  }
+  if (end.worker_crashed && record_crash(open_job, lost, end.suspect, loss->isolated)) {
+    finish(open_job, job_verdict::failed, job_cause::crashes_workers, now);
+    return;
+  }
+  if (lost.possible_crashes() < max_crashes(open_job)) {
+    lost.withheld_until = {};
+  }
+}
+
 void fleet_scheduler::restart_task(const run_id& lost, monotonic_time now) {
   const auto found = jobs_.find(lost.task.job);
   if (found == jobs_.end()) {
@@ -908,10 +984,9 @@
   if (crashed_task.current_state == task::state::done) {
     return;
   }
-  ++open_job.result.crashed_runs;
-  crashed_task.needs_isolation = true;
-  open_job.has_suspects = true;
-  if (++crashed_task.crashes >= policy_.max_crashes_beside_others) {
+  const auto loss = crashed_task.take_unexplained_loss(crashed.attempt);
+  const bool isolated = loss && loss->isolated;
+  if (record_crash(open_job, crashed_task, true, isolated)) {
     finish(open_job, job_verdict::failed, job_cause::crashes_workers, now);
   }
 }
--- a/src/fleet/fleet_scheduler_test.cpp
+++ b/src/fleet/fleet_scheduler_test.cpp
@@ -689,6 +689,107 @@
   CHECK(fleet.scheduler.take_results().empty());
 }
 
+run_end refused_loss_of(const placed_start& start) {
+  run_end end{start.order.run, run_outcome::lost, milliseconds(1'100), {}};
+  end.suspect = true;
+  end.cause = loss_cause::connection_refused;
+  return end;
+}
+
+TEST_CASE("a task whose workers refused connections for a while is not given up") {
+  // Guards against failing sound tasks for crashes that no worker has had.
+  for (const bool durable : {false, true}) {
+    fixture fleet(10);
+    auto job = make_job(1, 1);
+    if (durable) {
+      job.ownership = job_ownership{1, 0, {}};
+    }
+    auto starts = fleet.submit(std::move(job));
+    for (int i = 0; i < 6; ++i) {
+      const std::int64_t now = 1'100 * (i + 1);
+      REQUIRE(starts.size() == 1);
+      CHECK(starts[0].order.isolated == (i > 0));
+      auto end = refused_loss_of(starts[0]);
+      CHECK(fleet.scheduler.run_ended(starts[0].worker, end, at_ms(now)));
+      for (const auto& lost : fleet.scheduler.take_lost_runs()) {
+        CHECK_FALSE(lost.worker_crashed);
+        fleet.scheduler.restart_task(lost.run, at_ms(now));
+      }
+      end.suspect = false; // The worker answers again, in the same incarnation.
+      CHECK_FALSE(fleet.scheduler.run_ended(starts[0].worker, end, at_ms(now)));
+      fleet.scheduler.tick(at_ms(now));
+      starts = fleet.scheduler.take_starts();
+    }
+    REQUIRE(starts.size() == 1);
+    fleet.end(starts[0], run_outcome::done, 8'000);
+    const auto results = fleet.scheduler.take_results();
+    REQUIRE(results.size() == 1);
+    CHECK(results[0].verdict == job_verdict::completed);
+    CHECK(results[0].crashed_runs == 0);
+  }
+}
+
+TEST_CASE("a crash that is reported after the loss of the run counts once") {
+  // Guards against a task that takes down one worker after the other, each reported as crashed only
+  // when it answers again.
+  for (const bool durable : {false, true}) {
+    fixture fleet(10);
+    auto job = make_job(1, 1);
+    if (durable) {
+      job.ownership = job_ownership{1, 0, {}};
+    }
+    auto starts = fleet.submit(std::move(job));
+    std::vector<placed_start> lost_starts;
+    std::int64_t now = 0;
+    while (!starts.empty()) {
+      REQUIRE(starts.size() == 1);
+      lost_starts.push_back(starts[0]);
+      now += 1'100;
+      fleet.scheduler.run_ended(starts[0].worker, refused_loss_of(starts[0]), at_ms(now));
+      for (const auto& lost : fleet.scheduler.take_lost_runs()) {
+        fleet.scheduler.restart_task(lost.run, at_ms(now));
+      }
+      fleet.scheduler.tick(at_ms(now));
+      starts = fleet.scheduler.take_starts();
+    }
+    // As many as would fail the job; the next start waits for the reports.
+    CHECK(lost_starts.size() == (durable ? 3 : 2));
+    CHECK(fleet.scheduler.take_results().empty());
+    for (const auto& lost : lost_starts) {
+      for (int repeated = 0; repeated < 2; ++repeated) {
+        auto end = refused_loss_of(lost);
+        end.worker_crashed = true;
+        CHECK_FALSE(fleet.scheduler.run_ended(lost.worker, end, at_ms(now)));
+      }
+      if (durable) {
+        fleet.scheduler.crash_counted(lost.order.run, at_ms(now));
+      }
+    }
+    const auto results = fleet.scheduler.take_results();
+    REQUIRE(results.size() == 1);
+    CHECK(results[0].verdict == job_verdict::failed);
+    CHECK(results[0].cause == job_cause::crashes_workers);
+    CHECK(results[0].crashed_runs == lost_starts.size());
+  }
+}
+
+TEST_CASE("a task whose lost workers never answer again is started again after a wait") {
+  // Guards against a job that waits for ever for a report about a worker that is gone.
+  fixture fleet(10);
+  auto starts = fleet.submit(make_job(1, 1));
+  for (const std::int64_t now : {1'100, 2'200}) {
+    REQUIRE(starts.size() == 1);
+    fleet.scheduler.run_ended(starts[0].worker, refused_loss_of(starts[0]), at_ms(now));
+    fleet.scheduler.tick(at_ms(now));
+    starts = fleet.scheduler.take_starts();
+  }
+  CHECK(starts.empty());
+  fleet.scheduler.tick(at_ms(2'200 + fleet_policy{}.loss_report_wait.count()));
+  starts = fleet.scheduler.take_starts();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].order.isolated);
+}
+
 TEST_CASE("crashes that earlier owners stored count") {
   fixture fleet(5);
   auto job = make_job(1, 1);
--- a/src/runs/run_table.cpp
+++ b/src/runs/run_table.cpp
@@ -59,6 +59,7 @@
 
 void run_table::worker_replaced(const resource_needs& capacity, monotonic_time now) {
   lose_all(loss_cause::worker_replaced, now);
+  unexplained_losses_.clear();
   foreign_runs_.clear();
   capacity_ = capacity;
   pace_ = {};
@@ -71,14 +72,45 @@
   foreign_runs_.clear();
 }
 
+void run_table::suspect_crash(monotonic_time refused_since) {
+  mark_active_runs(refused_since, &run::crash_suspected);
+}
+
 void run_table::worker_crashed(monotonic_time crashed_at) {
-  std::vector<run*> active;
   for (auto& [key, candidate] : runs_) {
-    if (candidate.current_state == state::waiting) {
-      continue;
+    candidate.may_have_crashed = candidate.current_state != state::waiting;
+  }
+  mark_active_runs(crashed_at, &run::worker_crashed);
+  explain_losses(true);
+}
+
+void run_table::worker_answered() {
+  for (auto& [key, each] : runs_) {
+    each.crash_suspected = false;
+    each.suspect = each.suspect && each.worker_crashed;
+  }
+  explain_losses(false);
+}
+
+void run_table::explain_losses(bool worker_crashed) {
+  for (auto& [owner, end, durable, abandoned] : std::exchange(unexplained_losses_, {})) {
+    end.worker_crashed = worker_crashed;
+    end.suspect = end.suspect && worker_crashed;
+    if (worker_crashed && durable) {
+      hold_crash(end);
     }
-    candidate.may_have_crashed = true;
-    if (candidate.began <= crashed_at) {
+    if (!abandoned) {
+      loss_reports_.push_back({owner, end});
+    } else if (worker_crashed && durable) {
+      report_held_end(end);
+    }
+  }
+}
+
+void run_table::mark_active_runs(monotonic_time crashed_at, bool run::*mark) {
+  std::vector<run*> active;
+  for (auto& [key, candidate] : runs_) {
+    if (candidate.current_state != state::waiting && candidate.began <= crashed_at) {
       active.push_back(&candidate);
     }
   }
@@ -93,11 +125,13 @@
   const bool one_queue = std::all_of(active.begin(), active.end(), [&first](const run* each) {
     return each->order.queue == first.queue;
   });
-  if (one_queue) {
+  const bool reported = std::any_of(active.begin(), active.end(),
+                                    [](const run* each) { return each->crash_suspected; });
+  if (one_queue && !reported) {
     crashes_.push_back({first.queue, active.size() == 1 && first.isolated});
   }
   for (auto* each : active) {
-    each->worker_crashed = true;
+    each->*mark = true;
     each->suspect = !any_young || is_young(each);
   }
 }
@@ -218,6 +252,12 @@
   }
 }
 
+void run_table::return_waiting(monotonic_time now) {
+  while (!waiting_.empty()) {
+    finish(runs_.find(waiting_.front()), run_outcome::not_started, now);
+  }
+}
+
 void run_table::add(owner_id owner, start_order order, monotonic_time now) {
   const auto key = order.run.task;
   if (const auto* known = find(order.run); known != nullptr && known->owner == owner) {
@@ -501,7 +541,11 @@
   if (number != 0) {
     hold_end(number, end);
   }
-  const bool durable_crash = end.worker_crashed && target.order.epoch != 0;
+  const bool durable = target.order.epoch != 0;
+  if (cause == loss_cause::connection_refused && target.crash_suspected) {
+    unexplained_losses_.push_back({target.owner, end, durable, target.abandoned});
+  }
+  const bool durable_crash = end.worker_crashed && durable;
   if (durable_crash) {
     hold_crash(end);
   }
