--- a/include/parsleylead/fleet/worker_port.hpp
+++ b/include/parsleylead/fleet/worker_port.hpp
@@ -33,7 +33,7 @@
 struct run_lists {
   std::vector<active_run> active;
   std::vector<finished_run> finished;
-  /// `finished` contains all ends that are not confirmed.
+  /// `active` contains all active runs, and `finished` all ends that are not confirmed.
   bool complete = true;
   /// `worker_announcement::incarnation` of the worker that answered; 0 if it sent none.
   std::int64_t incarnation = 0;
--- a/include/parsleylead/runs/run_table.hpp
+++ b/include/parsleylead/runs/run_table.hpp
@@ -144,7 +144,7 @@
   void start_answered(const run_id& run, start_answer answer, monotonic_time now);
   /// `confirmed`: the worker is stopping this run or will never start it.
   void stop_answered(const run_id& run, bool confirmed, monotonic_time now);
-  /// Applies the worker's lists, requested at `requested`. `complete`: no end is missing.
+  /// Applies the worker's lists, requested at `requested`. `complete`: no run or end is missing.
   void observe(const std::vector<active_run>& active, const std::vector<finished_run>& finished,
                bool complete, monotonic_time requested, monotonic_time now);
 
