Start tasks beside a run that a late list showed in an earlier attempt

Callers would have waited for a worker that had room: answers on different connections may overtake each other, and a late list may contain a run that has ended since. It counts as unknown to the agent then, and nothing starts beside such a run until a later list lacks its task. If the task ran on the same worker again, in a later attempt, no list lacked it until that attempt ended. Found by reading, while looking for lists that are applied out of order.

Cause: the runs of earlier agent processes were forgotten by task, not by run.

Only listed runs that are not this agent's keep the worker suspended now.

--- a/src/runs/run_table.cpp
+++ b/src/runs/run_table.cpp
@@ -419,14 +419,18 @@
                         const std::vector<finished_run>& finished, bool complete,
                         monotonic_time requested, monotonic_time now) {
   std::unordered_set<task_key, task_key_hash> listed;
+  const auto is_foreign = [this](const run_id& id) {
+    const auto* known = find(id);
+    return known == nullptr || known->current_state == state::waiting;
+  };
   std::erase_if(foreign_runs_, [&](const auto& item) {
     return requested > item.second &&
-           std::none_of(active.begin(), active.end(),
-                        [&](const auto& candidate) { return candidate.run.task == item.first; });
+           std::none_of(active.begin(), active.end(), [&](const auto& candidate) {
+             return candidate.run.task == item.first && is_foreign(candidate.run);
+           });
   });
   for (const auto& item : active) {
-    auto* known = find(item.run);
-    if (known == nullptr || known->current_state == state::waiting) {
+    if (is_foreign(item.run)) {
       // Not started by this agent.
       if (foreign_runs_.try_emplace(item.run.task, now).second ||
           now - foreign_runs_[item.run.task] > stop_retry_interval) {
@@ -436,6 +440,7 @@
       continue;
     }
     listed.insert(item.run.task);
+    auto* known = find(item.run);
     known->worker_crashed = false; // Started by the worker's next incarnation.
     known->may_have_crashed = false;
     known->suspect = false;
--- a/src/runs/run_table_test.cpp
+++ b/src/runs/run_table_test.cpp
@@ -138,6 +138,25 @@
   CHECK(started(table).size() == 1);
 }
 
+TEST_CASE("a late list does not suspend a worker that runs a later attempt of the same task") {
+  // Guards against a worker that stays idle: the ended run that a late list still contained counted
+  // as unknown to this agent for as long as the task ran again.
+  auto table = make_table();
+  table.add(entry, make_order(1), at_ms(0));
+  table.start_waiting(at_ms(0));
+  table.start_answered({{1, 0, 0}, 1}, start_answer::started, at_ms(1));
+  table.observe({}, {{{{1, 0, 0}, 1}, run_outcome::failed, 1}}, true, at_ms(5), at_ms(6));
+  table.add(entry, make_order(1, 4'000, 2), at_ms(7));
+  table.start_waiting(at_ms(7));
+  table.start_answered({{1, 0, 0}, 2}, start_answer::started, at_ms(8));
+  table.observe({{{{1, 0, 0}, 1}, 50}}, {}, true, at_ms(4), at_ms(9));
+  table.observe({{{{1, 0, 0}, 2}, 10}}, {}, true, at_ms(10), at_ms(11));
+  table.take_calls();
+  table.add(entry, make_order(2), at_ms(12));
+  table.start_waiting(at_ms(12));
+  CHECK(started(table) == std::vector<run_id>{{{2, 0, 0}, 1}});
+}
+
 TEST_CASE("a task that is already present is not started again") {
   // Guards against overlapping runs when a caller submits its job to two entries.
   auto table = make_table();
