Do not extend the leases of runs that an earlier agent process started

Cause: a lease is for all runs of a worker, and only the owners of the agent's own runs bounded it. Runs of the earlier process have no owner.

The lease is not extended now while the worker lists such runs. No run is started meanwhile in any case, and a worker that takes the stop is free after about 0.1 s. Lists are requested every 10 ms until then, as for held ends.

The test lets the stops get lost. Before, the lease was extended beside them:

fleet_link_test.cpp:313: CHECK( (fleet.worker.latest_lease_end - lease_end) / milliseconds(1) == 0 ) is NOT correct! values: CHECK( 182 == 0 )

--- a/include/parsleylead/runs/run_table.hpp
+++ b/include/parsleylead/runs/run_table.hpp
@@ -164,6 +164,8 @@
   /// Returns the runs that take much longer than estimated, with their owners.
   std::vector<std::pair<owner_id, slow_run>> slow_runs(monotonic_time now) const;
   std::uint32_t owner_cpu_millis(owner_id owner) const;
+  /// Returns whether the worker runs tasks that an earlier agent process on this host started.
+  bool has_foreign_runs() const { return !foreign_runs_.empty(); }
   /// Returns whether runs of the owner have or may have been started and have not ended.
   bool has_started_runs(owner_id owner) const;
   const resource_needs& committed() const { return committed_; }
--- a/src/fleet/fleet_agent.cpp
+++ b/src/fleet/fleet_agent.cpp
@@ -445,7 +445,8 @@
   // which all runs have certainly ended does not move.
   expire_lease_if_superseded(now);
   std::optional<monotonic_time> lease_end;
-  if (!last_list_failed_ && !awaiting_lease_expiry_) {
+  // Entries repeat the runs of an earlier process on this host, whose stops may get lost.
+  if (!last_list_failed_ && !awaiting_lease_expiry_ && !table_.has_foreign_runs()) {
     lease_end = next_lease_end(now);
     lease_end_ = std::max(lease_end_, *lease_end);
   }
@@ -463,7 +464,8 @@
                       return;
                     }
                     apply_lists(*lists, now);
-                    if (table_.has_held_ends() || awaiting_lease_expiry_) {
+                    if (table_.has_held_ends() || awaiting_lease_expiry_ ||
+                        table_.has_foreign_runs()) {
                       schedule_list(settings_.held_list_interval);
                     } else {
                       list_runs();
--- a/src/fleet/fleet_link_test.cpp
+++ b/src/fleet/fleet_link_test.cpp
@@ -71,7 +71,8 @@
   }
 
   void stop(const run_id& run, std::function<void(bool)> done) override {
-    if (refusing) {
+    if (refusing || losing_stops) {
+      ++lost_stops;
       post([done = std::move(done)] { done(false); });
       return;
     }
@@ -131,6 +132,8 @@
   int lost_lists = 0;
   bool refusing = false;
   int refused_lists = 0;
+  bool losing_stops = false;
+  int lost_stops = 0;
   std::string id = "w-1";
   std::int64_t incarnation = 1;
   monotonic_time latest_lease_end{};
@@ -289,6 +292,29 @@
   CHECK(fleet.run_until([&] { return fleet.worker.latest_lease_end > latest_allowed; }));
 }
 
+TEST_CASE("an agent does not extend the lease of runs that an earlier process has started") {
+  // Guards against two runs of a task at a time: entries repeat the runs of the earlier process
+  // 1.6 s after its last frame, so that nothing may keep them alive while their stops get lost.
+  small_fleet fleet;
+  fleet.worker.run_time = std::chrono::minutes(1);
+  fleet.entry->submit(make_job(1, 1), [](const job_result&) {});
+  REQUIRE(fleet.run_until([&] { return fleet.worker.starts == 1; }));
+  fleet.agent.reset();
+  fleet.worker.losing_stops = true;
+  fleet_agent_settings settings;
+  settings.name = "agent";
+  settings.incarnation = 6;
+  fleet.agent.emplace(fleet.io, settings, fleet.worker, fleet.log, fleet.metrics);
+  fleet.agent->start();
+  CHECK(fleet.announce(announcement()).ok());
+  REQUIRE(fleet.run_until([&] { return fleet.worker.lost_stops > 0; }));
+  const auto lease_end = fleet.worker.latest_lease_end;
+  REQUIRE(fleet.run_until([&] { return fleet.worker.lost_stops > 3; }));
+  CHECK((fleet.worker.latest_lease_end - lease_end) / milliseconds(1) == 0);
+  fleet.worker.losing_stops = false;
+  CHECK(fleet.run_until([&] { return fleet.worker.latest_lease_end > lease_end; }));
+}
+
 TEST_CASE("agents reconnect to an entry that restarts at its address") {
   small_fleet fleet;
   fleet.entry.reset();
