Wait for the longest lease after a restart of the worker

Callers would have had a task run twice at the same time (rule TWICE): a worker that restarts under its id may take a start before the agent has noticed. Its clock starts anew, so that the end of the lease, a time of the previous clock, lies far ahead, and the worker shortens it to its longest lease of 1 s. The agent reckoned with the 0.5 s that it had asked for: if the worker refused connections then, its runs were reported as lost while it went on with them.

Cause: leases are asked for that are shorter than the longest one since. Announcements of another incarnation let the longest one pass; lists that name another incarnation did not.

The first list of another incarnation counts like its announcement now. A start whose worker never answers a list afterwards is not covered: nothing shows the agent then that the worker has restarted.

Before, the run was given up after 0.6 s:

fleet_link_test.cpp:663: CHECK( (lease_now() - before) / milliseconds(1) >= fleet_agent_settings{}.worker_lease.count() ) is NOT correct! values: CHECK( 628 >= 1000 )

--- a/src/fleet/fleet_agent.cpp
+++ b/src/fleet/fleet_agent.cpp
@@ -547,6 +547,9 @@
       table_.worker_crashed(last_list_failed_ ? failing_since_ : lease_now());
     }
     worker_incarnation_ = incarnation;
+    // It may have taken a start whose lease ends at a time of its predecessor's clock. The worker
+    // shortens that to its longest lease.
+    lease_end_ = std::max(lease_end_, lease_now() + settings_.worker_lease);
     table_.end_numbers_reset();
   }
 }
--- a/src/fleet/fleet_link_test.cpp
+++ b/src/fleet/fleet_link_test.cpp
@@ -641,6 +641,27 @@
                                   cause) != std::string::npos);
 }
 
+TEST_CASE("a start that a restarted worker takes may last the longest lease") {
+  // Guards against two runs of a task at a time: the start carries a time of the previous
+  // incarnation's clock, which the new one shortens to the longest lease only, and the agent took
+  // the run for ended after the lease that it had asked for.
+  small_fleet fleet;
+  fleet.worker.run_time = std::chrono::minutes(1);
+  // The lease that the first announcement may have brought about ends meanwhile.
+  fleet.run_until([] { return false; }, milliseconds(1'000));
+  fleet.worker.crash();
+  const auto before = lease_now();
+  fleet.entry->submit(make_job(1, 1), [](const job_result&) {});
+  REQUIRE(fleet.run_until([&] {
+    return fleet.worker.starts == 1 &&
+           fleet.log.buffered().find("event=worker_life life=2") != std::string::npos;
+  }));
+  fleet.worker.refusing = true;
+  REQUIRE(fleet.run_until(
+      [&] { return fleet.log.buffered().find("event=run_given_up") != std::string::npos; }));
+  CHECK((lease_now() - before) / milliseconds(1) >= fleet_agent_settings{}.worker_lease.count());
+}
+
 TEST_CASE("an agent closes sessions that it does not need, and no job is lost by it") {
   // Guards against entries whose sessions grow with the site: all 240 agents of a site stayed
   // linked to its seeds and to each entry that had stood in for another one.
