Report the later word on a lost run to whoever owns it by then

A crash that became known after the partition of a durable job had a new owner was reported to the previous one only, and the losses at a worker that was replaced after it had said that it leaves were never explained, so that their tasks waited.

--- a/src/runs/run_table.cpp
+++ b/src/runs/run_table.cpp
@@ -59,7 +59,7 @@
 
 void run_table::worker_replaced(const resource_needs& capacity, monotonic_time now) {
   lose_all(loss_cause::worker_replaced, now);
-  unexplained_losses_.clear();
+  explain_losses(false);
   foreign_runs_.clear();
   capacity_ = capacity;
   pace_ = {};
@@ -96,13 +96,14 @@
   for (auto& [owner, end, durable, abandoned] : std::exchange(unexplained_losses_, {})) {
     end.worker_crashed = worker_crashed;
     end.suspect = end.suspect && worker_crashed;
-    if (worker_crashed && durable) {
-      hold_crash(end);
-    }
     if (!abandoned) {
       loss_reports_.push_back({owner, end});
-    } else if (worker_crashed && durable) {
-      report_held_end(end);
+    }
+    if (worker_crashed && durable) {
+      hold_crash(end);
+      if (abandoned || claimant_of(end) != owner) {
+        report_held_end(end);
+      }
     }
   }
 }
--- a/src/runs/run_table_test.cpp
+++ b/src/runs/run_table_test.cpp
@@ -731,6 +731,41 @@
   CHECK(table.take_ends().size() == (crashed ? 1 : 0));
 }
 
+TEST_CASE("a crash that is known after a succession is reported to the new owner") {
+  // Guards against a crash that nobody counts until the next session or claim.
+  run_table table(1);
+  table.worker_replaced({8'000, 1'024, 0}, at_ms(0));
+  table.set_accepting(true);
+  table.partition_claimed(entry, {0, 3}, at_ms(0));
+  auto durable = make_order(1);
+  durable.epoch = 3;
+  table.add(entry, durable, at_ms(0));
+  table.start_waiting(at_ms(0));
+  table.suspect_crash(at_ms(10));
+  table.worker_lost(at_ms(580), loss_cause::connection_refused);
+  table.take_ends();
+  table.partition_claimed(other_entry, {0, 4}, at_ms(1'500));
+  CHECK(table.take_ends().empty());
+  table.worker_crashed(at_ms(10));
+  const auto ends = table.take_ends();
+  REQUIRE(ends.size() == 1);
+  CHECK(ends[0].owner == other_entry);
+  CHECK(ends[0].end.worker_crashed);
+}
+
+TEST_CASE("the replacement of a worker that has left explains its losses") {
+  // Guards against tasks that wait for a report that never comes.
+  auto table = make_table();
+  table.add(entry, make_order(1), at_ms(0));
+  table.start_waiting(at_ms(0));
+  table.suspect_crash(at_ms(10));
+  table.worker_lost(at_ms(580), loss_cause::connection_refused);
+  table.worker_replaced({8'000, 1'024, 0}, at_ms(3'000));
+  const auto reports = table.take_loss_reports();
+  REQUIRE(reports.size() == 1);
+  CHECK_FALSE(reports[0].end.worker_crashed);
+}
+
 TEST_CASE("waiting orders are returned unstarted when their worker cannot start them") {
   // Guards against orders that wait out the refusals of one worker while others are idle.
   auto table = make_table();
