Fail a task only if its last crash was that of an isolated run, as before

Only reports that come after the loss may arrive in another order, so an isolated crash that is known already counts for these.

--- a/include/parsleylead/fleet/fleet_scheduler.hpp
+++ b/include/parsleylead/fleet/fleet_scheduler.hpp
@@ -46,8 +46,8 @@
   std::chrono::milliseconds first_report_wait{5'000};
   /// Maximum number of waiting tasks at one entry.
   std::size_t max_backlog = 20'000;
-  /// Number of workers that may crash under a task before its job fails, if one of them ran nothing
-  /// else, so that the task is the cause.
+  /// Number of workers that may crash under a task before its job fails, if the last one ran
+  /// nothing else, so that the task is the cause.
   std::uint32_t max_crashes = 2;
   /// The same for durable jobs, whose callers rely on their completion.
   std::uint32_t max_durable_crashes = 3;
--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -905,7 +905,7 @@
   ++open_job.result.crashed_runs;
   ++crashed.crashes;
   crashed.crashed_alone = crashed.crashed_alone || isolated;
-  if ((crashed.crashed_alone && crashed.crashes >= max_crashes(open_job)) ||
+  if ((isolated && crashed.crashes >= max_crashes(open_job)) ||
       crashed.crashes >= policy_.max_crashes_beside_others) {
     return true;
   }
@@ -952,7 +952,9 @@
   if (!loss || lost.current_state == task::state::done) {
     return;
   }
-  if (end.worker_crashed && record_crash(open_job, lost, end.suspect, loss->isolated)) {
+  // Reports may come in any order: an isolated run that crashed its worker may be known already.
+  const bool isolated = loss->isolated || lost.crashed_alone;
+  if (end.worker_crashed && record_crash(open_job, lost, end.suspect, isolated)) {
     finish(open_job, job_verdict::failed, job_cause::crashes_workers, now);
     return;
   }
@@ -993,7 +995,7 @@
     return;
   }
   const auto loss = crashed_task.take_unexplained_loss(crashed.attempt);
-  const bool isolated = loss && loss->isolated;
+  const bool isolated = loss && (loss->isolated || crashed_task.crashed_alone);
   if (record_crash(open_job, crashed_task, true, isolated)) {
     finish(open_job, job_verdict::failed, job_cause::crashes_workers, now);
     return;
--- a/src/fleet/fleet_scheduler_test.cpp
+++ b/src/fleet/fleet_scheduler_test.cpp
@@ -798,6 +798,40 @@
   CHECK(fleet.scheduler.take_starts().size() == 1);
 }
 
+TEST_CASE("a task is failed only if the last crash was that of an isolated run") {
+  // Guards against failing a stored job for crashes that other tasks may have caused.
+  fixture fleet(10);
+  auto job = make_job(1, 1);
+  job.ownership = job_ownership{1, 0, {}};
+  auto starts = fleet.submit(std::move(job));
+  std::int64_t now = 0;
+  const auto crash = [&] {
+    now += 100;
+    fleet.scheduler.run_ended(starts[0].worker, crash_of(starts[0], true), at_ms(now));
+    for (const auto& lost : fleet.scheduler.take_lost_runs()) {
+      fleet.scheduler.restart_task(lost.run, at_ms(now));
+    }
+    fleet.scheduler.tick(at_ms(now));
+    starts = fleet.scheduler.take_starts();
+  };
+  crash();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].order.isolated);
+  crash();
+  for (int returned = 0; returned < 2; ++returned) {
+    REQUIRE(starts.size() == 1);
+    now += 1'000;
+    fleet.scheduler.run_ended(starts[0].worker, returned_after(starts[0], milliseconds(1'000)),
+                              at_ms(now));
+    fleet.scheduler.tick(at_ms(now));
+    starts = fleet.scheduler.take_starts();
+  }
+  REQUIRE(starts.size() == 1);
+  CHECK_FALSE(starts[0].order.isolated);
+  crash();
+  CHECK(fleet.scheduler.take_results().empty());
+}
+
 TEST_CASE("a task whose lost workers never answer again is started again after a wait") {
   // Guards against a job that waits for ever for a report about a worker that is gone.
   fixture fleet(10);
