--- a/include/parsleylead/fleet/fleet_agent.hpp
+++ b/include/parsleylead/fleet/fleet_agent.hpp
@@ -113,6 +113,8 @@
   void list_runs();
   /// Requests the lists immediately, in addition to the pending long poll of `list_runs`.
   void request_extra_list();
+  /// Repeats a failed extra request after a pause, if its answer is still needed.
+  void repeat_extra_list();
   void apply_lists(const run_lists& lists, monotonic_time requested);
   /// Resets the known end numbers when the worker's incarnation changes: each incarnation numbers
   /// its ends from 1. Called for announcements and lists, as either may arrive first.
@@ -146,6 +148,7 @@
   event_log& log_;
   metrics_registry& metrics_;
   asio::steady_timer tick_timer_;
+  asio::steady_timer extra_list_timer_;
   /// Schedules one `flush` for the current turn of the event loop, so that frames are batched.
   post_once flush_soon_;
   member_dialer dialer_;
--- a/src/fleet/fleet_agent.cpp
+++ b/src/fleet/fleet_agent.cpp
@@ -65,7 +65,7 @@
 fleet_agent::fleet_agent(asio::io_context& io, fleet_agent_settings settings, worker_port& worker,
                          event_log& log, metrics_registry& metrics)
     : io_(io), settings_(std::move(settings)), port_(worker), log_(log), metrics_(metrics),
-      tick_timer_(io), flush_soon_(io, [this] { flush(); }),
+      tick_timer_(io), extra_list_timer_(io), flush_soon_(io, [this] { flush(); }),
       dialer_(settings_.timing, settings_.name, settings_.availability_zone, "",
               settings_.max_sessions),
       table_(settings_.partitions), candidates_(io, worker, log, [this](const auto& announcement) {
@@ -531,15 +531,25 @@
                       return;
                     }
                     extra_list_pending_ = false;
-                    if (lists.ok()) {
-                      apply_lists(*lists, now);
+                    if (!lists.ok()) {
+                      repeat_extra_list();
+                      return;
                     }
-                    if (extra_list_wanted_ || (!lists.ok() && !suspected_)) {
+                    apply_lists(*lists, now);
+                    if (extra_list_wanted_) {
                       request_extra_list();
                     }
                   });
 }
 
+void fleet_agent::repeat_extra_list() {
+  if (suspected_ && !extra_list_wanted_) {
+    return;
+  }
+  // A refused request fails at once.
+  call_after(extra_list_timer_, refused_list_retry, [this] { request_extra_list(); });
+}
+
 void fleet_agent::update_worker_incarnation(std::int64_t incarnation) {
   if (incarnation != 0 && incarnation != worker_incarnation_) {
     log_.write("worker_life", "life", incarnation, "previous", worker_incarnation_);
--- a/src/fleet/fleet_link_test.cpp
+++ b/src/fleet/fleet_link_test.cpp
@@ -86,7 +86,7 @@
 
   void list_runs(std::uint64_t, std::optional<monotonic_time> lease_end, milliseconds wait,
                  std::function<void(absl::StatusOr<run_lists>)> done) override {
-    if (refusing) {
+    if (refusing || (refusing_extra_lists && !lease_end)) {
       ++refused_lists;
       post([done = std::move(done)] { done(absl::UnavailableError("connection refused")); });
       return;
@@ -131,6 +131,8 @@
   int stops = 0;
   int lost_lists = 0;
   bool refusing = false;
+  /// Refuses the connections for requests that extend no lease.
+  bool refusing_extra_lists = false;
   int refused_lists = 0;
   bool losing_stops = false;
   int lost_stops = 0;
@@ -677,6 +679,20 @@
   CHECK(result->crashed_runs == 1);
 }
 
+TEST_CASE("refused extra lists are not repeated without a pause") {
+  // Guards against an agent that uses up its processor while its worker takes no new connections.
+  small_fleet fleet;
+  fleet.worker.run_time = std::chrono::minutes(1);
+  const auto caller = fleet.entry->submit(make_job(1, 1), [](const job_result&) {});
+  REQUIRE(fleet.run_until([&] { return fleet.worker.starts == 1; }));
+  fleet.run_until([] { return false; }, milliseconds(50));
+  fleet.worker.refusing_extra_lists = true;
+  fleet.entry->remove_caller(1, caller);
+  CHECK(fleet.run_until([&] { return fleet.worker.refused_lists > 0; }, milliseconds(300)));
+  fleet.run_until([] { return false; }, milliseconds(300));
+  CHECK(fleet.worker.refused_lists < 100);
+}
+
 TEST_CASE("a start that a restarted worker takes may last the longest lease") {
   // Guards against two runs of a task at a time: the start carries a time of the previous
   // incarnation's clock, which the new one shortens to the longest lease only, and the agent took
