Do not call an entry or agent that is gone when its timer was due

Found by review: fleet_link_test ended with a segmentation fault in one of some ten runs beside load. The handler of a timer that has expired is queued and is called even if the timer is destroyed before that, unlike the comment of call_after said. The handlers of the ticks check now whether their owner is there. The new test ended with the fault in 3 of 3 runs before, and passes.

--- a/src/fleet/fleet_agent.cpp
+++ b/src/fleet/fleet_agent.cpp
@@ -126,7 +126,12 @@
     last_traffic_report_ = now;
     traffic_.report(log_, metrics_, now);
   }
-  call_after(tick_timer_, settings_.timing.tick_interval, [this] { tick(); });
+  call_after(tick_timer_, settings_.timing.tick_interval,
+             [this, alive = std::weak_ptr<int>(alive_)] {
+               if (!alive.expired()) {
+                 tick();
+               }
+             });
 }
 
 void fleet_agent::check_sessions(monotonic_time now) {
@@ -547,7 +552,11 @@
     return;
   }
   // A refused request fails at once.
-  call_after(extra_list_timer_, refused_list_retry, [this] { request_extra_list(); });
+  call_after(extra_list_timer_, refused_list_retry, [this, alive = std::weak_ptr<int>(alive_)] {
+    if (!alive.expired()) {
+      request_extra_list();
+    }
+  });
 }
 
 void fleet_agent::update_worker_incarnation(std::int64_t incarnation) {
--- a/src/fleet/fleet_entry.cpp
+++ b/src/fleet/fleet_entry.cpp
@@ -187,7 +187,12 @@
     last_traffic_report_ = now;
     traffic_.report(log_, metrics_, now);
   }
-  call_after(tick_timer_, settings_.timing.tick_interval, [this] { tick(); });
+  call_after(tick_timer_, settings_.timing.tick_interval,
+             [this, alive = std::weak_ptr<int>(alive_)] {
+               if (!alive.expired()) {
+                 tick();
+               }
+             });
 }
 
 void fleet_entry::log_confined_queues() {
--- a/src/fleet/fleet_link_test.cpp
+++ b/src/fleet/fleet_link_test.cpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <thread>
 #include <vector>
 
 #include "parsleylead/fleet/fleet_agent.hpp"
@@ -317,6 +318,20 @@
   CHECK(fleet.run_until([&] { return fleet.worker.latest_lease_end > lease_end; }));
 }
 
+TEST_CASE("an entry and an agent may be destroyed while their timers are due") {
+  // Guards against a crash: the handler of a timer that has expired is called after its owner is
+  // gone.
+  small_fleet fleet;
+  asio::steady_timer first(fleet.io, milliseconds(0));
+  first.async_wait([&fleet](const asio::error_code&) {
+    fleet.entry.reset();
+    fleet.agent.reset();
+  });
+  // All timers expire before the loop calls the first handler.
+  std::this_thread::sleep_for(link_timing{}.tick_interval * 2);
+  fleet.run_until([] { return false; }, milliseconds(50));
+}
+
 TEST_CASE("agents reconnect to an entry that restarts at its address") {
   small_fleet fleet;
   fleet.entry.reset();
