Report no CPU as free while a superseded end is held

While an agent holds a superseded end, it starts nothing until its worker's leases have expired, but reported its CPU as free. Entries placed orders there, got them back after 20 ms (`max_wait`) and placed them there again.

The worker's whole capacity now counts as queued during that time, so that entries prefer other workers or keep the tasks.

--- a/include/parsleylead/fleet/run_types.hpp
+++ b/include/parsleylead/fleet/run_types.hpp
@@ -257,7 +257,7 @@
   bool has_description = true;
   /// Resources of the runs that are starting, running or stopping.
   resource_needs committed;
-  /// CPU demand of the orders that wait at the agent.
+  /// CPU that new orders wait for at the agent: see `run_table::queued_cpu_millis`.
   std::uint32_t queued_cpu_millis = 0;
   /// CPU demand of the receiver's own runs and waiting orders.
   std::uint32_t own_cpu_millis = 0;
--- a/include/parsleylead/runs/run_table.hpp
+++ b/include/parsleylead/runs/run_table.hpp
@@ -170,7 +170,9 @@
   bool has_started_runs(owner_id owner) const;
   const resource_needs& committed() const { return committed_; }
   const resource_needs& capacity() const { return capacity_; }
-  std::uint32_t queued_cpu_millis() const { return queued_cpu_millis_; }
+  /// CPU that new orders wait for: that of the waiting orders and, while superseded ends are held,
+  /// the worker's whole capacity, because nothing starts before its leases have expired.
+  std::uint32_t queued_cpu_millis() const;
   std::size_t running() const { return runs_.size() - waiting_.size(); }
   std::size_t waiting() const { return waiting_.size(); }
   const pace_estimate& pace() const { return pace_; }
--- a/src/fleet/fleet_agent.cpp
+++ b/src/fleet/fleet_agent.cpp
@@ -305,6 +305,7 @@
   for (const auto& ack : frame.end_acks) {
     if (ack.superseded) {
       log_.write("end_superseded", "run", format_run(ack.run));
+      status_dirty_ = true;
     }
     table_.acknowledge_end(ack);
   }
@@ -517,6 +518,8 @@
     table_.release_superseded();
     table_.set_suspended(suspected_);
     log_.write("superseded_ends_released", "worker", worker_->id);
+    status_dirty_ = true;
+    flush_soon_();
   } else if (!awaiting_lease_expiry_ && table_.running() == 0) {
     awaiting_lease_expiry_ = true;
     log_.write("lease_not_extended", "worker", worker_->id, "cause", "superseded ends");
--- a/src/runs/run_table.cpp
+++ b/src/runs/run_table.cpp
@@ -665,6 +665,10 @@
   });
 }
 
+std::uint32_t run_table::queued_cpu_millis() const {
+  return queued_cpu_millis_ + (has_superseded_end() ? capacity_.cpu_millis : 0);
+}
+
 std::uint32_t run_table::owner_cpu_millis(owner_id owner) const {
   std::uint32_t sum = 0;
   for (const auto& [key, candidate] : runs_) {
--- a/src/runs/run_table_test.cpp
+++ b/src/runs/run_table_test.cpp
@@ -500,6 +500,21 @@
   CHECK(table.confirmable_end() == 1);
 }
 
+TEST_CASE("no CPU is reported as free while a superseded end is held") {
+  // Guards against orders that are placed at the agent again every 20 ms, though it starts none
+  // before the worker's leases have expired.
+  auto table = make_table();
+  start_durable_task(table, 1, 5);
+  table.observe({}, {{{{1, 0, 0}, 1}, run_outcome::done, 1}}, true, at_ms(50), at_ms(60));
+  CHECK(table.queued_cpu_millis() == 0);
+  table.acknowledge_end({{{1, 0, 0}, 1}, true});
+  CHECK(table.queued_cpu_millis() == 8'000);
+  table.add(entry, make_order(2, 2'000), at_ms(70));
+  CHECK(table.queued_cpu_millis() == 10'000);
+  table.release_superseded();
+  CHECK(table.queued_cpu_millis() == 2'000);
+}
+
 TEST_CASE("a new incarnation of the worker numbers its ends from 1") {
   auto table = make_table();
   start_durable_task(table, 1, 5);
