Count a crash under a run that was lost to a silent worker

A crash was counted only if the worker refused connections or had not lost its runs yet; with the link silent as well, its runs were lost as those of a silent worker, and a later incarnation found nothing to count.

Such losses are kept, too, until the worker answers, and count as crashes if another incarnation does. They raise no suspicion before that. A worker that has said that it leaves counts for nothing, also under its old id.

--- a/include/parsleylead/fleet/fleet_scheduler.hpp
+++ b/include/parsleylead/fleet/fleet_scheduler.hpp
@@ -207,7 +207,7 @@
   void update_quarantine(monotonic_time now);
   /// Adds a crash under a run that was `isolated`. Returns whether the job has to fail.
   bool record_crash(job& open_job, task& crashed, bool suspect, bool isolated);
-  /// Adds a run that was lost at a worker which refused connections and may have crashed.
+  /// Adds a run that was lost at a worker which did not answer and may have crashed.
   void record_unexplained_loss(job& open_job, task& lost, const run_end& end, monotonic_time now);
   /// Handles the later report on a run that was lost at such a worker.
   void explain_loss(const run_end& end, monotonic_time now);
--- a/include/parsleylead/runs/run_table.hpp
+++ b/include/parsleylead/runs/run_table.hpp
@@ -89,17 +89,17 @@
   void worker_replaced(const resource_needs& capacity, monotonic_time now);
   void set_capacity(const resource_needs& capacity) { capacity_ = capacity; }
   /// The worker cannot be reached, and all of its leases have expired: its runs have ended.
+  /// `worker_crashed` or `worker_answered` report later whether it had crashed.
   void worker_lost(monotonic_time now, loss_cause cause = loss_cause::worker_silent);
   /// The worker has refused connections since about `refused_since` and may have crashed then.
-  /// Marks the runs that were active at that time. If these are lost before the worker answers
-  /// again, `worker_crashed` or `worker_answered` report later whether it had crashed.
+  /// Marks the runs that were active at that time.
   void suspect_crash(monotonic_time refused_since);
   /// The worker crashed at about `crashed_at`, as another incarnation or worker has answered since.
   /// Marks the runs that were active then, unless a later list shows that they are active after
-  /// all. Does not end them. Those lost since the worker refused connections are reported again.
+  /// all. Does not end them. Those lost since the worker stopped answering are reported again.
   void worker_crashed(monotonic_time crashed_at);
   /// The worker answers in the same incarnation as before, so that the runs lost meanwhile were not
-  /// lost in a crash. They are reported again, without a suspicion.
+  /// lost in a crash. The suspects are reported again, without the suspicion.
   void worker_answered();
   /// Returns the waiting orders unstarted, because the worker cannot start them.
   void return_waiting(monotonic_time now);
@@ -153,8 +153,8 @@
 
   std::vector<worker_call> take_calls() { return std::exchange(calls_, {}); }
   std::vector<owned_end> take_ends() { return std::exchange(ends_, {}); }
-  /// Returns the later reports on runs whose worker refused connections: the same ends, now with
-  /// whether the worker had crashed.
+  /// Returns the later reports on runs whose worker did not answer: the same ends, now with whether
+  /// the worker had crashed.
   std::vector<owned_end> take_loss_reports() { return std::exchange(loss_reports_, {}); }
   /// Returns the crashes since the last call during which only tasks of one queue were active.
   std::vector<crash_report> take_crashes() { return std::exchange(crashes_, {}); }
@@ -215,7 +215,7 @@
     run_end end;
     bool superseded = false;
   };
-  /// The end of a run whose worker refused connections until its leases had expired.
+  /// The end of a run whose worker did not answer until its leases had expired.
   struct unexplained_loss {
     owner_id owner = 0;
     run_end end;
--- a/src/fleet/fleet_agent.cpp
+++ b/src/fleet/fleet_agent.cpp
@@ -376,7 +376,6 @@
   const bool other_worker = !worker_ || worker_->id != announcement.id;
   // A worker that leaves says so first.
   const bool replaces_lost_worker = worker_ && !worker_->draining && !departed_at_;
-  departed_at_.reset();
   if (other_worker) {
     if (replaces_lost_worker) {
       table_.worker_crashed(last_list_failed_ ? failing_since_ : now);
@@ -385,6 +384,7 @@
   }
   worker_ = announcement;
   update_worker_incarnation(announcement.incarnation);
+  departed_at_.reset();
   // A restarted worker with the same id may already execute orders that were sent since its
   // restart. Its next list shows which runs are lost.
   port_.attach(announcement);
@@ -565,7 +565,7 @@
 void fleet_agent::update_worker_incarnation(std::int64_t incarnation) {
   if (incarnation != 0 && incarnation != worker_incarnation_) {
     log_.write("worker_life", "life", incarnation, "previous", worker_incarnation_);
-    if (worker_incarnation_ != 0 && worker_ && !worker_->draining) {
+    if (worker_incarnation_ != 0 && worker_ && !worker_->draining && !departed_at_) {
       table_.worker_crashed(last_list_failed_ ? failing_since_ : lease_now());
     }
     worker_incarnation_ = incarnation;
--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -82,6 +82,8 @@
     std::uint32_t attempt = 0;
     /// The run had been ordered to run isolated.
     bool isolated = false;
+    /// The worker refused connections.
+    bool crash_suspected = false;
   };
   /// `lost`: the run of a durable task was lost, and that is not stored yet.
   enum class state : std::uint8_t { blocked, ready, placed, lost, done };
@@ -93,7 +95,7 @@
   std::uint32_t crashes = 0;
   /// One of them ran nothing else.
   bool crashed_alone = false;
-  /// Runs lost at workers that refused connections and may have crashed.
+  /// Runs lost at workers that did not answer and may have crashed.
   std::vector<unexplained_loss> unexplained_losses;
   /// The task is not placed before this time.
   monotonic_time withheld_until{};
@@ -120,9 +122,11 @@
     return taken;
   }
 
-  /// Number of workers that crashed under the task or may have.
+  /// Number of workers that crashed under the task or are suspected of that.
   std::uint32_t possible_crashes() const {
-    return crashes + static_cast<std::uint32_t>(unexplained_losses.size());
+    return crashes + static_cast<std::uint32_t>(std::count_if(
+                         unexplained_losses.begin(), unexplained_losses.end(),
+                         [](const unexplained_loss& each) { return each.crash_suspected; }));
   }
 
   bool is_to_be_isolated() const {
@@ -875,7 +879,8 @@
         finish(open_job, job_verdict::failed, job_cause::crashes_workers, now);
         return true;
       }
-    } else if (end.cause == loss_cause::connection_refused) {
+    } else if (end.cause == loss_cause::connection_refused ||
+               end.cause == loss_cause::worker_silent) {
       record_unexplained_loss(open_job, *ended_task, end, now);
     }
     if ((end.worker_crashed || end.cause == loss_cause::connection_refused) &&
@@ -917,7 +922,11 @@
 
 void fleet_scheduler::record_unexplained_loss(job& open_job, task& lost, const run_end& end,
                                               monotonic_time now) {
-  lost.unexplained_losses.push_back({end.run.attempt, lost.isolated});
+  const bool crash_suspected = end.cause == loss_cause::connection_refused;
+  lost.unexplained_losses.push_back({end.run.attempt, lost.isolated, crash_suspected});
+  if (!crash_suspected) {
+    return;
+  }
   // To run alone costs a sound task little; to be given up is decided by crashes only.
   lost.needs_isolation =
       lost.needs_isolation || end.suspect || lost.possible_crashes() >= isolating_crashes;
--- a/src/fleet/fleet_scheduler_test.cpp
+++ b/src/fleet/fleet_scheduler_test.cpp
@@ -773,6 +773,27 @@
   }
 }
 
+TEST_CASE("a crash that is reported after the loss of a run at a silent worker counts") {
+  // Guards against deadly tasks whose crashes are not counted because nothing was suspected.
+  fixture fleet(5);
+  auto starts = fleet.submit(make_job(1, 1));
+  REQUIRE(starts.size() == 1);
+  auto end = refused_loss_of(starts[0]);
+  end.suspect = false;
+  end.cause = loss_cause::worker_silent;
+  fleet.scheduler.run_ended(starts[0].worker, end, at_ms(600));
+  fleet.scheduler.tick(at_ms(600));
+  const auto restarted = fleet.scheduler.take_starts();
+  REQUIRE(restarted.size() == 1);
+  CHECK_FALSE(restarted[0].order.isolated);
+  end.worker_crashed = true;
+  fleet.scheduler.run_ended(starts[0].worker, end, at_ms(3'000));
+  fleet.end(restarted[0], run_outcome::done, 3'100);
+  const auto results = fleet.scheduler.take_results();
+  REQUIRE(results.size() == 1);
+  CHECK(results[0].crashed_runs == 1);
+}
+
 TEST_CASE("a task of a stored job runs again within 3 s of the end of its last run") {
   // Guards against stored jobs that are idle although there is room (rule LOST).
   constexpr std::int64_t loss_detection_ms = 630;
--- a/src/runs/run_table.cpp
+++ b/src/runs/run_table.cpp
@@ -94,6 +94,9 @@
 
 void run_table::explain_losses(bool worker_crashed) {
   for (auto& [owner, end, durable, abandoned] : std::exchange(unexplained_losses_, {})) {
+    if (!worker_crashed && end.cause == loss_cause::worker_silent) {
+      continue; // Nothing was suspected.
+    }
     end.worker_crashed = worker_crashed;
     end.suspect = end.suspect && worker_crashed;
     if (!abandoned) {
@@ -548,7 +551,7 @@
     hold_end(number, end);
   }
   const bool durable = target.order.epoch != 0;
-  if (cause == loss_cause::connection_refused && target.crash_suspected) {
+  if (cause == loss_cause::connection_refused || cause == loss_cause::worker_silent) {
     unexplained_losses_.push_back({target.owner, end, durable, target.abandoned});
   }
   const bool durable_crash = end.worker_crashed && durable;
--- a/src/runs/run_table_test.cpp
+++ b/src/runs/run_table_test.cpp
@@ -746,6 +746,26 @@
   CHECK(table.take_ends().size() == (crashed ? 1 : 0));
 }
 
+TEST_CASE("a crash of a worker that was silent until its leases expired is reported later") {
+  // Guards against deadly tasks whose crashes are never counted because the link was cut, too.
+  auto table = make_table();
+  table.add(entry, make_order(1), at_ms(0));
+  table.start_waiting(at_ms(0));
+  table.worker_lost(at_ms(580));
+  table.take_ends();
+  SUBCASE("it had crashed") {
+    table.worker_crashed(at_ms(2'000));
+    const auto reports = table.take_loss_reports();
+    REQUIRE(reports.size() == 1);
+    CHECK(reports[0].end.worker_crashed);
+    CHECK_FALSE(reports[0].end.suspect);
+  }
+  SUBCASE("it had not") {
+    table.worker_answered();
+    CHECK(table.take_loss_reports().empty());
+  }
+}
+
 TEST_CASE("a crash that is known after a succession is reported to the new owner") {
   // Guards against a crash that nobody counts until the next session or claim.
   run_table table(1);
