--- a/standins/standin-relay/main.cpp
+++ b/standins/standin-relay/main.cpp
@@ -1,7 +1,8 @@
 // standin-relay: a TCP relay that injects faults for tests.
 //   standin-relay --listen ip:port --target ip:port
-// POST /control with {"action": "silence_open"|"silence_all"|"cut_open"|"refuse_all"|"heal"} and
-// {"delay_ms": n} and {"target": "ip:port"} (for new connections); GET /control/stats.
+// POST /control with {"action": "silence_open"|"silence_all"|"cut_open"|"reset_open"|
+// "refuse_all"|"refuse_connections"|"heal"} and {"delay_ms": n} and {"target": "ip:port"} (for new
+// connections); GET /control/stats.
 
 #include <gflags/gflags.h>
 #include <httplib.h>
@@ -41,7 +42,9 @@
       {"silence_open", &relay::silence_open},
       {"silence_all", &relay::silence_all},
       {"cut_open", &relay::cut_open},
+      {"reset_open", &relay::reset_open},
       {"refuse_all", &relay::refuse_all},
+      {"refuse_connections", &relay::refuse_connections},
       {"heal", &relay::heal},
   };
   if (command.contains("delay_ms")) {
--- a/standins/standin-relay/relay.cpp
+++ b/standins/standin-relay/relay.cpp
@@ -5,6 +5,7 @@
 #include <asio/buffer.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
+#include <utility>
 
 namespace parsleylead::standin {
 
@@ -57,8 +58,19 @@
     open_ = false;
   }
 
+  /// Closes both sides with a reset.
+  void reset() {
+    asio::error_code ignored;
+    for (auto* const side : {&client_, &target_}) {
+      side->set_option(tcp::socket::linger(true, 0), ignored);
+    }
+    close();
+  }
+
   bool is_open() const { return open_; }
 
+  bool is_abandoned() const { return abandoned_; }
+
 private:
   struct byte_stream {
     explicit byte_stream(asio::io_context& io) : timer(io) {}
@@ -88,6 +100,8 @@
       owner_.stats_.bytes_swallowed += count;
       if (!error) {
         read_next(from, to, stream);
+      } else {
+        abandoned_ = true;
       }
       return;
     }
@@ -126,16 +140,37 @@
   byte_stream to_client_{owner_.io_};
   bool silent_ = false;
   bool open_ = true;
+  /// One side has closed the connection while it was silenced.
+  bool abandoned_ = false;
 };
 
-relay::relay(asio::io_context& io, const endpoint& listen, endpoint target)
-    : io_(io), acceptor_(io, to_asio(listen)), target_(std::move(target)) {
+relay::relay(asio::io_context& io, const endpoint& listen_address, endpoint target)
+    : io_(io), acceptor_(io), address_(to_asio(listen_address)), target_(std::move(target)) {
+  bind();
+  address_ = acceptor_.local_endpoint();
+  listen();
+}
+
+void relay::bind() {
+  acceptor_.open(address_.protocol());
+  acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  acceptor_.bind(address_);
+}
+
+void relay::listen() {
+  acceptor_.listen();
+  ++listen_count_;
   accept_next();
 }
 
+void relay::stop_listening() {
+  acceptor_.close();
+  // A bound socket that does not listen keeps the port; the system refuses its connections.
+  bind();
+}
+
 endpoint relay::local_endpoint() const {
-  const auto local = acceptor_.local_endpoint();
-  return {local.address().to_string(), local.port()};
+  return {address_.address().to_string(), address_.port()};
 }
 
 void relay::silence_open() {
@@ -145,12 +180,12 @@
 }
 
 void relay::silence_all() {
-  silence_new_ = true;
+  faults_.silent = true;
   silence_open();
 }
 
 void relay::silence_one_way(relay_direction lost) {
-  lost_direction_ = lost;
+  faults_.lost_direction = lost;
   for (const auto& connection : open_connections()) {
     connection->silence(lost);
   }
@@ -162,15 +197,38 @@
   }
 }
 
+void relay::reset_open() {
+  for (const auto& connection : open_connections()) {
+    connection->reset();
+  }
+}
+
 void relay::refuse_all() {
-  refuse_new_ = true;
+  faults_.close_accepted = true;
   cut_open();
 }
 
-void relay::heal() {
-  silence_new_ = false;
-  lost_direction_.reset();
-  refuse_new_ = false;
+void relay::refuse_connections() {
+  auto faults = faults_;
+  faults.refuse = true;
+  set_faults(faults);
+}
+
+void relay::close_abandoned() {
+  for (const auto& connection : open_connections()) {
+    if (connection->is_abandoned()) {
+      connection->close();
+    }
+  }
+}
+
+void relay::set_faults(const relay_faults& faults) {
+  const bool refused = std::exchange(faults_, faults).refuse;
+  if (faults.refuse && !refused) {
+    stop_listening();
+  } else if (!faults.refuse && refused) {
+    listen();
+  }
 }
 
 relay_stats relay::stats() const {
@@ -184,25 +242,30 @@
 }
 
 void relay::accept_next() {
-  acceptor_.async_accept([this](const asio::error_code& error, tcp::socket socket) {
-    if (!error) {
-      start(std::move(socket));
-    }
-    accept_next();
-  });
+  acceptor_.async_accept(
+      [this, count = listen_count_](const asio::error_code& error, tcp::socket socket) {
+        // The relay has stopped listening since.
+        if (error == asio::error::operation_aborted || count != listen_count_ || faults_.refuse) {
+          return;
+        }
+        if (!error) {
+          start(std::move(socket));
+        }
+        accept_next();
+      });
 }
 
 void relay::start(tcp::socket client) {
   ++stats_.accepted;
-  if (refuse_new_) {
+  if (faults_.close_accepted) {
     return;
   }
   auto connection = std::make_shared<relay_connection>(*this, std::move(client));
-  if (silence_new_) {
+  if (faults_.silent) {
     connection->silence();
   }
-  if (lost_direction_) {
-    connection->silence(*lost_direction_);
+  if (faults_.lost_direction) {
+    connection->silence(*faults_.lost_direction);
   }
   connection->start();
   std::erase_if(connections_, [](const auto& weak) { return weak.expired(); });
