Inject faults of the links between agents and workers into the soak

- Each worker has a relay before it; the agent's settings name its address.
While a worker is down after a crash its relay refuses connections too.
They have a random generator of their own, so the other faults of a seed stay the same.
- While faults are injected, 3 jobs a second have runs of 0.5 to 1.5 s.
- Times at which the soak's own process, which runs the workers, stands still for over 100 ms are logged and counted.

--- a/standins/standin-platform/worker_service.cpp
+++ b/standins/standin-platform/worker_service.cpp
@@ -41,8 +41,8 @@
 
 worker_service::worker_service(asio::io_context& io, std::string id, const endpoint& address,
                                const endpoint& agent, std::uint64_t seed, worker_observer& observer)
-    : io_(io), id_(std::move(id)), address_(address), observer_(observer), random_(seed),
-      agent_(io, agent, 1), tick_timer_(io), base_id_(id_),
+    : io_(io), id_(std::move(id)), address_(address), announced_address_(address),
+      observer_(observer), random_(seed), agent_(io, agent, 1), tick_timer_(io), base_id_(id_),
       start_time_ms_(wall_now().time_since_epoch().count()), clock_start_(steady_clock::now()),
       last_tick_(clock_start_) {
   tick();
@@ -109,6 +109,7 @@
 void worker_service::begin_downtime(milliseconds downtime) {
   unanswered_.clear();
   server_.reset();
+  listening_changed_(false);
   down_until_ = steady_clock::now() + downtime;
 }
 
@@ -295,7 +296,7 @@
 
 void worker_service::announce() {
   const json body{{"service", "desk"},
-                  {"address", to_string(address_)},
+                  {"address", to_string(announced_address_)},
                   {"zone", "z"},
                   {"version", "v1"},
                   {"slots", 8},
@@ -361,6 +362,7 @@
     if (const auto status = listen(); !status.ok()) {
       throw std::runtime_error(std::string(status.message()));
     }
+    listening_changed_(true);
     next_announcement_ = now;
   }
   if (down_until_ || crash_if_due()) {
--- a/standins/standin-platform/worker_service.hpp
+++ b/standins/standin-platform/worker_service.hpp
@@ -58,6 +58,14 @@
                  const endpoint& agent, std::uint64_t seed, worker_observer& observer);
 
   absl::Status listen();
+  /// Sets the address that announcements show, for a worker behind a relay. Without it, they show
+  /// the address that the worker listens at.
+  void set_announced_address(const endpoint& address) { announced_address_ = address; }
+  /// `changed` is called with false when the worker stops listening for a downtime, and with true
+  /// when it listens again.
+  void set_listening_handler(std::function<void(bool)> changed) {
+    listening_changed_ = std::move(changed);
+  }
   void set_faults(const worker_faults& faults) { faults_ = faults; }
   void set_draining(bool draining) { draining_ = draining; }
   /// Ends all runs and restarts the worker as a new incarnation. With a downtime, the worker closes
@@ -128,6 +136,8 @@
   asio::io_context& io_;
   std::string id_;
   endpoint address_;
+  endpoint announced_address_;
+  std::function<void(bool)> listening_changed_ = [](bool /*listening*/) {};
   worker_observer& observer_;
   std::mt19937_64 random_;
   /// Null while the worker is down after a crash.
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -46,18 +46,19 @@
     const auto report = soak_site(options).run();
     const bool good = report.violations.empty();
     (good ? passed : failed) += 1;
-    std::printf("seed %llu: %s, %zu faults, %zu jobs: %zu completed, %zu failed, %zu refused, "
+    std::printf("seed %llu: %s, %zu faults, %zu faults of worker links, %zu jobs "
+                "(%zu long): %zu completed, %zu failed, %zu refused, "
                 "%zu unanswered, %zu stored; %zu starts\n",
                 static_cast<unsigned long long>(seed), good ? "passed" : "FAILED", report.faults,
-                report.jobs, report.completed, report.failed, report.refused, report.unanswered,
-                report.stored, report.starts);
+                report.link_faults, report.jobs, report.long_jobs, report.completed, report.failed,
+                report.refused, report.unanswered, report.stored, report.starts);
     std::printf(
         "  second route: %zu jobs, %zu of them deadly; %zu worker crashes by tasks, at most "
         "%d under one durable task; served %.2f before, %.2f beside deadly jobs; %zu foreign "
-        "announcements refused\n",
+        "announcements refused; %zu stalls of this process\n",
         report.second_route_jobs, report.deadly_jobs, report.worker_crashes,
         report.max_durable_crashes, report.served_before, report.served_beside_deadly,
-        report.refused_announcements);
+        report.refused_announcements, report.stalls);
     for (const auto& violation : report.violations) {
       std::printf("  violation: %s\n", violation.c_str());
     }
--- a/tests/soak/soak_site.cpp
+++ b/tests/soak/soak_site.cpp
@@ -27,7 +27,8 @@
 constexpr std::uint16_t callers_port = 17730;
 constexpr std::uint16_t readiness_port = 17731;
 constexpr std::uint16_t announcements_port = 17732;
-constexpr std::uint16_t worker_port = 17733;
+constexpr std::uint16_t worker_port = 17733; // Of the relay before the worker.
+constexpr std::uint16_t inner_worker_port = 17734;
 constexpr std::uint16_t store_port = 17740;
 constexpr const char* settings_variable = "PARSLEYLEAD_BOOT";
 
@@ -42,6 +43,9 @@
 constexpr milliseconds routes_timeout{2'000};
 constexpr milliseconds drain_limit{2'000};
 constexpr int connections_per_client = 64;
+// The workers run in this process. Leases of 500 ms expire when it stands still for about 300 ms,
+// so stalls are logged: they tell a fault of the system from a machine that is too busy.
+constexpr milliseconds logged_stall{100};
 
 // Planned work. Processes get SIGKILL at the end of the stop grace period, so they must have
 // exited.
@@ -81,6 +85,17 @@
 // Distinguishes the generator of the second route from that of the faults.
 constexpr std::uint64_t crash_seed_offset = 1'000'000;
 constexpr std::uint64_t foreign_seed_offset = 2'000'000;
+constexpr std::uint64_t link_seed_offset = 3'000'000;
+constexpr std::uint64_t long_seed_offset = 4'000'000;
+// Runs that are long enough for another run of the task to begin before they end. They come beside
+// the other jobs while faults are injected.
+constexpr double long_jobs_per_second = 3;
+constexpr int max_long_job_tasks = 2;
+constexpr std::uint64_t min_long_run_ms = 500;
+constexpr std::uint64_t long_run_range_ms = 1'001;
+// Time after which no timed fault is in force, 2.8 s and worker_links::longest_fault.
+constexpr milliseconds healing_time{3'500};
+static_assert(healing_time > worker_links::longest_fault);
 constexpr milliseconds foreign_announcement_interval{250};
 constexpr milliseconds shortest_downtime{500};
 constexpr milliseconds longest_downtime{2'000};
@@ -129,17 +144,25 @@
 
 soak_site::soak_site(soak_options options)
     : options_(std::move(options)), random_(options_.seed),
-      crash_random_(options_.seed + crash_seed_offset), load_timer_(io_), second_route_timer_(io_),
+      crash_random_(options_.seed + crash_seed_offset),
+      long_random_(options_.seed + long_seed_offset), load_timer_(io_), second_route_timer_(io_),
       foreign_writer_(io_, options_.seed + foreign_seed_offset, judge_), store_(io_),
+      worker_links_(io_, options_.seed + link_seed_offset,
+                    [this](const std::string& line) { log(line); }),
       started_at_(steady_clock::now()) {
   throw_if_error(store_.listen(store_address()));
   publish_routes();
   for (int i = 0; i < options_.agents; ++i) {
     workers_.push_back(std::make_unique<standin::worker_service>(
-        io_, "worker-" + std::to_string(i), endpoint{agent_ip(i), worker_port},
+        io_, "worker-" + std::to_string(i), endpoint{agent_ip(i), inner_worker_port},
         endpoint{agent_ip(i), announcements_port}, options_.seed * 100 + i, judge_));
     workers_.back()->set_downtime(shortest_downtime, longest_downtime);
+    workers_.back()->set_announced_address({agent_ip(i), worker_port});
     throw_if_error(workers_.back()->listen());
+    worker_links_.add(workers_.back()->id(), {agent_ip(i), worker_port},
+                      {agent_ip(i), inner_worker_port});
+    workers_.back()->set_listening_handler(
+        [this, i](bool listening) { worker_links_.set_listening(i, listening); });
     foreign_writer_.add_agent({agent_ip(i), announcements_port});
     add_process(i, false);
   }
@@ -243,8 +266,16 @@
 template <class Condition>
 bool soak_site::run_until(Condition done, milliseconds limit) {
   const auto end = steady_clock::now() + limit;
+  auto last = steady_clock::now();
   while (!done() && steady_clock::now() < end) {
     io_.run_one_for(milliseconds(5));
+    const auto now = steady_clock::now();
+    if (now - last > logged_stall) {
+      ++report_.stalls;
+      log("this process stood still for " +
+          std::to_string(std::chrono::round<milliseconds>(now - last).count()) + " ms");
+    }
+    last = now;
   }
   return done();
 }
@@ -460,6 +491,22 @@
              [this] { submit_next_job(); });
 }
 
+void soak_site::submit_next_long_job() {
+  if (!injecting_faults_) {
+    return;
+  }
+  const auto id = long_random_();
+  long_jobs_.insert(format_job(id));
+  ++report_.long_jobs;
+  submit(id,
+         static_cast<std::uint32_t>(
+             std::uniform_int_distribution<int>(1, max_long_job_tasks)(long_random_)),
+         0);
+  std::exponential_distribution<double> gap(long_jobs_per_second);
+  schedule(std::chrono::round<milliseconds>(std::chrono::duration<double>(gap(long_random_))),
+           [this] { submit_next_long_job(); });
+}
+
 void soak_site::call_entry(int entry, web_request request, milliseconds timeout,
                            web_client::callback done) {
   if (callers_) {
@@ -484,8 +531,10 @@
   const bool deadly = deadly_jobs_.contains(name);
   // The format that the worker stand-in reads. Derived from the id, so that a resubmitted job has
   // the same payload. The first task of a deadly job is the one that crashes its workers.
-  const std::string payload = std::to_string(20 + id % 300) + " " +
-                              std::to_string(1'000 + id % 3'000) + (deadly ? " deadly 0" : "");
+  const auto run_ms =
+      long_jobs_.contains(name) ? min_long_run_ms + id % long_run_range_ms : 20 + id % 300;
+  const std::string payload = std::to_string(run_ms) + " " + std::to_string(1'000 + id % 3'000) +
+                              (deadly ? " deadly 0" : "");
   if (attempt == 0) {
     ++(second_route ? report_.second_route_jobs : report_.jobs);
     judge_.job_submitted(name, payload, tasks, is_durable(id));
@@ -504,7 +553,7 @@
                   {"steps", json::array({{{"count", tasks},
                                           {"cpu", 1'000 + id % 3'000},
                                           {"mem_mb", 64},
-                                          {"estimate_ms", 20 + id % 300}}})}};
+                                          {"estimate_ms", run_ms}}})}};
   call_entry(random_below(options_.entries),
              {"POST",
               path_of(name),
@@ -613,12 +662,14 @@
 
 void soak_site::heal() {
   injecting_faults_ = false;
-  run_for(milliseconds(3'500)); // Longer than the longest timed fault, 2.8 s.
+  worker_links_.stop();
+  run_for(healing_time);
   store_.set_mode(standin::answer_mode::normal);
   for (auto& relay : relays_) {
     relay->heal();
     relay->set_delay(milliseconds(0));
   }
+  worker_links_.heal();
   for (auto& worker : workers_) {
     worker->set_faults({});
     worker->set_capacity(standin::worker_service::full_capacity_cpu_millis);
@@ -876,6 +927,9 @@
       judge_.record_violation("the relay of entry-" + std::to_string(i) + " carried no data");
     }
   }
+  for (const auto& failure : worker_links_.check()) {
+    judge_.record_violation(failure);
+  }
 }
 
 soak_report soak_site::run() {
@@ -888,6 +942,8 @@
     injecting_faults_ = true;
     inject_fault();
     inject_capacity_fault();
+    worker_links_.start();
+    submit_next_long_job();
     send_foreign_announcement();
     const milliseconds window_start(crash_random_below(max_deadly_window_start_ms));
     schedule(window_start, [this] {
@@ -912,6 +968,7 @@
   }
   generating_load_ = false;
   report_.starts = judge_.starts();
+  report_.link_faults = worker_links_.faults();
   report_.refused_announcements = foreign_writer_.refused();
   report_.max_durable_crashes = judge_.max_durable_crashes();
   for (const auto& worker : workers_) {
--- a/tests/soak/soak_site.hpp
+++ b/tests/soak/soak_site.hpp
@@ -21,6 +21,7 @@
 #include "standin-platform/store_service.hpp"
 #include "standin-platform/worker_service.hpp"
 #include "standin-relay/relay.hpp"
+#include "worker_links.hpp"
 
 namespace parsleylead::soak {
 
@@ -47,6 +48,10 @@
   std::size_t stored = 0;
   std::size_t starts = 0;
   std::size_t faults = 0;
+  /// Faults of the links between agents and workers; `faults` leaves them out.
+  std::size_t link_faults = 0;
+  /// Jobs whose runs are long; the counts of the first route include them.
+  std::size_t long_jobs = 0;
   /// Jobs of the second route; the counts above, but for `stored`, leave them out.
   std::size_t second_route_jobs = 0;
   std::size_t deadly_jobs = 0;
@@ -59,12 +64,14 @@
   /// Shares of the first route's jobs that completed, without and with deadly jobs beside them.
   double served_before = 0;
   double served_beside_deadly = 0;
+  /// Times at which this process, which runs the workers, stood still for over 0.1 s.
+  std::size_t stalls = 0;
   std::vector<std::string> violations;
 };
 
 /// Runs a small site on loopback addresses and injects random faults from one seed. Entries and
 /// agents are real processes; the callers, the stand-ins for store and workers, and a relay in
-/// front of each entry run in this process. Not thread-safe.
+/// front of each entry and each worker run in this process. Not thread-safe.
 class soak_site {
 public:
   explicit soak_site(soak_options options);
@@ -111,6 +118,7 @@
   void inject_capacity_fault();
   void send_foreign_announcement();
   void submit_next_job();
+  void submit_next_long_job();
   void submit_second_route_job(bool deadly);
   void submit_next_second_route_job();
   void submit_next_regular_deadly_job();
@@ -174,12 +182,15 @@
   /// For the second route and the capacities, so that the other faults of a seed do not depend on
   /// them.
   std::mt19937_64 crash_random_;
+  /// For the jobs with long runs.
+  std::mt19937_64 long_random_;
   asio::io_context io_;
   asio::steady_timer load_timer_;
   asio::steady_timer second_route_timer_;
   soak_judge judge_;
   foreign_writer foreign_writer_;
   standin::store_service store_;
+  worker_links worker_links_;
   std::vector<std::unique_ptr<standin::worker_service>> workers_;
   std::vector<std::unique_ptr<standin::relay>> relays_;
   std::vector<std::unique_ptr<process>> processes_;
@@ -193,6 +204,7 @@
   bool regular_deadly_jobs_ = false;
   std::set<std::string> second_route_jobs_;
   std::set<std::string> deadly_jobs_;
+  std::set<std::string> long_jobs_;
   /// The phase to which submitted jobs are counted, if any.
   phase_counts* phase_ = nullptr;
   phase_counts phase_before_;
