End the isolation of a task together with the suspicion

Plays with real processes (trials) showed sound tasks that waited for an idle worker after their run had been lost at a worker that refused connections for 1 s or 2.5 s: isolation stayed after the worker had answered in the same incarnation. One best-effort job missed its deadline by that.

--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -927,7 +927,7 @@
   if (!crash_suspected) {
     return;
   }
-  // To run alone costs a sound task little; to be given up is decided by crashes only.
+  // Isolation ends with the suspicion; that a task is given up is decided by crashes only.
   lost.needs_isolation =
       lost.needs_isolation || end.suspect || lost.possible_crashes() >= isolating_crashes;
   open_job.has_suspects = open_job.has_suspects || lost.needs_isolation;
@@ -967,6 +967,8 @@
     finish(open_job, job_verdict::failed, job_cause::crashes_workers, now);
     return;
   }
+  // Sound tasks would wait for an idle worker.
+  lost.needs_isolation = lost.needs_isolation && lost.possible_crashes() > 0;
   if (lost.possible_crashes() < max_crashes(open_job)) {
     lost.withheld_until = {};
   } else if (end.worker_crashed) {
