End the runs of an entry that no longer hears the agent, whatever still arrives

If frames of the entry wait in a congested link, they reach the agent long after the entry has given it up, and the agent took them for a sign of life: with 0.7 s of delay towards the agent, and nothing from it getting through, the first run was still at work when the entry repeated it.

Cause: the agent counted the lease of an owner from the arrival of its frames. Only the entry can state when it last heard the agent.

Frames of agents carry the time at which they were sent, and those of entries the newest such time that they have received. An agent stops the runs of an entry and closes the session 1.48 s after it sent the newest frame that the entry is known to have received, and extends no lease beyond that. The limit of 0.7 s of silence stays as it is. Entries of earlier versions state no time; nothing changes with them.

A link whose round trip takes longer than about 1.2 s holds no session any more.

--- a/include/parsleylead/fleet/fleet_agent.hpp
+++ b/include/parsleylead/fleet/fleet_agent.hpp
@@ -97,6 +97,8 @@
   void hello_received(session& from, const session_hello& hello);
   void session_closed(session& from, const std::string& cause);
   void check_sessions(monotonic_time now);
+  /// Returns whether the entry may have given up this agent, although its frames still arrive.
+  bool is_unheard(const session& peer, monotonic_time now) const;
   /// Closes sessions beyond the maximum, once their entries have no runs here and know that they
   /// get no more.
   void close_surplus_sessions(monotonic_time now);
@@ -135,7 +137,7 @@
   void schedule_list(std::chrono::milliseconds delay);
   void set_worker_suspected(bool suspected, const std::string& cause);
   void flush();
-  void send(session& to, const fleet_frame& frame);
+  void send(session& to, fleet_frame frame);
   void send_reports();
   worker_status status_for(const session& to) const;
   static bool has_reportable_change(const worker_status& status, const session& to);
--- a/include/parsleylead/fleet/fleet_entry.hpp
+++ b/include/parsleylead/fleet/fleet_entry.hpp
@@ -118,7 +118,7 @@
   void close_surplus_links(monotonic_time now);
   void announce_routes();
   fleet_frame member_frame() const;
-  void send(session& to, const fleet_frame& frame);
+  void send(session& to, fleet_frame frame);
   /// Returns the waiting durable jobs of this entry, by queue.
   std::vector<queue_count> own_waiting_durable_jobs() const;
   void run_ended(session& from, const run_end& end, monotonic_time now);
--- a/include/parsleylead/fleet/fleet_frame.hpp
+++ b/include/parsleylead/fleet/fleet_frame.hpp
@@ -83,7 +83,12 @@
   std::vector<entry_counts> waiting_durable_jobs;
   /// Crashes of the sender's worker that point to a queue.
   std::vector<crash_report> crashes;
+  /// When an agent sent the frame, on its clock; 0 in frames of entries.
+  std::chrono::milliseconds sent{0};
+  /// Newest `sent` that an entry has received in the session; 0 if there is none.
+  std::chrono::milliseconds heard{0};
 
+  /// Returns whether the frame has no content; the times do not count.
   bool empty() const;
 };
 
--- a/include/parsleylead/fleet/link_timing.hpp
+++ b/include/parsleylead/fleet/link_timing.hpp
@@ -16,6 +16,11 @@
   /// An agent stops the runs of an entry that has been silent for this long. Together with the time
   /// to stop a run, it is below the time after which a caller may submit its job to another entry.
   std::chrono::milliseconds owner_lease{700};
+  /// An agent also stops the runs of an entry whose frames show for this long that it has received
+  /// nothing newer from the agent: frames may wait in a congested link after the entry has given up
+  /// the agent. With the time to stop a run and the clock error, below
+  /// `fleet_policy::lost_run_wait`.
+  std::chrono::milliseconds unheard_limit{1'480};
   /// Between entries, where no lease depends on a link: an idle link sends a frame this often, and
   /// is closed and reopened after this silence.
   std::chrono::milliseconds peer_keepalive_interval{450};
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -202,4 +202,8 @@
   waiting @18 :List(EntryCounts);
   # Crashes of the sender's worker that point to a queue. Sent to all entries.
   crashes @19 :List(CrashReport);
+  # When the agent sent this frame, on its own clock; 0 in frames of entries.
+  sentMs @20 :Int64;
+  # Newest sentMs that the entry has received in this session; 0 if there is none.
+  heardMs @21 :Int64;
 }
--- a/src/fleet/fleet_agent.cpp
+++ b/src/fleet/fleet_agent.cpp
@@ -53,6 +53,8 @@
   bool established = false;
   bool lease_expired = false;
   monotonic_time last_heard{};
+  /// When the newest frame that the entry is known to have received was sent.
+  std::optional<monotonic_time> heard_by_entry;
   monotonic_time status_sent{};
   bool status_due = false;
   /// The session is beyond the maximum and will be closed. When the entry was told that the worker
@@ -141,12 +143,15 @@
       if (now - peer->link->last_received() > settings_.timing.max_silence) {
         peer->link->close();
         session_closed(*peer, "silent");
+      } else if (peer->established && is_unheard(*peer, now)) {
+        peer->link->close();
+        session_closed(*peer, "does not hear this agent");
       } else if (now - peer->link->last_sent() > settings_.timing.keepalive_interval) {
         send(*peer, std::exchange(peer->outgoing, {}));
       }
     }
     if (!peer->lease_expired && peer->owner != 0 &&
-        now - peer->last_heard > settings_.timing.owner_lease) {
+        (now - peer->last_heard > settings_.timing.owner_lease || is_unheard(*peer, now))) {
       peer->lease_expired = true;
       log_.write("entry_lease_ended", "entry", peer->entry, "silent_ms",
                  (now - peer->last_heard) / milliseconds(1), "cpu_millis",
@@ -156,6 +161,10 @@
   }
 }
 
+bool fleet_agent::is_unheard(const session& peer, monotonic_time now) const {
+  return peer.heard_by_entry && now - *peer.heard_by_entry > settings_.timing.unheard_limit;
+}
+
 void fleet_agent::close_surplus_sessions(monotonic_time now) {
   const auto surplus = dialer_.surplus();
   for (auto& [address, peer] : sessions_) {
@@ -279,6 +288,13 @@
 
 void fleet_agent::apply_frame(session& from, fleet_frame& frame) {
   const auto now = lease_now();
+  if (frame.hello) {
+    from.heard_by_entry.reset();
+  }
+  if (frame.heard.count() > 0) { // Entries of earlier versions do not state it.
+    const auto latest = std::chrono::floor<milliseconds>(now.time_since_epoch());
+    from.heard_by_entry = monotonic_time(std::min(frame.heard, latest));
+  }
   if (frame.hello) {
     hello_received(from, *frame.hello);
     dialer_.confirm(frame.hello->sender, now);
@@ -501,6 +517,9 @@
       const auto heard =
           peer->link ? std::max(peer->last_heard, peer->link->last_received()) : peer->last_heard;
       end = std::min(end, heard + settings_.worker_lease);
+      if (peer->heard_by_entry) {
+        end = std::min(end, *peer->heard_by_entry + settings_.timing.unheard_limit);
+      }
     }
   }
   return end;
@@ -719,7 +738,8 @@
   send_reports();
 }
 
-void fleet_agent::send(session& to, const fleet_frame& frame) {
+void fleet_agent::send(session& to, fleet_frame frame) {
+  frame.sent = std::chrono::duration_cast<milliseconds>(lease_now().time_since_epoch());
   const auto bytes = encode_frame(frame);
   traffic_.count(content_of(frame), bytes.size());
   to.link->send(bytes);
--- a/src/fleet/fleet_entry.cpp
+++ b/src/fleet/fleet_entry.cpp
@@ -31,6 +31,8 @@
   monotonic_time opened{};
   std::int64_t routes_version = -1;
   fleet_frame outgoing;
+  /// Time of the agent's newest frame, on its clock.
+  milliseconds newest_sent{0};
 };
 
 /// Runs durable jobs on the scheduler of the entry.
@@ -253,7 +255,8 @@
   }
 }
 
-void fleet_entry::send(session& to, const fleet_frame& frame) {
+void fleet_entry::send(session& to, fleet_frame frame) {
+  frame.heard = to.newest_sent;
   const auto bytes = encode_frame(frame);
   traffic_.count(content_of(frame), bytes.size());
   to.link->send(bytes);
@@ -498,6 +501,7 @@
 
 void fleet_entry::apply_frame(const std::shared_ptr<session>& from, fleet_frame& frame) {
   const auto now = lease_now();
+  from->newest_sent = std::max(from->newest_sent, frame.sent);
   if (frame.hello) {
     hello_received(from, *frame.hello);
   }
--- a/src/fleet/fleet_frame.cpp
+++ b/src/fleet/fleet_frame.cpp
@@ -305,6 +305,8 @@
   frame.routes = text(in.getRoutes());
   frame.routes_wanted = in.getRoutesWanted();
   frame.leaving = in.getLeaving();
+  frame.sent = std::chrono::milliseconds(in.getSentMs());
+  frame.heard = std::chrono::milliseconds(in.getHeardMs());
   return frame;
 }
 
@@ -367,6 +369,8 @@
   }
   out.setRoutesWanted(frame.routes_wanted);
   out.setLeaving(frame.leaving);
+  out.setSentMs(frame.sent.count());
+  out.setHeardMs(frame.heard.count());
   // Packing removes zero bytes, which make up most of a frame.
   kj::VectorOutputStream stream;
   capnp::writePackedMessage(stream, message);
--- a/src/fleet/fleet_frame_test.cpp
+++ b/src/fleet/fleet_frame_test.cpp
@@ -49,6 +49,8 @@
   frame.routes = "{}";
   frame.routes_wanted = true;
   frame.leaving = true;
+  frame.sent = milliseconds(1'700'000'000'123);
+  frame.heard = milliseconds(1'700'000'000'045);
   frame.claims = {{3, 12}};
   frame.end_acks = {{{{9, 0, 1}, 1}, true}};
   frame.waiting_durable_jobs = {{"entry-3", milliseconds(40), {{"queue", 5}}}};
@@ -91,6 +93,8 @@
   CHECK(got->routes_version == 12);
   CHECK(got->routes_wanted);
   CHECK(got->leaving);
+  CHECK(got->sent == milliseconds(1'700'000'000'123));
+  CHECK(got->heard == milliseconds(1'700'000'000'045));
 }
 
 TEST_CASE("the tasks of a job share one copy of its payload") {
--- a/src/fleet/fleet_link_test.cpp
+++ b/src/fleet/fleet_link_test.cpp
@@ -6,6 +6,7 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
 #include <limits>
 #include <map>
 #include <memory>
@@ -182,6 +183,80 @@
   return job;
 }
 
+/// Forwards connections to an address; bytes towards the connecting side arrive after a delay, and
+/// those from it can be held back.
+class slow_relay {
+public:
+  slow_relay(asio::io_context& io, const endpoint& listen, const endpoint& target)
+      : io_(io), target_(target), acceptor_(io, {asio::ip::make_address(listen.ip), listen.port}) {
+    accept();
+  }
+
+  milliseconds delay{0};
+  bool holds_back = false;
+
+private:
+  struct pair_of_links {
+    explicit pair_of_links(asio::io_context& io) : near(io), far(io) {}
+    asio::ip::tcp::socket near;
+    asio::ip::tcp::socket far;
+    std::string from_near = std::string(65'536, 0);
+    std::string from_far = std::string(65'536, 0);
+  };
+
+  void accept() {
+    auto link = std::make_shared<pair_of_links>(io_);
+    acceptor_.async_accept(link->near, [this, link](const asio::error_code& error) {
+      if (error) {
+        return;
+      }
+      asio::error_code failed;
+      link->far.connect({asio::ip::make_address(target_.ip), target_.port}, failed);
+      if (!failed) {
+        forward_from_near(link);
+        forward_from_far(link);
+      }
+      accept();
+    });
+  }
+
+  void forward_from_near(const std::shared_ptr<pair_of_links>& link) {
+    link->near.async_read_some(
+        asio::buffer(link->from_near), [this, link](const asio::error_code& error, std::size_t n) {
+          if (error) {
+            return;
+          }
+          if (!holds_back) {
+            asio::error_code ignored;
+            asio::write(link->far, asio::buffer(link->from_near.data(), n), ignored);
+          }
+          forward_from_near(link);
+        });
+  }
+
+  void forward_from_far(const std::shared_ptr<pair_of_links>& link) {
+    link->far.async_read_some(
+        asio::buffer(link->from_far), [this, link](const asio::error_code& error, std::size_t n) {
+          if (error) {
+            return;
+          }
+          auto timer = std::make_shared<asio::steady_timer>(io_, delay);
+          timer->async_wait(
+              [link, timer, bytes = link->from_far.substr(0, n)](const asio::error_code& stopped) {
+                asio::error_code ignored;
+                if (!stopped) {
+                  asio::write(link->near, asio::buffer(bytes), ignored);
+                }
+              });
+          forward_from_far(link);
+        });
+  }
+
+  asio::io_context& io_;
+  endpoint target_;
+  asio::ip::tcp::acceptor acceptor_;
+};
+
 /// One entry and one agent on one event loop.
 struct small_fleet {
   small_fleet() : address(free_address(io)), worker(io) {
@@ -332,6 +407,52 @@
   fleet.run_until([] { return false; }, milliseconds(50));
 }
 
+TEST_CASE("the runs of an agent that an entry no longer hears end before they are repeated") {
+  // Guards against two runs of a task at a time: frames that wait in a congested link for long
+  // extended the lease of an owner that had given up the agent meanwhile.
+  asio::io_context io;
+  event_log log("test");
+  metrics_registry metrics;
+  fake_worker worker(io);
+  worker.run_time = std::chrono::minutes(1);
+  const auto relayed = free_address(io);
+  fleet_entry_settings settings;
+  settings.name = "entry";
+  settings.incarnation = 1;
+  settings.listen = free_address(io);
+  settings.advertised = relayed;
+  fleet_entry entry(io, settings, log, metrics, [](const route_update&) {});
+  REQUIRE(entry.start().ok());
+  slow_relay relay(io, relayed, settings.listen);
+  fleet_agent_settings agent_settings;
+  agent_settings.name = "agent";
+  agent_settings.incarnation = 5;
+  fleet_agent agent(io, agent_settings, worker, log, metrics);
+  agent.add_members({{"", 0, to_string(relayed), ""}});
+  agent.start();
+  agent.worker_announced(announcement(), [](const absl::Status&) {});
+  const auto run_until = [&](auto done, milliseconds within) {
+    const auto limit = std::chrono::steady_clock::now() + within;
+    while (!done() && std::chrono::steady_clock::now() < limit) {
+      io.run_one_for(milliseconds(5));
+    }
+    return done();
+  };
+  REQUIRE(run_until([&] { return entry.has_worker(); }, test_limit));
+  entry.submit(make_job(1, 1), [](const job_result&) {});
+  REQUIRE(run_until([&] { return worker.starts == 1; }, test_limit));
+  // In steps below `link_timing::max_silence`.
+  while (relay.delay < milliseconds(700)) {
+    relay.delay += milliseconds(140);
+    run_until([] { return false; }, milliseconds(400));
+  }
+  CHECK(log.buffered().find("event=session_lost") == std::string::npos);
+  relay.holds_back = true;
+  REQUIRE(run_until([&] { return log.buffered().find("event=run_given_up") != std::string::npos; },
+                    test_limit));
+  CHECK_FALSE(worker.is_active({{1, 0, 0}, 1}));
+}
+
 TEST_CASE("agents reconnect to an entry that restarts at its address") {
   small_fleet fleet;
   fleet.entry.reset();
