Let runs stop before the soak checks that none is left, and name those left

The soak counted active runs the moment its last request had ended.

It names each run and its worker, so that the next failure can be traced.

--- a/standins/standin-platform/worker_service.cpp
+++ b/standins/standin-platform/worker_service.cpp
@@ -62,6 +62,15 @@
   return server_->listen(address_);
 }
 
+std::vector<std::string> worker_service::running_tasks() const {
+  std::vector<std::string> tasks;
+  tasks.reserve(runs_.size());
+  for (const auto& [task, active_run] : runs_) {
+    tasks.push_back(task);
+  }
+  return tasks;
+}
+
 void worker_service::set_downtime(milliseconds shortest, milliseconds longest) {
   shortest_downtime_ = shortest;
   longest_downtime_ = longest;
--- a/standins/standin-platform/worker_service.hpp
+++ b/standins/standin-platform/worker_service.hpp
@@ -79,6 +79,7 @@
   void set_capacity(std::uint32_t cpu_millis);
   const std::string& id() const { return id_; }
   std::size_t running() const { return runs_.size(); }
+  std::vector<std::string> running_tasks() const;
 
   /// Number of crashes that tasks caused.
   std::size_t crashes() const { return crashes_; }
--- a/tests/soak/soak_site.hpp
+++ b/tests/soak/soak_site.hpp
@@ -152,6 +152,8 @@
   static bool in_service(const process& target);
   /// Ends the load and checks that all that was begun ends, and that new routes are in force.
   void check_ends();
+  /// Checks that no run is left once all jobs have ended.
+  void check_active_runs();
   /// Checks that every accepted durable job ends and that a query for it returns how.
   void check_durable_jobs();
   void check_relays();
