--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -931,7 +931,9 @@
   lost.needs_isolation =
       lost.needs_isolation || end.suspect || lost.possible_crashes() >= isolating_crashes;
   open_job.has_suspects = open_job.has_suspects || lost.needs_isolation;
-  if (lost.isolated && lost.possible_crashes() >= max_crashes(open_job)) {
+  // The callers of other jobs wait for the answer.
+  const bool may_wait = lost.isolated || open_job.is_durable();
+  if (may_wait && lost.possible_crashes() >= max_crashes(open_job)) {
     lost.withheld_until = now + policy_.loss_report_wait;
   }
 }
--- a/src/fleet/fleet_scheduler_test.cpp
+++ b/src/fleet/fleet_scheduler_test.cpp
@@ -774,6 +774,35 @@
   }
 }
 
+TEST_CASE("a stored job's suspect that runs beside others waits for the reports, too") {
+  // Guards against a deadly task that takes down further workers because its isolated orders are
+  // returned.
+  fixture fleet(10);
+  auto job = make_job(1, 1);
+  job.ownership = job_ownership{1, 0, {}};
+  auto starts = fleet.submit(std::move(job));
+  std::int64_t now = 0;
+  for (int losses = 0; losses < 3; ++losses) {
+    REQUIRE(starts.size() == 1);
+    while (starts[0].order.isolated) {
+      now += 1'000;
+      fleet.scheduler.run_ended(starts[0].worker, returned_after(starts[0], milliseconds(1'000)),
+                                at_ms(now));
+      fleet.scheduler.tick(at_ms(now));
+      starts = fleet.scheduler.take_starts();
+      REQUIRE(starts.size() == 1);
+    }
+    now += 600;
+    fleet.scheduler.run_ended(starts[0].worker, refused_loss_of(starts[0]), at_ms(now));
+    for (const auto& lost : fleet.scheduler.take_lost_runs()) {
+      fleet.scheduler.restart_task(lost.run, at_ms(now));
+    }
+    fleet.scheduler.tick(at_ms(now));
+    starts = fleet.scheduler.take_starts();
+  }
+  CHECK(starts.empty());
+}
+
 TEST_CASE("a crash that is reported after the loss of a run at a silent worker counts") {
   // Guards against deadly tasks whose crashes are not counted because nothing was suspected.
   fixture fleet(5);
