--- a/src/fleet/fleet_scheduler_test.cpp
+++ b/src/fleet/fleet_scheduler_test.cpp
@@ -707,7 +707,7 @@
     }
     auto starts = fleet.submit(std::move(job));
     for (int i = 0; i < 6; ++i) {
-      const std::int64_t now = 1'100 * (i + 1);
+      const std::int64_t now = std::int64_t{1'100} * (i + 1);
       REQUIRE(starts.size() == 1);
       CHECK_FALSE(starts[0].order.isolated);
       auto end = refused_loss_of(starts[0]);
