--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -931,7 +931,7 @@
   lost.needs_isolation =
       lost.needs_isolation || end.suspect || lost.possible_crashes() >= isolating_crashes;
   open_job.has_suspects = open_job.has_suspects || lost.needs_isolation;
-  // The callers of other jobs wait for the answer.
+  // Callers wait for the answers of best-effort jobs, so these wait only after isolated runs.
   const bool may_wait = lost.isolated || open_job.is_durable();
   if (may_wait && lost.possible_crashes() >= max_crashes(open_job)) {
     lost.withheld_until = now + policy_.loss_report_wait;
@@ -950,7 +950,7 @@
     return;
   }
   auto& open_job = *found->second;
-  // The crashes of durable jobs are stored first, see `crash_counted`.
+  // The owner of a durable job counts its crashes and reports them with `crash_counted`.
   if (end.worker_crashed && open_job.is_durable()) {
     return;
   }
