--- a/include/parsleylead/fleet/fleet_agent.hpp
+++ b/include/parsleylead/fleet/fleet_agent.hpp
@@ -34,6 +34,11 @@
   /// Maximum number of sessions to entries. Six bound the frames of an agent and the agents of an
   /// entry on large sites; small sites have fewer entries than that.
   std::size_t max_sessions = 6;
+  /// Maximum number of further sessions that entries request because they reach no other worker of
+  /// the kind. The only worker of a kind has one to each entry that needs it.
+  std::size_t max_requested_sessions = 64;
+  /// A requested session is kept for this long after the entry's last frame that asks for it.
+  std::chrono::milliseconds requested_session_time{3'000};
   /// Longest lease that the worker grants.
   std::chrono::milliseconds worker_lease{1'000};
   /// Lease that the worker is asked for with each request. Runs of a worker that cannot be reached
@@ -96,6 +101,9 @@
   void apply_frame(session& from, fleet_frame& frame);
   void hello_received(session& from, const session_hello& hello);
   void session_closed(session& from, const std::string& cause);
+  /// An entry that reaches no worker of this kind asks for a session.
+  void session_requested(const fleet_member& entry, monotonic_time now);
+  void dial_due(monotonic_time now);
   void check_sessions(monotonic_time now);
   /// Returns whether the entry may have given up this agent, although its frames still arrive.
   bool is_unheard(const session& peer, monotonic_time now) const;
--- a/include/parsleylead/fleet/fleet_entry.hpp
+++ b/include/parsleylead/fleet/fleet_entry.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -115,6 +116,14 @@
   void log_confined_queues();
   void gossip(monotonic_time now);
   void request_newer_routes(monotonic_time now);
+  /// Asks the other entries for workers that no session reaches.
+  void request_workers(monotonic_time now);
+  /// Handles the request of another entry: passes it on to the agent of a fitting worker, or to
+  /// further entries.
+  void worker_requested(const std::shared_ptr<session>& from, worker_request request,
+                        monotonic_time now);
+  void relay_requests(monotonic_time now);
+  site_access access_to_site();
   void close_surplus_links(monotonic_time now);
   void announce_routes();
   fleet_frame member_frame() const;
@@ -156,6 +165,18 @@
   /// Entries that have connected since the last frame with `members` to all sessions.
   std::vector<fleet_member> news_;
   monotonic_time news_sent_{};
+  struct relayed_request {
+    worker_request request;
+    /// The entry that the request came from.
+    std::weak_ptr<session> from;
+  };
+  std::uint64_t next_request_number_ = 1;
+  /// When requests of other entries were received, by name, incarnation and number.
+  std::map<std::tuple<std::string, std::uint64_t, std::uint64_t>, monotonic_time> known_requests_;
+  std::vector<relayed_request> relayed_requests_;
+  monotonic_time requests_relayed_{};
+  /// This process has known of another entry.
+  bool has_known_others_ = false;
   /// When a peer with newer routes was first heard of, or asked for them last.
   std::optional<monotonic_time> newer_routes_since_;
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
--- a/include/parsleylead/fleet/fleet_frame.hpp
+++ b/include/parsleylead/fleet/fleet_frame.hpp
@@ -29,6 +29,23 @@
   bool is_agent = false;
   /// Incarnation of the receiver in the sender's previous session with it; 0 if there was none.
   std::uint64_t resumed_incarnation = 0;
+  /// An agent opened the session because the receiver requested it.
+  bool requested = false;
+};
+
+/// Request of an entry for a session with a worker that meets a requirement. Entries pass it on to
+/// agents of such workers and to other entries.
+struct worker_request {
+  fleet_member entry;
+  /// Identifies the request together with the entry's name and incarnation.
+  std::uint64_t number = 0;
+  worker_requirement requirement;
+  /// Number of requests for this requirement since the search began.
+  std::uint32_t attempt = 1;
+  /// The sender received the request from another entry.
+  bool relayed = false;
+
+  bool operator==(const worker_request&) const = default;
 };
 
 /// A version of the routes, as the text that operators wrote.
@@ -87,6 +104,12 @@
   std::chrono::milliseconds sent{0};
   /// Newest `sent` that an entry has received in the session; 0 if there is none.
   std::chrono::milliseconds heard{0};
+  /// Sent between entries.
+  std::vector<worker_request> worker_requests;
+  /// Entries that the receiving agent is asked to open sessions to.
+  std::vector<fleet_member> session_requests;
+  /// The entry still needs this session, which it requested. Not counted as content.
+  bool keep_session = false;
 
   /// Returns whether the frame has no content; the times do not count.
   bool empty() const;
--- a/include/parsleylead/fleet/fleet_scheduler.hpp
+++ b/include/parsleylead/fleet/fleet_scheduler.hpp
@@ -17,6 +17,7 @@
 #include "parsleylead/fleet/fleet_frame.hpp"
 #include "parsleylead/fleet/fleet_job.hpp"
 #include "parsleylead/fleet/run_types.hpp"
+#include "parsleylead/fleet/worker_search.hpp"
 
 namespace parsleylead {
 
@@ -42,7 +43,7 @@
   /// A slow run is moved only if that is expected to save at least this much time.
   std::chrono::milliseconds min_move_gain{250};
   /// For this long after the first submission, jobs wait for workers of their service to report:
-  /// agents need a second or two after a loss of all hosts. Later such jobs are refused at once.
+  /// agents need a second or two after a loss of all hosts.
   std::chrono::milliseconds first_report_wait{5'000};
   /// Maximum number of waiting tasks at one entry.
   std::size_t max_backlog = 20'000;
@@ -66,6 +67,7 @@
   /// are active queues to protect.
   std::chrono::milliseconds queue_activity{5'000};
   crash_policy crashes;
+  worker_search_settings search;
 };
 
 /// A start order and the worker it is placed on.
@@ -107,6 +109,9 @@
 /// the other queues of the service use the others. All entries choose the same quarantined workers,
 /// by a hash of the agents' names.
 ///
+/// Jobs that no worker with a session can run wait for one that the caller finds with
+/// `search_workers`. Best-effort jobs are refused once the site is known to have none.
+///
 /// Two runs of a task never overlap: a task is placed again only after the agent has reported the
 /// end of its run, or after `lost_run_wait` without a frame of the agent.
 class fleet_scheduler {
@@ -138,6 +143,9 @@
   void worker_reported(worker_index worker, const worker_status& status, monotonic_time now);
   /// A session to the agent was opened. `same_agent`: by the agent process of the session before.
   void session_opened(worker_index worker, bool same_agent, monotonic_time now);
+  /// The open session was requested with `search_workers`: its agent closes it once it is no longer
+  /// needed.
+  void session_is_requested(worker_index worker);
   void session_lost(worker_index worker, monotonic_time last_heard, monotonic_time now);
   /// Handles the end of a run, or a later report whether its worker had crashed. Returns whether it
   /// was the current run of its task.
@@ -165,6 +173,18 @@
   /// Handles timeouts. Has to be called every few tens of milliseconds.
   void tick(monotonic_time now);
 
+  /// Returns the requests for workers to send to other entries now. Has to be called after each
+  /// `tick` and `place_waiting`.
+  std::vector<worker_search::due_request> search_workers(site_access access, monotonic_time now);
+  /// Changes of the searches since the last call, for the log.
+  std::vector<worker_search::event> take_search_events() { return search_.take_events(); }
+  /// Returns a usable worker that meets the requirement. Different seeds lead to different workers
+  /// if there are several.
+  std::optional<worker_index> find_worker(const worker_requirement& requirement,
+                                          const std::string& seed) const;
+  /// Returns whether a requirement of a search is met by the worker.
+  bool is_needed(worker_index worker) const;
+
   std::vector<placed_start> take_starts() { return std::exchange(starts_, {}); }
   std::vector<placed_stop> take_stops() { return std::exchange(stops_, {}); }
   /// Runs of durable jobs that were lost. Their tasks wait for `restart_task`.
@@ -181,6 +201,9 @@
   std::size_t backlog() const { return backlog_; }
   /// Names of the queues that are confined to quarantined workers.
   std::set<std::string> confined_queues() const;
+  /// Describes the requirements of the waiting tasks in one line, for the log: how many tasks wait
+  /// for how long, and whether for a worker in reach, for any of the site, or for a busy one.
+  std::string describe_backlog(monotonic_time now) const;
   /// Describes this entry's view of each worker in one line, for the log.
   std::string describe_workers() const;
   bool has_worker() const;
@@ -198,10 +221,26 @@
   };
 
   task* find_task(const run_id& run, worker_index placed_on);
+  /// Returns whether the worker is in reach and takes tasks.
+  static bool is_usable(const worker& candidate);
   /// Returns whether the worker's description meets the needs of the step.
   static bool is_suitable(const worker& candidate, const job& open_job, std::uint32_t step);
   static bool can_run(const worker& candidate, const job& open_job, std::uint32_t step);
   bool could_ever_run(const job& open_job, std::uint32_t step) const;
+  static worker_requirement requirement_of(const job& open_job, std::uint32_t step);
+  /// Searches for a worker for the step if none is reachable.
+  void require_worker(const job& open_job, std::uint32_t step, monotonic_time now);
+  /// Returns whether the site is known to have no worker for a step of the job. `lastingly`: and
+  /// none has been reachable for some time.
+  bool lacks_worker(const job& open_job, bool lastingly, monotonic_time now) const;
+  bool all_workers_reachable(const job& open_job) const;
+  /// Continues with jobs for which workers have been found, and refuses those for which the site
+  /// has none.
+  void handle_awaiting_jobs(monotonic_time now);
+  void stop_awaiting(job& open_job);
+  /// Accepts a best-effort job for which there are workers, or refuses it.
+  void admit(job& open_job, monotonic_time now);
+  void place_backlog(monotonic_time now);
   /// Returns whether the queue's tasks may use quarantined workers only.
   bool is_confined(const job_terms& terms) const;
   void update_quarantine(monotonic_time now);
@@ -249,6 +288,11 @@
   std::vector<given_up_run> given_up_runs_;
   std::vector<job_result> results_;
   std::size_t backlog_ = 0;
+  worker_search search_;
+  /// Best-effort jobs that wait for workers to be found, in the order of submission.
+  std::vector<std::uint64_t> awaiting_jobs_;
+  /// Number of tasks of these jobs.
+  std::size_t awaiting_tasks_ = 0;
   monotonic_time first_submission_{};
   crash_history crash_history_;
   /// Names of the confined queues, by service.
--- a/include/parsleylead/fleet/link_traffic.hpp
+++ b/include/parsleylead/fleet/link_traffic.hpp
@@ -21,6 +21,7 @@
   orders,
   ends,
   status,
+  worker_requests,
 };
 
 const char* to_string(frame_content content);
@@ -43,7 +44,7 @@
     std::uint64_t frames = 0;
     std::uint64_t bytes = 0;
   };
-  static constexpr std::size_t contents = 8;
+  static constexpr std::size_t contents = 9;
 
   std::array<counter, contents> totals_{};
   std::array<counter, contents> reported_{};
--- a/include/parsleylead/fleet/member_dialer.hpp
+++ b/include/parsleylead/fleet/member_dialer.hpp
@@ -37,9 +37,20 @@
   void lost(const std::string& address, monotonic_time now);
 
   /// Returns the addresses of the least preferred links beyond `max_links`, which come from
-  /// connecting to seeds and to replacements of entries that have returned. The caller closes them
-  /// and reports each with `lost`.
-  std::vector<std::string> surplus();
+  /// connecting to seeds, to replacements of entries that have returned, and to entries whose
+  /// requests have ended. The caller closes them and reports each with `lost`.
+  std::vector<std::string> surplus(monotonic_time now);
+
+  /// An entry requests a link until a time: it is dialled and its link is kept in addition to
+  /// `max_links`. Does nothing and returns false if `max_requested` others have open requests.
+  bool request(const fleet_member& member, monotonic_time until, std::size_t max_requested,
+               monotonic_time now);
+  /// Extends the request for a link if it has not ended.
+  void extend_request(const std::string& address, monotonic_time until, monotonic_time now);
+  /// Number of entries with open requests.
+  std::size_t requests(monotonic_time now) const;
+  /// Returns whether the entry is one of the `max_links` preferred ones.
+  bool is_preferred(const std::string& address);
 
   /// Returns the members with a link whose name is known.
   std::vector<fleet_member> linked_members() const;
@@ -58,6 +69,8 @@
     std::chrono::milliseconds backoff{0};
     monotonic_time next_attempt{};
     monotonic_time last_reachable{};
+    /// When the entry's request for a link ends.
+    monotonic_time requested_until{};
     /// Incarnation of the last `confirm`.
     std::optional<std::uint64_t> confirmed;
   };
--- a/include/parsleylead/fleet/run_types.hpp
+++ b/include/parsleylead/fleet/run_types.hpp
@@ -246,6 +246,32 @@
   bool operator==(const worker_description&) const = default;
 };
 
+/// What a task requires of its worker.
+struct worker_requirement {
+  /// Empty for any service.
+  std::string service;
+  /// Label that the worker must have; empty if none is required.
+  std::string label;
+  resource_needs needs;
+
+  bool operator==(const worker_requirement&) const = default;
+};
+
+/// Returns whether a worker may run tasks of a service that need a label, unless it is empty, and
+/// resources. Thread-safe.
+inline bool meets(const worker_description& worker, std::string_view service,
+                  std::string_view label, const resource_needs& needs) {
+  return worker.service == service && fits(needs, {}, worker.capacity) &&
+         (label.empty() ||
+          std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end());
+}
+
+/// Thread-safe.
+inline bool meets(const worker_description& worker, const worker_requirement& requirement) {
+  return meets(worker, requirement.service.empty() ? worker.service : requirement.service,
+               requirement.label, requirement.needs);
+}
+
 /// Status report of an agent about its worker.
 struct worker_status {
   /// The worker has announced itself and answers requests.
--- /dev/null
+++ b/include/parsleylead/fleet/worker_search.hpp
@@ -0,0 +1,109 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "parsleylead/base/time.hpp"
+#include "parsleylead/fleet/run_types.hpp"
+
+namespace parsleylead {
+
+/// Whether an entry can ask the other entries of its site for workers.
+enum class site_access : std::uint8_t {
+  /// It knows of no other entry, so its sessions show all workers of the site.
+  alone,
+  /// It has a link to another entry.
+  connected,
+  /// It knows of other entries and has no link to any.
+  isolated,
+};
+
+struct worker_search_settings {
+  /// A site has no worker of a kind if requests for one were made for this long without effect.
+  /// Covers the restart of an agent, and some lost requests.
+  std::chrono::milliseconds search_time{1'500};
+  /// Delay before a request is repeated; doubles up to `max_interval`.
+  std::chrono::milliseconds first_interval{200};
+  std::chrono::milliseconds max_interval{1'000};
+  /// A requirement is forgotten if no task has needed it for this long. Until then, jobs that no
+  /// worker can run are refused at once, and requested sessions are kept.
+  std::chrono::milliseconds retention{10'000};
+  /// Bounds the requests of an entry. Further requirements wait for an earlier one to be forgotten.
+  std::size_t max_requirements = 32;
+};
+
+/// Searches the site for workers that meet requirements which no worker with a session to this
+/// entry meets. Does no I/O: the caller makes the requests. Not thread-safe.
+class worker_search {
+public:
+  /// A request to make now, and the number of requests for the requirement so far.
+  struct due_request {
+    worker_requirement requirement;
+    std::uint32_t attempt = 1;
+  };
+  enum class event_kind : std::uint8_t { started, found, absent };
+  /// A change of a search, for the log.
+  struct event {
+    event_kind kind = event_kind::started;
+    worker_requirement requirement;
+    /// Time since the search began.
+    std::chrono::milliseconds age{0};
+  };
+  /// Returns whether a worker with a session to this entry meets the requirement.
+  using reachability = std::function<bool(const worker_requirement&)>;
+
+  explicit worker_search(worker_search_settings settings = {}) : settings_(settings) {}
+
+  /// A task needs a worker that may not be reachable.
+  void add(const worker_requirement& requirement, monotonic_time now);
+  /// A task needs a worker. Retains the requirement if it is known.
+  void retain(const worker_requirement& requirement, monotonic_time now);
+
+  /// Starts and ends searches, and returns the requests to make. Has to be called every few tens of
+  /// milliseconds.
+  std::vector<due_request> update(site_access access, const reachability& is_reachable,
+                                  monotonic_time now);
+
+  /// Returns whether the site has no worker that meets the requirement, as far as the latest
+  /// requests show. Precondition: none with a session to this entry meets it.
+  bool is_absent(const worker_requirement& requirement, monotonic_time now) const;
+  /// As `is_absent`, and none has been reachable for `search_time`.
+  bool is_lastingly_absent(const worker_requirement& requirement, monotonic_time now) const;
+  /// Returns whether a known requirement is met by the worker.
+  bool is_needed(const worker_description& worker) const;
+  bool empty() const { return searches_.empty(); }
+  std::vector<event> take_events() { return std::exchange(events_, {}); }
+
+private:
+  struct search {
+    worker_requirement requirement;
+    monotonic_time last_needed{};
+    /// Time of the latest `update`.
+    monotonic_time updated{};
+    /// Start of the search that goes on.
+    std::optional<monotonic_time> since;
+    monotonic_time next_request{};
+    std::chrono::milliseconds interval{0};
+    std::uint32_t attempts = 0;
+    bool reported_absent = false;
+  };
+
+  /// Returns whether the search was updated lately.
+  bool is_recent(const search& known, monotonic_time now) const;
+  search* find(const worker_requirement& requirement);
+  void report(event_kind kind, const search& changed, monotonic_time now);
+
+  worker_search_settings settings_;
+  site_access access_ = site_access::alone;
+  std::vector<search> searches_;
+  std::vector<event> events_;
+};
+
+const char* to_string(worker_search::event_kind kind);
+
+} // namespace parsleylead
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -171,6 +171,27 @@
   address @5 :Text;
   # Incarnation of the receiver in the previous session with the sender; 0 if there was none.
   resumes @6 :UInt64;
+  # The agent opened the session because the receiver requested it.
+  requested @7 :Bool;
+}
+
+# Empty texts stand for any service and for no label.
+struct WorkerRequirement {
+  service @0 :Text;
+  label @1 :Text;
+  needs @2 :Needs;
+}
+
+# Request of an entry for a session with a worker that meets a requirement.
+struct WorkerRequest {
+  entry @0 :Member;
+  # Identifies the request together with the entry's incarnation.
+  number @1 :UInt64;
+  requirement @2 :WorkerRequirement;
+  # Number of requests for this requirement since the search began.
+  attempt @3 :UInt32;
+  # The sender received the request from another entry.
+  relayed @4 :Bool;
 }
 
 struct Frame {
@@ -206,4 +227,10 @@
   sentMs @20 :Int64;
   # Newest sentMs that the entry has received in this session; 0 if there is none.
   heardMs @21 :Int64;
+  # Sent between entries.
+  workerRequests @22 :List(WorkerRequest);
+  # Entries that the receiving agent is asked to open sessions to.
+  sessionRequests @23 :List(Member);
+  # The entry still needs this session, which it requested.
+  keepSession @24 :Bool;
 }
--- /dev/null
+++ b/src/fleet/fake_worker.hpp
@@ -0,0 +1,164 @@
+#pragma once
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "parsleylead/base/endpoint.hpp"
+#include "parsleylead/fleet/worker_port.hpp"
+
+namespace parsleylead {
+
+/// Returns an unused address on the loopback interface.
+inline endpoint free_address(asio::io_context& io) {
+  asio::ip::tcp::acceptor probe(io, {asio::ip::make_address("127.0.0.1"), 0});
+  return {"127.0.0.1", probe.local_endpoint().port()};
+}
+
+/// Simulated worker that runs each task for a fixed time, can fail requests for its lists, and can
+/// refuse connections while its runs go on.
+class fake_worker : public worker_port {
+public:
+  explicit fake_worker(asio::io_context& io) : io_(io) {}
+
+  void attach(const worker_announcement&) override {}
+
+  void query_incarnation(const std::string& worker_id,
+                         std::function<void(absl::StatusOr<std::int64_t>)> done) override {
+    absl::StatusOr<std::int64_t> answer = incarnation;
+    if (worker_id != id) {
+      answer = absl::NotFoundError("another worker");
+    }
+    if (lost_lists > 0) {
+      --lost_lists;
+      answer = absl::DeadlineExceededError("no answer");
+    }
+    if (refusing) {
+      answer = absl::UnavailableError("connection refused");
+    }
+    post([done = std::move(done), answer] { done(answer); });
+  }
+
+  void start(const start_order& order, monotonic_time lease_end,
+             std::function<void(start_answer)> done) override {
+    if (refusing) {
+      post([done = std::move(done)] { done(start_answer::refused); });
+      return;
+    }
+    ++starts;
+    latest_lease_end = std::max(latest_lease_end, lease_end);
+    auto& slot = active_[order.run.task];
+    CHECK_MESSAGE(!slot, "two runs of one task at a time");
+    slot = std::make_unique<running>(running{order.run, asio::steady_timer(io_, run_time)});
+    slot->end.async_wait([this, run = order.run](const asio::error_code& error) {
+      if (!error) {
+        end(run, outcome);
+      }
+    });
+    post([done = std::move(done)] { done(start_answer::started); });
+  }
+
+  void stop(const run_id& run, std::function<void(bool)> done) override {
+    if (refusing || losing_stops) {
+      ++lost_stops;
+      post([done = std::move(done)] { done(false); });
+      return;
+    }
+    ++stops;
+    if (const auto found = active_.find(run.task); found != active_.end()) {
+      found->second->end.cancel();
+      end(run, run_outcome::stopped);
+    }
+    post([done = std::move(done)] { done(true); });
+  }
+
+  void list_runs(std::uint64_t, std::optional<monotonic_time> lease_end,
+                 std::chrono::milliseconds wait,
+                 std::function<void(absl::StatusOr<run_lists>)> done) override {
+    if (refusing || (refusing_extra_lists && !lease_end)) {
+      ++refused_lists;
+      post([done = std::move(done)] { done(absl::UnavailableError("connection refused")); });
+      return;
+    }
+    latest_lease_end = std::max(latest_lease_end, lease_end.value_or(monotonic_time{}));
+    if (lost_lists > 0) {
+      --lost_lists;
+      auto timer = std::make_shared<asio::steady_timer>(io_, wait);
+      timer->async_wait([timer, done = std::move(done)](const asio::error_code&) {
+        done(absl::DeadlineExceededError("no answer"));
+      });
+      return;
+    }
+    auto timer = std::make_shared<asio::steady_timer>(io_, ended_.empty() ? wait / 10 : wait * 0);
+    timer->async_wait([this, timer, done = std::move(done)](const asio::error_code&) {
+      run_lists lists;
+      for (const auto& [task, active] : active_) {
+        lists.active.push_back({active->run, 50});
+      }
+      lists.finished = std::exchange(ended_, {});
+      lists.incarnation = incarnation;
+      done(lists);
+    });
+  }
+
+  /// Drops all runs and ends, and restarts with the next incarnation.
+  void crash() {
+    active_.clear();
+    ended_.clear();
+    last_end_ = 0;
+    ++incarnation;
+  }
+
+  bool is_active(const run_id& run) const {
+    const auto found = active_.find(run.task);
+    return found != active_.end() && found->second->run == run;
+  }
+
+  std::chrono::milliseconds run_time{20};
+  run_outcome outcome = run_outcome::done;
+  int starts = 0;
+  int stops = 0;
+  int lost_lists = 0;
+  bool refusing = false;
+  /// Refuses the connections for requests that extend no lease.
+  bool refusing_extra_lists = false;
+  int refused_lists = 0;
+  bool losing_stops = false;
+  int lost_stops = 0;
+  std::string id = "w-1";
+  std::int64_t incarnation = 1;
+  monotonic_time latest_lease_end{};
+
+private:
+  struct running {
+    run_id run;
+    asio::steady_timer end;
+  };
+
+  void post(std::function<void()> callback) { asio::post(io_, std::move(callback)); }
+
+  void end(const run_id& run, run_outcome ended_as) {
+    active_.erase(run.task);
+    ended_.push_back({run, ended_as, ++last_end_});
+  }
+
+  asio::io_context& io_;
+  std::map<task_key, std::unique_ptr<running>> active_;
+  std::vector<finished_run> ended_;
+  std::uint64_t last_end_ = 0;
+};
+
+} // namespace parsleylead
--- a/src/fleet/fleet_agent.cpp
+++ b/src/fleet/fleet_agent.cpp
@@ -112,9 +112,7 @@
   }
   // Any entry may own the partitions of unclaimed ends, so connect to all of them.
   dialer_.set_max_links(table_.has_unclaimed_end() ? dialer_.known() : settings_.max_sessions);
-  for (const auto& address : dialer_.due(now)) {
-    dial(address);
-  }
+  dial_due(now);
   status_dirty_ = true;
   flush();
   if (table_.running() + table_.waiting() > 0) {
@@ -166,7 +164,7 @@
 }
 
 void fleet_agent::close_surplus_sessions(monotonic_time now) {
-  const auto surplus = dialer_.surplus();
+  const auto surplus = dialer_.surplus(now);
   for (auto& [address, peer] : sessions_) {
     if (!peer->link || !peer->established) {
       continue;
@@ -193,6 +191,25 @@
   }
 }
 
+void fleet_agent::session_requested(const fleet_member& entry, monotonic_time now) {
+  if (leaving_ || suspected_ || !worker_ || worker_->draining || departed_at_) {
+    return;
+  }
+  const bool accepted = dialer_.request(entry, now + settings_.requested_session_time,
+                                        settings_.max_requested_sessions, now);
+  log_.write("session_requested", "entry", entry.name, "address", entry.address, "accepted",
+             accepted, "requested_sessions", dialer_.requests(now));
+  metrics_.add("parsleylead_agent_session_requests_total",
+               {{"accepted", accepted ? "true" : "false"}});
+  dial_due(now);
+}
+
+void fleet_agent::dial_due(monotonic_time now) {
+  for (const auto& address : dialer_.due(now)) {
+    dial(address);
+  }
+}
+
 void fleet_agent::dial(const std::string& address) {
   connect_frame_link(io_, address, settings_.timing.connect_timeout,
                      [this, address, alive = std::weak_ptr<int>(alive_)](
@@ -230,7 +247,8 @@
   hello.hello =
       session_hello{{settings_.name, settings_.incarnation, "", settings_.availability_zone},
                     true,
-                    peer.incarnation};
+                    peer.incarnation,
+                    !dialer_.is_preferred(address)};
   send(peer, hello);
 }
 
@@ -305,6 +323,12 @@
   if (!from.established) {
     return;
   }
+  if (frame.keep_session) {
+    dialer_.extend_request(from.address, now + settings_.requested_session_time, now);
+  }
+  for (const auto& entry : frame.session_requests) {
+    session_requested(entry, now);
+  }
   if (frame.outstanding) {
     table_.reconcile(from.owner, *frame.outstanding, now);
   }
--- a/src/fleet/fleet_entry.cpp
+++ b/src/fleet/fleet_entry.cpp
@@ -16,6 +16,16 @@
 constexpr milliseconds backlog_notice{1'000};
 // A connection without a hello is closed after this time.
 constexpr milliseconds hello_timeout{2'000};
+// Requests for workers that come from other entries are relayed in one frame for all that arrive
+// within this time.
+constexpr milliseconds request_relay_interval{60};
+// Requests are recognised as duplicates for this long. They travel over at most two links.
+constexpr milliseconds known_request_retention{5'000};
+// Further requests of other entries are dropped. Their senders repeat them.
+constexpr std::size_t max_relayed_requests = 256;
+// From this attempt on, a request is relayed even if an agent of a fitting worker was asked: that
+// agent may not reach the entry.
+constexpr std::uint32_t always_relayed_attempt = 2;
 
 } // namespace
 
@@ -181,6 +191,7 @@
   close_surplus_links(now);
   gossip(now);
   request_newer_routes(now);
+  relay_requests(now);
   scheduler_.tick(now);
   flush();
   log_confined_queues();
@@ -223,7 +234,8 @@
   } else if (now - backlog_since_ > backlog_notice) {
     backlog_since_ = now;
     log_.write("backlog_lasts", "tasks", scheduler_.backlog(), "jobs", scheduler_.open_jobs(),
-               "workers", scheduler_.describe_workers());
+               "requirements", scheduler_.describe_backlog(now), "workers",
+               scheduler_.describe_workers());
   }
 }
 
@@ -257,6 +269,7 @@
 
 void fleet_entry::send(session& to, fleet_frame frame) {
   frame.heard = to.newest_sent;
+  frame.keep_session = to.is_agent && to.established && scheduler_.is_needed(to.worker);
   const auto bytes = encode_frame(frame);
   traffic_.count(content_of(frame), bytes.size());
   to.link->send(bytes);
@@ -301,7 +314,7 @@
     return;
   }
   last_surplus_check_ = now;
-  const auto surplus = dialer_.surplus();
+  const auto surplus = dialer_.surplus(now);
   const auto open_sessions = sessions_;
   for (const auto& peer : open_sessions) {
     if (std::find(surplus.begin(), surplus.end(), peer->dialled) != surplus.end()) {
@@ -338,6 +351,93 @@
   send(**newest, request);
 }
 
+site_access fleet_entry::access_to_site() {
+  const bool connected = std::any_of(sessions_.begin(), sessions_.end(), [](const auto& peer) {
+    return peer->established && !peer->is_agent;
+  });
+  has_known_others_ = has_known_others_ || connected || dialer_.known() > 0;
+  if (connected) {
+    return site_access::connected;
+  }
+  return has_known_others_ ? site_access::isolated : site_access::alone;
+}
+
+void fleet_entry::request_workers(monotonic_time now) {
+  fleet_frame frame;
+  for (auto& due : scheduler_.search_workers(access_to_site(), now)) {
+    frame.worker_requests.push_back(
+        {self_, next_request_number_++, std::move(due.requirement), due.attempt, false});
+  }
+  for (const auto& event : scheduler_.take_search_events()) {
+    const auto& [service, label, needs] = event.requirement;
+    log_.write("worker_search", "state", to_string(event.kind), "service", service, "label", label,
+               "cpu_millis", needs.cpu_millis, "memory_mb", needs.memory_mb, "gpus", needs.gpus,
+               "age_ms", event.age.count());
+    metrics_.add("parsleylead_entry_worker_searches_total", {{"state", to_string(event.kind)}});
+  }
+  if (frame.worker_requests.empty()) {
+    return;
+  }
+  frame.routes_version = routes_.version;
+  for (const auto& peer : sessions_) {
+    if (peer->established && !peer->is_agent) {
+      send(*peer, frame);
+    }
+  }
+}
+
+void fleet_entry::worker_requested(const std::shared_ptr<session>& from, worker_request request,
+                                   monotonic_time now) {
+  const auto& sender = request.entry;
+  if (sender.address == self_.address ||
+      !known_requests_.try_emplace({sender.name, sender.incarnation, request.number}, now).second) {
+    return;
+  }
+  const auto worker = scheduler_.find_worker(request.requirement,
+                                             sender.name + "/" + std::to_string(request.attempt));
+  if (worker) {
+    const auto& agent = agents_.at(*worker);
+    agent->outgoing.session_requests.push_back(sender);
+    flush_soon_();
+    log_.write("worker_request_passed_on", "entry", sender.name, "agent", agent->peer.name,
+               "service", request.requirement.service, "label", request.requirement.label,
+               "attempt", request.attempt);
+  }
+  if (!request.relayed && (!worker || request.attempt >= always_relayed_attempt) &&
+      relayed_requests_.size() < max_relayed_requests) {
+    request.relayed = true;
+    relayed_requests_.push_back({std::move(request), from});
+  }
+}
+
+void fleet_entry::relay_requests(monotonic_time now) {
+  if (now - requests_relayed_ < request_relay_interval) {
+    return;
+  }
+  requests_relayed_ = now;
+  std::erase_if(known_requests_,
+                [now](const auto& each) { return now - each.second > known_request_retention; });
+  const auto relayed = std::exchange(relayed_requests_, {});
+  if (relayed.empty()) {
+    return;
+  }
+  for (const auto& peer : sessions_) {
+    if (!peer->established || peer->is_agent) {
+      continue;
+    }
+    fleet_frame frame;
+    frame.routes_version = routes_.version;
+    for (const auto& each : relayed) {
+      if (each.from.lock() != peer && each.request.entry.name != peer->peer.name) {
+        frame.worker_requests.push_back(each.request);
+      }
+    }
+    if (!frame.worker_requests.empty()) {
+      send(*peer, std::move(frame));
+    }
+  }
+}
+
 void fleet_entry::announce_routes() {
   fleet_frame frame;
   frame.routes_version = routes_.version;
@@ -452,6 +552,9 @@
   known = hello.sender.incarnation;
   agents_[from->worker] = from;
   scheduler_.session_opened(from->worker, same_agent, now);
+  if (hello.requested) {
+    scheduler_.session_is_requested(from->worker);
+  }
   auto reply = member_frame();
   reply.hello = session_hello{self_, false, 0};
   reply.outstanding = same_agent ? scheduler_.outstanding(from->worker) : std::vector<run_id>{};
@@ -460,7 +563,8 @@
   }
   send(*from, reply);
   log_.write("session_opened", "agent", hello.sender.name, "incarnation", hello.sender.incarnation,
-             "same_agent", same_agent, "outstanding", reply.outstanding->size());
+             "same_agent", same_agent, "requested", hello.requested, "outstanding",
+             reply.outstanding->size());
 }
 
 void fleet_entry::routes_received(session& from, const fleet_frame& frame) {
@@ -512,6 +616,9 @@
     add_members(frame.members);
     routes_received(*from, frame);
     waiting_counts_.learn(frame.waiting_durable_jobs, now);
+    for (auto& request : frame.worker_requests) {
+      worker_requested(from, std::move(request), now);
+    }
     return;
   }
   if (frame.status) {
@@ -605,6 +712,7 @@
     durable_->check_lease(now);
   }
   scheduler_.place_waiting(now);
+  request_workers(now);
   for (auto& [index, order] : scheduler_.take_starts()) {
     if (const auto found = agents_.find(index); found != agents_.end()) {
       found->second->outgoing.starts.push_back(std::move(order));
--- a/src/fleet/fleet_frame.cpp
+++ b/src/fleet/fleet_frame.cpp
@@ -199,6 +199,27 @@
   return {text(in.getQueue()), in.getJobs()};
 }
 
+void write(wire::WorkerRequest::Builder out, const worker_request& request) {
+  write(out.initEntry(), request.entry);
+  out.setNumber(request.number);
+  auto requirement = out.initRequirement();
+  requirement.setService(request.requirement.service);
+  requirement.setLabel(request.requirement.label);
+  write(requirement.initNeeds(), request.requirement.needs);
+  out.setAttempt(request.attempt);
+  out.setRelayed(request.relayed);
+}
+
+worker_request read(wire::WorkerRequest::Reader in) {
+  const auto requirement = in.getRequirement();
+  return {
+      read(in.getEntry()),
+      in.getNumber(),
+      {text(requirement.getService()), text(requirement.getLabel()), read(requirement.getNeeds())},
+      in.getAttempt(),
+      in.getRelayed()};
+}
+
 template <class List, class Values>
 void write_all(List list, const Values& values);
 template <class List, class Values>
@@ -271,13 +292,15 @@
   out.setAvailabilityZone(hello.sender.availability_zone);
   out.setIsAgent(hello.is_agent);
   out.setResumes(hello.resumed_incarnation);
+  out.setRequested(hello.requested);
 }
 
 session_hello read_hello(wire::Hello::Reader in) {
   return {{text(in.getName()), in.getIncarnation(), text(in.getAddress()),
            text(in.getAvailabilityZone())},
           in.getIsAgent(),
-          in.getResumes()};
+          in.getResumes(),
+          in.getRequested()};
 }
 
 fleet_frame read_frame(wire::Frame::Reader in) {
@@ -307,6 +330,9 @@
   frame.leaving = in.getLeaving();
   frame.sent = std::chrono::milliseconds(in.getSentMs());
   frame.heard = std::chrono::milliseconds(in.getHeardMs());
+  read_all(in.getWorkerRequests(), frame.worker_requests);
+  read_all(in.getSessionRequests(), frame.session_requests);
+  frame.keep_session = in.getKeepSession();
   return frame;
 }
 
@@ -316,7 +342,8 @@
   return !hello && starts.empty() && stops.empty() && moves.empty() && ends.empty() &&
          slow_runs.empty() && !status && members.empty() && !outstanding && routes.empty() &&
          !routes_wanted && !leaving && claims.empty() && end_acks.empty() &&
-         waiting_durable_jobs.empty() && crashes.empty();
+         waiting_durable_jobs.empty() && crashes.empty() && worker_requests.empty() &&
+         session_requests.empty();
 }
 
 std::string encode_frame(const fleet_frame& frame) {
@@ -371,6 +398,14 @@
   out.setLeaving(frame.leaving);
   out.setSentMs(frame.sent.count());
   out.setHeardMs(frame.heard.count());
+  if (!frame.worker_requests.empty()) {
+    write_all(out.initWorkerRequests(count(frame.worker_requests.size())), frame.worker_requests);
+  }
+  if (!frame.session_requests.empty()) {
+    write_all(out.initSessionRequests(count(frame.session_requests.size())),
+              frame.session_requests);
+  }
+  out.setKeepSession(frame.keep_session);
   // Packing removes zero bytes, which make up most of a frame.
   kj::VectorOutputStream stream;
   capnp::writePackedMessage(stream, message);
--- /dev/null
+++ b/src/fleet/fleet_reach_test.cpp
@@ -0,0 +1,207 @@
+// Tests on sites with more entries than an agent has sessions, over TCP connections in one process.
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "fake_worker.hpp"
+#include "parsleylead/fleet/fleet_agent.hpp"
+#include "parsleylead/fleet/fleet_entry.hpp"
+
+namespace parsleylead {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::chrono::seconds test_limit{10};
+
+/// An agent with its worker, which keeps announcing itself.
+struct host {
+  host(asio::io_context& io, int number, worker_announcement announced, event_log& log,
+       metrics_registry& metrics)
+      : worker(io), announcement(std::move(announced)) {
+    announcement.id = "w-" + std::to_string(number);
+    announcement.incarnation = 1;
+    announcement.capacity = {32'000, 65'536, 0};
+    announcement.service = "desk";
+    worker.id = announcement.id;
+    settings.name = "agent-" + std::to_string(number);
+    settings.incarnation = 100 + static_cast<std::uint64_t>(number);
+    agent = std::make_unique<fleet_agent>(io, settings, worker, log, metrics);
+  }
+
+  void announce() {
+    ++announcement.sequence;
+    agent->worker_announced(announcement, [](const absl::Status&) {});
+  }
+
+  fake_worker worker;
+  worker_announcement announcement;
+  fleet_agent_settings settings;
+  std::unique_ptr<fleet_agent> agent;
+};
+
+struct site {
+  /// The first `special` workers have the label "b".
+  site(int entry_count, int worker_count, int special) {
+    for (int i = 0; i < entry_count; ++i) {
+      fleet_entry_settings settings;
+      settings.name = "entry-" + std::to_string(i);
+      settings.incarnation = 1 + static_cast<std::uint64_t>(i);
+      settings.availability_zone = "zone-" + std::to_string(i % 4);
+      settings.listen = free_address(io);
+      members.push_back({settings.name, settings.incarnation, to_string(settings.listen),
+                         settings.availability_zone});
+      entries.push_back(
+          std::make_unique<fleet_entry>(io, settings, log, metrics, [](const route_update&) {}));
+      REQUIRE(entries.back()->start().ok());
+    }
+    for (int i = 0; i < worker_count; ++i) {
+      worker_announcement announced;
+      if (i < special) {
+        announced.labels = {"b"};
+      }
+      add_host(announced);
+    }
+    for (const auto& entry : entries) {
+      entry->add_members(members);
+    }
+  }
+
+  host& add_host(const worker_announcement& announced) {
+    hosts.push_back(
+        std::make_unique<host>(io, static_cast<int>(hosts.size()), announced, log, metrics));
+    auto& added = *hosts.back();
+    added.agent->add_members(members);
+    added.agent->start();
+    added.announce();
+    return added;
+  }
+
+  template <class Condition>
+  bool run_until(Condition done, milliseconds within = test_limit) {
+    const auto limit = std::chrono::steady_clock::now() + within;
+    while (!done() && std::chrono::steady_clock::now() < limit) {
+      io.run_one_for(milliseconds(20));
+    }
+    return done();
+  }
+
+  bool wait_for_sessions() {
+    return run_until([&] {
+      return std::all_of(hosts.begin(), hosts.end(), [&](const auto& each) {
+        return each->agent->sessions() >= std::min<std::size_t>(6, entries.size());
+      });
+    });
+  }
+
+  bool is_ready() {
+    return run_until([&] {
+      return std::all_of(entries.begin(), entries.end(),
+                         [](const auto& entry) { return entry->has_worker(); });
+    });
+  }
+
+  /// Submits a job with one task to each entry and returns the results.
+  std::vector<job_result> submit_to_all(const std::string& label) {
+    std::vector<job_result> results;
+    for (const auto& entry : entries) {
+      entry->submit(make_job(label), [&](const job_result& result) { results.push_back(result); });
+    }
+    run_until([&] { return results.size() == entries.size(); });
+    return results;
+  }
+
+  fleet_job make_job(const std::string& label) {
+    fleet_job job;
+    job.id = ++last_job;
+    job.terms = {"queue", "desk", milliseconds(8'000), 2.0, 3};
+    job.payload = "text";
+    job.answer_timeout = milliseconds(30'000);
+    job.steps.push_back({});
+    job.steps[0].count = 1;
+    job.steps[0].needs = {3'000, 64, 0};
+    job.steps[0].estimate = milliseconds(20);
+    job.steps[0].required_label = label;
+    return job;
+  }
+
+  asio::io_context io;
+  event_log log{"test"};
+  metrics_registry metrics;
+  std::vector<fleet_member> members;
+  std::vector<std::unique_ptr<fleet_entry>> entries;
+  std::vector<std::unique_ptr<host>> hosts;
+  std::uint64_t last_job = 0;
+};
+
+std::ptrdiff_t completed(const std::vector<job_result>& results) {
+  return std::count_if(results.begin(), results.end(), [](const job_result& result) {
+    return result.verdict == job_verdict::completed;
+  });
+}
+
+TEST_CASE("each entry has its jobs run by the only worker of a kind") {
+  // Guards against jobs that only the workers with a session to their entry can run: others were
+  // refused, or waited for ever if they were stored. Review case 4.
+  site fleet(14, 14, 1);
+  REQUIRE(fleet.wait_for_sessions());
+  REQUIRE(fleet.is_ready());
+  const auto results = fleet.submit_to_all("b");
+  CHECK(results.size() == 14);
+  CHECK(completed(results) == 14);
+  for (const auto& result : results) {
+    CHECK(result.longest_wait < milliseconds(2'000));
+  }
+}
+
+TEST_CASE("a job is refused if the site has no worker for it, and run once there is one") {
+  // Guards against refusals while fitting workers are idle, and against searches that end for good.
+  site fleet(8, 8, 0);
+  REQUIRE(fleet.wait_for_sessions());
+  auto results = fleet.submit_to_all("b");
+  REQUIRE(results.size() == 8);
+  for (const auto& result : results) {
+    CHECK(result.verdict == job_verdict::not_run);
+    CHECK(result.cause == job_cause::no_capable_worker);
+    CHECK(result.elapsed >= milliseconds(1'500));
+  }
+  results = fleet.submit_to_all("b");
+  REQUIRE(results.size() == 8);
+  for (const auto& result : results) {
+    CHECK(result.cause == job_cause::no_capable_worker);
+    CHECK(result.elapsed < milliseconds(50)); // Known since the first job.
+  }
+  worker_announcement special;
+  special.labels = {"b"};
+  fleet.add_host(special);
+  REQUIRE(fleet.run_until([&] { return fleet.hosts.back()->agent->sessions() == 8; }));
+  CHECK(fleet.run_until([&] { return completed(fleet.submit_to_all("b")) == 8; }));
+}
+
+TEST_CASE("an entry that no agent has chosen gets a session and is ready") {
+  // Guards against entries that are never ready on sites with many entries and few workers.
+  site fleet(20, 2, 0);
+  CHECK(fleet.is_ready());
+}
+
+TEST_CASE("requested sessions are closed when the need for them has ended") {
+  // Guards against sessions that grow with each kind of task that was ever run.
+  site fleet(12, 12, 1);
+  REQUIRE(fleet.wait_for_sessions());
+  REQUIRE(fleet.is_ready());
+  CHECK(completed(fleet.submit_to_all("b")) == 12);
+  const auto& special = *fleet.hosts.front()->agent;
+  CHECK(special.sessions() == 12);
+  CHECK(fleet.run_until([&] { return special.sessions() == 6; }, std::chrono::seconds(20)));
+}
+
+} // namespace
+} // namespace parsleylead
--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -44,6 +44,8 @@
 // other tasks must not keep it waiting.
 constexpr std::uint32_t max_returned_isolated_orders = 2;
 constexpr milliseconds quarantine_update_interval{250};
+// Maximum number of requirements that are described in a log line.
+constexpr std::size_t max_described_requirements = 8;
 
 double ms(std::chrono::nanoseconds value) {
   return double_ms(value).count();
@@ -67,6 +69,8 @@
   /// Number of this entry's isolated runs on the worker.
   std::uint32_t isolated_runs = 0;
   bool quarantined = false;
+  /// The agent opened the session on request.
+  bool requested = false;
   std::unordered_map<task_key, std::uint32_t, task_key_hash> runs;
   /// Runs that were placed up to `lost_before` count as lost at `release_at`.
   std::optional<monotonic_time> release_at;
@@ -156,6 +160,8 @@
   /// This process was stalled while tasks of the job were placed.
   bool stalled = false;
   bool suspended = false;
+  /// The job waits for workers to be found.
+  bool awaits_workers = false;
   /// A task of the job has to run isolated, or had to.
   bool has_suspects = false;
   job_result result;
@@ -193,7 +199,7 @@
 fleet_scheduler::fleet_scheduler(fleet_policy policy, std::string availability_zone,
                                  std::uint64_t seed)
     : policy_(policy), availability_zone_(std::move(availability_zone)), random_(seed),
-      crash_history_(policy.crashes) {}
+      search_(policy.search), crash_history_(policy.crashes) {}
 
 fleet_scheduler::~fleet_scheduler() = default;
 
@@ -232,17 +238,94 @@
     return;
   }
   for (std::uint32_t step = 0; step < open_job.spec.steps.size(); ++step) {
-    if (!could_ever_run(open_job, step) && !service_may_appear(open_job.spec.terms.service, now)) {
-      finish(open_job, job_verdict::not_run, job_cause::no_capable_worker, now);
-      return;
-    }
+    require_worker(open_job, step, now);
+  }
+  if (lacks_worker(open_job, false, now)) {
+    finish(open_job, job_verdict::not_run, job_cause::no_capable_worker, now);
+    return;
   }
-  if (backlog_ + open_job.result.tasks > policy_.max_backlog) {
+  if (backlog_ + awaiting_tasks_ + open_job.result.tasks > policy_.max_backlog) {
     finish(open_job, job_verdict::not_run, job_cause::backlog_full, now);
     return;
   }
+  if (!all_workers_reachable(open_job)) {
+    open_job.awaits_workers = true;
+    awaiting_tasks_ += open_job.result.tasks;
+    awaiting_jobs_.push_back(open_job.spec.id);
+    return;
+  }
+  admit(open_job, now);
+}
+
+worker_requirement fleet_scheduler::requirement_of(const job& open_job, std::uint32_t step) {
+  const auto& shape = open_job.spec.steps[step];
+  return {open_job.spec.terms.service, shape.required_label, shape.needs};
+}
+
+void fleet_scheduler::require_worker(const job& open_job, std::uint32_t step, monotonic_time now) {
+  if (!could_ever_run(open_job, step)) {
+    search_.add(requirement_of(open_job, step), now);
+  } else if (!search_.empty()) {
+    search_.retain(requirement_of(open_job, step), now);
+  }
+}
+
+bool fleet_scheduler::lacks_worker(const job& open_job, bool lastingly, monotonic_time now) const {
+  if (service_may_appear(open_job.spec.terms.service, now)) {
+    return false;
+  }
+  for (std::uint32_t step = 0; step < open_job.spec.steps.size(); ++step) {
+    if (could_ever_run(open_job, step)) {
+      continue;
+    }
+    const auto requirement = requirement_of(open_job, step);
+    if (lastingly ? search_.is_lastingly_absent(requirement, now)
+                  : search_.is_absent(requirement, now)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool fleet_scheduler::all_workers_reachable(const job& open_job) const {
+  for (std::uint32_t step = 0; step < open_job.spec.steps.size(); ++step) {
+    if (!could_ever_run(open_job, step)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void fleet_scheduler::handle_awaiting_jobs(monotonic_time now) {
+  for (const auto id : std::exchange(awaiting_jobs_, {})) {
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end() || !found->second->awaits_workers) {
+      continue;
+    }
+    auto& open_job = *found->second;
+    for (std::uint32_t step = 0; step < open_job.spec.steps.size(); ++step) {
+      require_worker(open_job, step, now);
+    }
+    if (lacks_worker(open_job, false, now)) {
+      finish(open_job, job_verdict::not_run, job_cause::no_capable_worker, now);
+    } else if (all_workers_reachable(open_job)) {
+      stop_awaiting(open_job);
+      admit(open_job, now);
+    } else {
+      awaiting_jobs_.push_back(id);
+    }
+  }
+}
+
+void fleet_scheduler::stop_awaiting(job& open_job) {
+  if (std::exchange(open_job.awaits_workers, false)) {
+    awaiting_tasks_ -= open_job.result.tasks;
+  }
+}
+
+void fleet_scheduler::admit(job& open_job, monotonic_time now) {
   // Place the jobs of the same turn of the event loop first, so that they do not count as backlog.
-  place_waiting(now);
+  place_backlog(now);
   const double wait = expected_wait().count();
   if (wait + ms(open_job.critical_path) >
           ms(std::min(open_job.late_limit, open_job.deadline) - now) &&
@@ -358,6 +441,7 @@
   if (found == jobs_.end()) {
     return;
   }
+  stop_awaiting(*found->second);
   stop_runs(*found->second);
   backlog_ -= found->second->ready;
   jobs_.erase(found);
@@ -392,6 +476,7 @@
 
 void fleet_scheduler::finish(job& open_job, job_verdict verdict, job_cause cause,
                              monotonic_time now) {
+  stop_awaiting(open_job);
   stop_runs(open_job);
   backlog_ -= open_job.ready;
   auto& result = open_job.result;
@@ -491,6 +576,7 @@
 void fleet_scheduler::session_opened(worker_index index, bool same_agent, monotonic_time now) {
   auto& target = *workers_.at(index);
   target.connected = true;
+  target.requested = false;
   target.status = {};
   if (!same_agent && !target.runs.empty()) {
     const auto release_at = target.release_at.value_or(now + policy_.lost_run_wait);
@@ -501,6 +587,10 @@
   target.release_at.reset();
 }
 
+void fleet_scheduler::session_is_requested(worker_index index) {
+  workers_.at(index)->requested = true;
+}
+
 void fleet_scheduler::session_lost(worker_index index, monotonic_time last_heard,
                                    monotonic_time now) {
   auto& target = *workers_.at(index);
@@ -528,9 +618,8 @@
 }
 
 bool fleet_scheduler::has_worker() const {
-  return std::any_of(workers_.begin(), workers_.end(), [](const auto& candidate) {
-    return candidate->connected && candidate->status.present && candidate->status.accepting;
-  });
+  return std::any_of(workers_.begin(), workers_.end(),
+                     [](const auto& candidate) { return is_usable(*candidate); });
 }
 
 std::size_t fleet_scheduler::waiting_jobs(const std::string& queue) const {
@@ -541,12 +630,60 @@
       }));
 }
 
+std::string fleet_scheduler::describe_backlog(monotonic_time now) const {
+  struct waiting_tasks {
+    std::size_t tasks = 0;
+    monotonic_time oldest = monotonic_time::max();
+    std::string_view state;
+  };
+  std::map<std::tuple<std::string_view, std::string_view, std::uint32_t, std::uint32_t>,
+           waiting_tasks>
+      by_requirement;
+  for (const auto& [id, open_job] : jobs_) {
+    if (open_job->ready == 0) {
+      continue;
+    }
+    for (std::uint32_t step = 0; step < open_job->tasks.size(); ++step) {
+      const auto& tasks = open_job->tasks[step];
+      const auto ready = std::count_if(tasks.begin(), tasks.end(), [](const task& each) {
+        return each.current_state == task::state::ready;
+      });
+      if (ready == 0) {
+        continue;
+      }
+      const auto& shape = open_job->spec.steps[step];
+      auto& known = by_requirement[{open_job->spec.terms.service, shape.required_label,
+                                    shape.needs.cpu_millis, shape.needs.gpus}];
+      known.tasks += static_cast<std::size_t>(ready);
+      known.oldest = std::min(known.oldest, open_job->arrived);
+      known.state = could_ever_run(*open_job, step) ? "workers_busy"
+                    : search_.is_lastingly_absent(requirement_of(*open_job, step), now)
+                        ? "no_worker_at_site"
+                        : "no_worker_in_reach";
+    }
+  }
+  std::string text;
+  std::size_t described = 0;
+  for (const auto& [requirement, waiting] : by_requirement) {
+    if (++described > max_described_requirements) {
+      break;
+    }
+    const auto& [service, label, cpu_millis, gpus] = requirement;
+    text += (text.empty() ? "" : " ") + std::string(service) + ":label=" + std::string(label) +
+            ":cpu_millis=" + std::to_string(cpu_millis) + ":gpus=" + std::to_string(gpus) +
+            ":tasks=" + std::to_string(waiting.tasks) + ":oldest_ms=" +
+            std::to_string(std::chrono::round<milliseconds>(now - waiting.oldest).count()) + ":" +
+            std::string(waiting.state);
+  }
+  return text;
+}
+
 std::string fleet_scheduler::describe_workers() const {
   std::string text;
   for (const auto& described : workers_) {
     const auto& status = described->status;
-    const bool usable = described->connected && status.present && status.accepting;
-    text += (text.empty() ? "" : " ") + described->agent + (usable ? ":" : ":unusable:") +
+    text += (text.empty() ? "" : " ") + described->agent +
+            (is_usable(*described) ? ":" : ":unusable:") +
             std::to_string(static_cast<std::int64_t>(free_cpu(*described))) + "/" +
             std::to_string(status.description.capacity.cpu_millis) +
             ":committed=" + std::to_string(status.committed.cpu_millis) +
@@ -584,13 +721,9 @@
 
 bool fleet_scheduler::is_suitable(const worker& candidate, const job& open_job,
                                   std::uint32_t step_number) {
-  const auto& description = candidate.status.description;
   const auto& step = open_job.spec.steps[step_number];
-  return description.service == open_job.spec.terms.service &&
-         fits(step.needs, {}, description.capacity) &&
-         (step.required_label.empty() ||
-          std::find(description.labels.begin(), description.labels.end(), step.required_label) !=
-              description.labels.end());
+  return meets(candidate.status.description, open_job.spec.terms.service, step.required_label,
+               step.needs);
 }
 
 bool fleet_scheduler::can_run(const worker& candidate, const job& open_job, std::uint32_t step) {
@@ -693,6 +826,9 @@
   placed_task.isolated = placed_task.is_to_be_isolated();
   placed_task.stop_requested = false;
   ++placed_task.attempts;
+  if (!search_.empty()) {
+    search_.retain(requirement_of(open_job, step), now);
+  }
   --open_job.ready;
   ++open_job.placed;
   --backlog_;
@@ -754,6 +890,9 @@
         place(open_job, step, index, *target, now);
         continue;
       }
+      if (misfit == nullptr) {
+        require_worker(open_job, step, now);
+      }
       if (isolated) {
         continue;
       }
@@ -772,6 +911,13 @@
 }
 
 void fleet_scheduler::place_waiting(monotonic_time now) {
+  if (!awaiting_jobs_.empty()) {
+    handle_awaiting_jobs(now);
+  }
+  place_backlog(now);
+}
+
+void fleet_scheduler::place_backlog(monotonic_time now) {
   if (backlog_ == 0) {
     return;
   }
@@ -1057,11 +1203,54 @@
   if (now - quarantine_updated_ >= quarantine_update_interval) {
     update_quarantine(now);
   }
+  if (std::none_of(workers_.begin(), workers_.end(),
+                   [](const auto& each) { return !each->requested && is_usable(*each); })) {
+    // Without its own sessions, the entry keeps some that it requests, so that it stays ready.
+    search_.add({}, now);
+  }
   release_lost_runs(now);
   expire_jobs(now);
   place_waiting(now);
 }
 
+std::vector<worker_search::due_request> fleet_scheduler::search_workers(site_access access,
+                                                                        monotonic_time now) {
+  return search_.update(
+      access,
+      [this](const worker_requirement& requirement) {
+        return std::any_of(workers_.begin(), workers_.end(), [&](const auto& each) {
+          return is_usable(*each) && meets(each->status.description, requirement);
+        });
+      },
+      now);
+}
+
+std::optional<worker_index> fleet_scheduler::find_worker(const worker_requirement& requirement,
+                                                         const std::string& seed) const {
+  std::optional<worker_index> chosen;
+  std::uint32_t lowest = 0;
+  for (worker_index index = 0; index < workers_.size(); ++index) {
+    const auto& candidate = *workers_[index];
+    if (!is_usable(candidate) || !meets(candidate.status.description, requirement)) {
+      continue;
+    }
+    const auto rank = queue_hash(seed + "@" + candidate.agent);
+    if (!chosen || rank < lowest) {
+      chosen = index;
+      lowest = rank;
+    }
+  }
+  return chosen;
+}
+
+bool fleet_scheduler::is_needed(worker_index index) const {
+  return search_.is_needed(workers_.at(index)->status.description);
+}
+
+bool fleet_scheduler::is_usable(const worker& candidate) {
+  return candidate.connected && candidate.status.present && candidate.status.accepting;
+}
+
 void fleet_scheduler::release_lost_runs(monotonic_time now) {
   for (worker_index index = 0; index < workers_.size(); ++index) {
     auto& target = *workers_[index];
@@ -1093,6 +1282,7 @@
 void fleet_scheduler::expire_jobs(monotonic_time now) {
   std::vector<std::uint64_t> expired;
   std::vector<std::uint64_t> unreachable;
+  std::vector<std::uint64_t> incapable;
   for (const auto& [id, open_job] : jobs_) {
     if (open_job->is_durable()) {
       continue;
@@ -1101,8 +1291,14 @@
       expired.push_back(id);
     } else if (!open_job->may_have_run() && open_job->late_limit < now + open_job->critical_path) {
       unreachable.push_back(id);
+    } else if (!search_.empty() && !open_job->may_have_run() &&
+               lacks_worker(*open_job, true, now)) {
+      incapable.push_back(id);
     }
   }
+  for (const auto id : incapable) {
+    finish(*jobs_.at(id), job_verdict::not_run, job_cause::no_capable_worker, now);
+  }
   for (const auto id : expired) {
     auto& open_job = *jobs_.at(id);
     finish(open_job, open_job.may_have_run() ? job_verdict::unknown : job_verdict::not_run,
--- a/src/fleet/fleet_scheduler_test.cpp
+++ b/src/fleet/fleet_scheduler_test.cpp
@@ -267,6 +267,101 @@
   }
 }
 
+/// The worker of the fixture with the label that `job_for_label` needs.
+worker_status labelled_worker() {
+  auto status = idle_worker();
+  status.description.labels = {"gpu"};
+  return status;
+}
+
+fleet_job job_for_label(std::uint64_t id) {
+  auto job = make_job(id, 1);
+  job.terms.target = milliseconds(8'000);
+  job.steps[0].required_label = "gpu";
+  return job;
+}
+
+/// Lets a scheduler pass and returns the requests for workers.
+std::vector<worker_search::due_request> pass(fixture& fleet, std::int64_t at) {
+  fleet.scheduler.tick(at_ms(at));
+  return fleet.scheduler.search_workers(site_access::connected, at_ms(at));
+}
+
+TEST_CASE("a job for which no worker is in reach waits until one is found") {
+  // Guards against jobs that are refused, or wait for ever if they are durable, because the agents
+  // of fitting workers have no session to the entry.
+  for (const bool durable : {false, true}) {
+    fixture fleet(3);
+    pass(fleet, 0);
+    auto job = job_for_label(1);
+    if (durable) {
+      job.ownership = job_ownership{1, 0, {}};
+    }
+    CHECK(fleet.submit(std::move(job), 10).empty());
+    CHECK(fleet.scheduler.take_results().empty());
+    const auto requests = pass(fleet, 20);
+    REQUIRE(requests.size() == 1);
+    CHECK(requests[0].requirement == worker_requirement{"desk", "gpu", {3'100, 64, 0}});
+    const auto found = fleet.scheduler.worker_for("agent-found", "b");
+    fleet.scheduler.session_opened(found, false, at_ms(300));
+    fleet.scheduler.session_is_requested(found);
+    fleet.scheduler.worker_reported(found, labelled_worker(), at_ms(310));
+    CHECK(pass(fleet, 320).empty());
+    const auto starts = fleet.scheduler.take_starts();
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].worker == found);
+    CHECK(fleet.scheduler.is_needed(found));
+    CHECK_FALSE(fleet.scheduler.is_needed(fleet.workers[0]));
+  }
+}
+
+TEST_CASE("a best-effort job is refused once the site is known to have no worker for it") {
+  // Guards against "no worker can run it" from the sessions of one entry alone, against jobs that
+  // wait although the site is known to have none, and against forgotten jobs and counts.
+  fixture fleet(3);
+  pass(fleet, 0);
+  fleet.submit(job_for_label(1), 10);
+  for (std::int64_t now = 20; now < 1'500; now += 20) {
+    pass(fleet, now);
+    CHECK(fleet.scheduler.take_results().empty());
+  }
+  for (std::int64_t now = 1'500; now < 1'600; now += 20) {
+    pass(fleet, now);
+  }
+  auto results = fleet.scheduler.take_results();
+  REQUIRE(results.size() == 1);
+  CHECK(results[0].cause == job_cause::no_capable_worker);
+  fleet.submit(job_for_label(2), 1'610);
+  results = fleet.scheduler.take_results();
+  REQUIRE(results.size() == 1);
+  CHECK(results[0].verdict == job_verdict::not_run);
+  CHECK(results[0].elapsed == milliseconds(0));
+  CHECK(fleet.scheduler.open_jobs() == 0);
+}
+
+TEST_CASE("jobs that wait for workers to be found can be cancelled and expire") {
+  fixture fleet(3);
+  pass(fleet, 0);
+  fleet.submit(job_for_label(1), 10);
+  fleet.scheduler.cancel(1, at_ms(20));
+  auto expiring = job_for_label(2);
+  expiring.answer_timeout = milliseconds(100);
+  fleet.submit(std::move(expiring), 20);
+  pass(fleet, 130);
+  const auto results = fleet.scheduler.take_results();
+  REQUIRE(results.size() == 1);
+  CHECK(results[0].verdict == job_verdict::not_run);
+  CHECK(results[0].cause == job_cause::deadline_passed);
+  CHECK(fleet.scheduler.open_jobs() == 0);
+  // The limit of the backlog counts open jobs only.
+  for (std::uint64_t id = 10; id < 14; ++id) {
+    auto job = job_for_label(id);
+    job.steps[0].count = 6'000;
+    fleet.submit(std::move(job), 140);
+  }
+  CHECK(fleet.scheduler.take_results().size() == 1);
+}
+
 TEST_CASE("after the start, jobs wait for the first worker to report") {
   // Guards against refused jobs just after all hosts were restarted.
   fixture fleet(0);
--- a/src/fleet/link_traffic.cpp
+++ b/src/fleet/link_traffic.cpp
@@ -21,6 +21,8 @@
     return "ends";
   case frame_content::status:
     return "status";
+  case frame_content::worker_requests:
+    return "worker_requests";
   default:
     return "keepalive";
   }
@@ -45,6 +47,9 @@
   if (!frame.claims.empty()) {
     return frame_content::claims;
   }
+  if (!frame.worker_requests.empty() || !frame.session_requests.empty()) {
+    return frame_content::worker_requests;
+  }
   return frame.status ? frame_content::status : frame_content::keepalive;
 }
 
--- a/src/fleet/member_dialer.cpp
+++ b/src/fleet/member_dialer.cpp
@@ -81,17 +81,19 @@
   });
   std::vector<std::string> addresses;
   std::size_t used_links = 0;
+  bool full = false;
   for (auto* each : by_preference()) {
     if (each->linked) {
       ++used_links;
       continue;
     }
     const bool failing = each->backoff >= timing_.max_reconnect_delay;
-    if (used_links >= max_links_ && !failing) {
-      break;
+    full = full || (used_links >= max_links_ && !failing);
+    if (full && each->requested_until <= now) {
+      continue;
     }
     used_links += failing ? 0 : 1;
-    if (!each->dialling && each->next_attempt <= now && (used_links <= max_links_ || failing)) {
+    if (!each->dialling && each->next_attempt <= now) {
       each->dialling = true;
       addresses.push_back(each->member.address);
     }
@@ -126,11 +128,52 @@
       std::clamp(known.backoff * 2, timing_.reconnect_delay, timing_.max_reconnect_delay);
 }
 
-std::vector<std::string> member_dialer::surplus() {
+bool member_dialer::request(const fleet_member& member, monotonic_time until,
+                            std::size_t max_requested, monotonic_time now) {
+  if (member.address.empty() || member.address == own_address_) {
+    return false;
+  }
+  const auto known = members_.find(member.address);
+  const bool requested = known != members_.end() && known->second.requested_until > now;
+  if (!requested && requests(now) >= max_requested) {
+    return false;
+  }
+  learn({member}, now);
+  auto& target = members_.at(member.address);
+  if (!requested && !target.linked) {
+    target.next_attempt = now;
+  }
+  target.requested_until = std::max(target.requested_until, until);
+  return true;
+}
+
+void member_dialer::extend_request(const std::string& address, monotonic_time until,
+                                   monotonic_time now) {
+  const auto found = members_.find(address);
+  if (found != members_.end() && found->second.requested_until > now) {
+    found->second.requested_until = std::max(found->second.requested_until, until);
+  }
+}
+
+std::size_t member_dialer::requests(monotonic_time now) const {
+  return static_cast<std::size_t>(
+      std::count_if(members_.begin(), members_.end(),
+                    [now](const auto& each) { return each.second.requested_until > now; }));
+}
+
+bool member_dialer::is_preferred(const std::string& address) {
+  const auto ranked = by_preference();
+  const auto end =
+      ranked.begin() + static_cast<std::ptrdiff_t>(std::min(max_links_, ranked.size()));
+  return std::any_of(ranked.begin(), end,
+                     [&](const known_member* each) { return each->member.address == address; });
+}
+
+std::vector<std::string> member_dialer::surplus(monotonic_time now) {
   std::vector<std::string> addresses;
   std::size_t kept = 0;
   for (const auto* each : by_preference()) {
-    if (each->linked && each->greeted && ++kept > max_links_) {
+    if (each->linked && each->greeted && ++kept > max_links_ && each->requested_until <= now) {
       addresses.push_back(each->member.address);
     }
   }
--- a/src/fleet/member_dialer_test.cpp
+++ b/src/fleet/member_dialer_test.cpp
@@ -140,23 +140,59 @@
     dialer.linked(member(number).address, at_ms(1));
     dialer.confirm(member(number, "b"), at_ms(1));
   }
-  CHECK(dialer.surplus().empty());
+  CHECK(dialer.surplus(at_ms(1)).empty());
   dialer.learn({member(3, "a"), member(4, "a")}, at_ms(2));
   REQUIRE(dialer.due(at_ms(2)).size() == 2);
   dialer.linked(member(3).address, at_ms(3));
-  CHECK(dialer.surplus().empty()); // The new link may still fail.
+  CHECK(dialer.surplus(at_ms(3)).empty()); // The new link may still fail.
   dialer.confirm(member(3, "a"), at_ms(4));
-  REQUIRE(dialer.surplus().size() == 1);
+  REQUIRE(dialer.surplus(at_ms(4)).size() == 1);
   dialer.linked(member(4).address, at_ms(5));
   dialer.confirm(member(4, "a"), at_ms(5));
-  auto surplus = dialer.surplus();
+  auto surplus = dialer.surplus(at_ms(5));
   std::sort(surplus.begin(), surplus.end());
   CHECK(surplus == std::vector<std::string>{member(1).address, member(2).address});
   for (const auto& address : surplus) {
     dialer.lost(address, at_ms(6));
   }
   CHECK(dialer.due(at_ms(5'000)).empty());
-  CHECK(dialer.surplus().empty());
+  CHECK(dialer.surplus(at_ms(5'000)).empty());
+}
+
+TEST_CASE("a requested link is kept beyond the maximum until the request ends") {
+  // Guards against requested links that are never made, are closed while they are needed, or stay.
+  member_dialer dialer({}, "agent", "a", "", 1);
+  dialer.learn({member(1, "a")}, at_ms(0));
+  REQUIRE(dialer.due(at_ms(0)).size() == 1);
+  dialer.linked(member(1).address, at_ms(1));
+  dialer.confirm(member(1, "a"), at_ms(1));
+  REQUIRE(dialer.request(member(2, "b"), at_ms(3'000), 1, at_ms(10)));
+  CHECK_FALSE(dialer.request(member(3, "b"), at_ms(3'000), 1, at_ms(10)));
+  CHECK(dialer.due(at_ms(10)) == std::vector<std::string>{member(2).address});
+  dialer.linked(member(2).address, at_ms(11));
+  dialer.confirm(member(2, "b"), at_ms(12));
+  CHECK_FALSE(dialer.is_preferred(member(2).address));
+  CHECK(dialer.surplus(at_ms(2'999)).empty());
+  dialer.extend_request(member(2).address, at_ms(6'000), at_ms(2'999));
+  CHECK(dialer.surplus(at_ms(5'999)).empty());
+  CHECK(dialer.surplus(at_ms(6'000)) == std::vector<std::string>{member(2).address});
+  dialer.extend_request(member(2).address, at_ms(9'000), at_ms(6'000));
+  CHECK(dialer.surplus(at_ms(6'001)).size() == 1);
+  CHECK(dialer.request(member(3, "b"), at_ms(9'000), 1, at_ms(6'001)));
+}
+
+TEST_CASE("a requested link that fails is dialled again with a backoff") {
+  member_dialer dialer({}, "agent", "a", "", 1);
+  int attempts = 0;
+  for (std::int64_t now = 0; now < 10'000; now += 20) {
+    dialer.request(member(2, "b"), at_ms(now + 3'000), 8, at_ms(now));
+    for (const auto& address : dialer.due(at_ms(now))) {
+      ++attempts;
+      dialer.lost(address, at_ms(now));
+    }
+  }
+  CHECK(attempts >= 5);
+  CHECK(attempts <= 12);
 }
 
 TEST_CASE("an entry that stays unreachable is removed") {
--- /dev/null
+++ b/src/fleet/worker_search.cpp
@@ -0,0 +1,116 @@
+#include "parsleylead/fleet/worker_search.hpp"
+
+#include <algorithm>
+
+namespace parsleylead {
+
+using std::chrono::milliseconds;
+
+const char* to_string(worker_search::event_kind kind) {
+  switch (kind) {
+  case worker_search::event_kind::started:
+    return "started";
+  case worker_search::event_kind::found:
+    return "found";
+  default:
+    return "absent";
+  }
+}
+
+worker_search::search* worker_search::find(const worker_requirement& requirement) {
+  const auto found = std::find_if(searches_.begin(), searches_.end(), [&](const search& candidate) {
+    return candidate.requirement == requirement;
+  });
+  return found == searches_.end() ? nullptr : &*found;
+}
+
+void worker_search::add(const worker_requirement& requirement, monotonic_time now) {
+  if (auto* known = find(requirement)) {
+    known->last_needed = now;
+    return;
+  }
+  if (searches_.size() < settings_.max_requirements) {
+    search created;
+    created.requirement = requirement;
+    created.last_needed = now;
+    created.updated = now;
+    searches_.push_back(std::move(created));
+  }
+}
+
+void worker_search::retain(const worker_requirement& requirement, monotonic_time now) {
+  if (auto* known = find(requirement)) {
+    known->last_needed = now;
+  }
+}
+
+void worker_search::report(event_kind kind, const search& changed, monotonic_time now) {
+  events_.push_back({kind, changed.requirement,
+                     std::chrono::round<milliseconds>(now - changed.since.value_or(now))});
+}
+
+std::vector<worker_search::due_request>
+worker_search::update(site_access access, const reachability& is_reachable, monotonic_time now) {
+  access_ = access;
+  std::erase_if(searches_,
+                [&](const search& each) { return now - each.last_needed > settings_.retention; });
+  std::vector<due_request> due;
+  for (auto& each : searches_) {
+    const bool interrupted = !is_recent(each, now);
+    each.updated = now;
+    if (is_reachable(each.requirement)) {
+      if (each.since) {
+        report(event_kind::found, each, now);
+        each.since.reset();
+      }
+      continue;
+    }
+    if (!each.since || interrupted || access == site_access::isolated) {
+      // While this process stands still or has no link to another entry, the time of the search
+      // shows nothing about the site.
+      const bool started = !each.since;
+      each.since = now;
+      each.next_request = now;
+      each.interval = settings_.first_interval;
+      each.attempts = 0;
+      each.reported_absent = false;
+      if (started) {
+        report(event_kind::started, each, now);
+      }
+    }
+    if (access == site_access::connected && now >= each.next_request) {
+      due.push_back({each.requirement, ++each.attempts});
+      each.next_request = now + each.interval;
+      each.interval = std::min(2 * each.interval, settings_.max_interval);
+    }
+    if (!each.reported_absent && is_lastingly_absent(each.requirement, now)) {
+      each.reported_absent = true;
+      report(event_kind::absent, each, now);
+    }
+  }
+  return due;
+}
+
+bool worker_search::is_absent(const worker_requirement& requirement, monotonic_time now) const {
+  return access_ == site_access::alone || is_lastingly_absent(requirement, now);
+}
+
+bool worker_search::is_lastingly_absent(const worker_requirement& requirement,
+                                        monotonic_time now) const {
+  return access_ != site_access::isolated &&
+         std::any_of(searches_.begin(), searches_.end(), [&](const search& each) {
+           return each.requirement == requirement && each.since && is_recent(each, now) &&
+                  now - *each.since >= settings_.search_time;
+         });
+}
+
+bool worker_search::is_recent(const search& known, monotonic_time now) const {
+  return now < known.updated + settings_.max_interval;
+}
+
+bool worker_search::is_needed(const worker_description& worker) const {
+  return std::any_of(searches_.begin(), searches_.end(),
+                     [&](const search& each) { return meets(worker, each.requirement); });
+}
+
+} // namespace parsleylead
