Ask for idle workers when those in reach are busy

A task waited for the only fitting worker in reach, or for one of the few that its step may use (max_per_worker), while other workers of the kind were idle but had no session to the entry.

Tasks that have waited for 0.5 s for busy workers make the entry request an idle one; the request names the busy agents. Peers pass it on to an agent whose worker has half of its CPU free and room for the task. The request is repeated after 1, 2 and 4 s and relayed only then, for four requirements at a time, and an agent accepts four such sessions, so that a full site sees few of them.

Measured: "jobs that wait for a busy worker run on an idle one of the same kind" passes, and fails with the request held back (busy_time of an hour in a scratch copy of the test).

--- a/include/parsleylead/fleet/fleet_agent.hpp
+++ b/include/parsleylead/fleet/fleet_agent.hpp
@@ -37,6 +37,9 @@
   /// Maximum number of further sessions that entries request because they reach no other worker of
   /// the kind. The only worker of a kind has one to each entry that needs it.
   std::size_t max_requested_sessions = 64;
+  /// An idle worker whose agent has this many requested sessions takes no more from entries that
+  /// reach only busy workers of its kind.
+  std::size_t max_idle_requested_sessions = 4;
   /// A requested session is kept for this long after the entry's last frame that asks for it.
   std::chrono::milliseconds requested_session_time{3'000};
   /// Longest lease that the worker grants.
@@ -89,6 +92,8 @@
   void leave(std::chrono::milliseconds limit, std::function<void()> done);
 
   std::size_t sessions() const;
+  /// Returns whether there is a session with the entry.
+  bool has_session(const std::string& entry) const;
 
 private:
   struct session;
@@ -101,8 +106,8 @@
   void apply_frame(session& from, fleet_frame& frame);
   void hello_received(session& from, const session_hello& hello);
   void session_closed(session& from, const std::string& cause);
-  /// An entry that reaches no worker of this kind asks for a session.
-  void session_requested(const fleet_member& entry, monotonic_time now);
+  /// An entry that reaches no worker of this kind, or only busy ones, asks for a session.
+  void session_requested(const session_request& request, monotonic_time now);
   void dial_due(monotonic_time now);
   void check_sessions(monotonic_time now);
   /// Returns whether the entry may have given up this agent, although its frames still arrive.
--- a/include/parsleylead/fleet/fleet_frame.hpp
+++ b/include/parsleylead/fleet/fleet_frame.hpp
@@ -44,10 +44,23 @@
   std::uint32_t attempt = 1;
   /// The sender received the request from another entry.
   bool relayed = false;
+  /// The worker has to be idle, as those that the entry reaches are busy.
+  bool idle = false;
+  /// `queue_hash` of the agents' names of these busy workers.
+  std::vector<std::uint32_t> busy_agents;
 
   bool operator==(const worker_request&) const = default;
 };
 
+/// Request to an agent for a session with an entry.
+struct session_request {
+  fleet_member entry;
+  /// See `worker_request`.
+  bool idle = false;
+
+  bool operator==(const session_request&) const = default;
+};
+
 /// A version of the routes, as the text that operators wrote.
 struct route_update {
   std::int64_t version = 0;
@@ -106,8 +119,8 @@
   std::chrono::milliseconds heard{0};
   /// Sent between entries.
   std::vector<worker_request> worker_requests;
-  /// Entries that the receiving agent is asked to open sessions to.
-  std::vector<fleet_member> session_requests;
+  /// Sent to agents.
+  std::vector<session_request> session_requests;
   /// The entry still needs this session, which it requested. Not counted as content.
   bool keep_session = false;
 
--- a/include/parsleylead/fleet/fleet_scheduler.hpp
+++ b/include/parsleylead/fleet/fleet_scheduler.hpp
@@ -178,10 +178,11 @@
   std::vector<worker_search::due_request> search_workers(site_access access, monotonic_time now);
   /// Changes of the searches since the last call, for the log.
   std::vector<worker_search::event> take_search_events() { return search_.take_events(); }
-  /// Returns a usable worker that meets the requirement. Different seeds lead to different workers
-  /// if there are several.
-  std::optional<worker_index> find_worker(const worker_requirement& requirement,
-                                          const std::string& seed) const;
+  /// Returns a usable worker for a request of another entry. The request's sender and attempt
+  /// decide if there are several.
+  std::optional<worker_index> find_worker(const worker_request& request) const;
+  /// Returns `queue_hash` of the agents of the usable workers that meet the requirement.
+  std::vector<std::uint32_t> agents_for(const worker_requirement& requirement) const;
   /// Returns whether a requirement of a search is met by the worker.
   bool is_needed(worker_index worker) const;
 
@@ -223,6 +224,7 @@
   task* find_task(const run_id& run, worker_index placed_on);
   /// Returns whether the worker is in reach and takes tasks.
   static bool is_usable(const worker& candidate);
+  bool is_idle(const worker& candidate, const resource_needs& needs) const;
   /// Returns whether the worker's description meets the needs of the step.
   static bool is_suitable(const worker& candidate, const job& open_job, std::uint32_t step);
   static bool can_run(const worker& candidate, const job& open_job, std::uint32_t step);
--- a/include/parsleylead/fleet/worker_search.hpp
+++ b/include/parsleylead/fleet/worker_search.hpp
@@ -35,6 +35,13 @@
   std::chrono::milliseconds retention{10'000};
   /// Bounds the requests of an entry. Further requirements wait for an earlier one to be forgotten.
   std::size_t max_requirements = 32;
+  /// An idle worker is requested for tasks that have waited for busy ones for this long. The
+  /// request is repeated after `first_idle_interval`, which doubles up to `max_idle_interval`.
+  std::chrono::milliseconds busy_time{500};
+  std::chrono::milliseconds first_idle_interval{1'000};
+  std::chrono::milliseconds max_idle_interval{4'000};
+  /// Bounds the requests for idle workers of an entry on a full site.
+  std::size_t max_busy_requirements = 4;
 };
 
 /// Searches the site for workers that meet requirements which no worker with a session to this
@@ -45,6 +52,8 @@
   struct due_request {
     worker_requirement requirement;
     std::uint32_t attempt = 1;
+    /// Workers in reach meet the requirement, but are busy: see `add_busy`.
+    bool idle = false;
   };
   enum class event_kind : std::uint8_t { started, found, absent };
   /// A change of a search, for the log.
@@ -64,6 +73,11 @@
   /// A task needs a worker. Retains the requirement if it is known.
   void retain(const worker_requirement& requirement, monotonic_time now);
 
+  /// Tasks wait for workers in reach that are all busy. Has to be called again at least every
+  /// `max_busy_gap` while that lasts.
+  void add_busy(const worker_requirement& requirement, monotonic_time now);
+  static constexpr std::chrono::milliseconds max_busy_gap{100};
+
   /// Starts and ends searches, and returns the requests to make. Has to be called every few tens of
   /// milliseconds.
   std::vector<due_request> update(site_access access, const reachability& is_reachable,
@@ -74,7 +88,7 @@
   bool is_absent(const worker_requirement& requirement, monotonic_time now) const;
   /// As `is_absent`, and none has been reachable for `search_time`.
   bool is_lastingly_absent(const worker_requirement& requirement, monotonic_time now) const;
-  /// Returns whether a known requirement is met by the worker.
+  /// Returns whether a known requirement is met by the worker, or one that waits for busy workers.
   bool is_needed(const worker_description& worker) const;
   bool empty() const { return searches_.empty(); }
   std::vector<event> take_events() { return std::exchange(events_, {}); }
@@ -93,6 +107,16 @@
     bool reported_absent = false;
   };
 
+  struct busy_requirement {
+    worker_requirement requirement;
+    monotonic_time last{};
+    monotonic_time next_request{};
+    std::chrono::milliseconds interval{0};
+    std::uint32_t attempts = 0;
+  };
+
+  /// Appends the requests for idle workers.
+  void update_busy(site_access access, std::vector<due_request>& due, monotonic_time now);
   /// Returns whether the search was updated lately.
   bool is_recent(const search& known, monotonic_time now) const;
   search* find(const worker_requirement& requirement);
@@ -101,6 +125,7 @@
   worker_search_settings settings_;
   site_access access_ = site_access::alone;
   std::vector<search> searches_;
+  std::vector<busy_requirement> busy_;
   std::vector<event> events_;
 };
 
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -192,6 +192,17 @@
   attempt @3 :UInt32;
   # The sender received the request from another entry.
   relayed @4 :Bool;
+  # The worker has to be idle, as those that the entry reaches are busy.
+  idle @5 :Bool;
+  # Hashes of the names of the agents of these busy workers.
+  busyAgents @6 :List(UInt32);
+}
+
+# Request to an agent for a session with an entry.
+struct SessionRequest {
+  entry @0 :Member;
+  # See WorkerRequest.
+  idle @1 :Bool;
 }
 
 struct Frame {
@@ -229,8 +240,8 @@
   heardMs @21 :Int64;
   # Sent between entries.
   workerRequests @22 :List(WorkerRequest);
-  # Entries that the receiving agent is asked to open sessions to.
-  sessionRequests @23 :List(Member);
+  # Sent to agents.
+  sessionRequests @23 :List(SessionRequest);
   # The entry still needs this session, which it requested.
   keepSession @24 :Bool;
 }
--- a/src/fleet/fleet_agent.cpp
+++ b/src/fleet/fleet_agent.cpp
@@ -99,6 +99,12 @@
                     [](const auto& entry) { return entry.second->established; }));
 }
 
+bool fleet_agent::has_session(const std::string& entry) const {
+  return std::any_of(sessions_.begin(), sessions_.end(), [&](const auto& each) {
+    return each.second->established && each.second->entry == entry;
+  });
+}
+
 void fleet_agent::tick() {
   const auto now = lease_now();
   if (now - last_tick_ > settings_.timing.max_silence) {
@@ -191,14 +197,16 @@
   }
 }
 
-void fleet_agent::session_requested(const fleet_member& entry, monotonic_time now) {
+void fleet_agent::session_requested(const session_request& request, monotonic_time now) {
   if (leaving_ || suspected_ || !worker_ || worker_->draining || departed_at_) {
     return;
   }
-  const bool accepted = dialer_.request(entry, now + settings_.requested_session_time,
-                                        settings_.max_requested_sessions, now);
+  const auto& entry = request.entry;
+  const auto limit =
+      request.idle ? settings_.max_idle_requested_sessions : settings_.max_requested_sessions;
+  const bool accepted = dialer_.request(entry, now + settings_.requested_session_time, limit, now);
   log_.write("session_requested", "entry", entry.name, "address", entry.address, "accepted",
-             accepted, "requested_sessions", dialer_.requests(now));
+             accepted, "idle", request.idle, "requested_sessions", dialer_.requests(now));
   metrics_.add("parsleylead_agent_session_requests_total",
                {{"accepted", accepted ? "true" : "false"}});
   dial_due(now);
@@ -326,8 +334,8 @@
   if (frame.keep_session) {
     dialer_.extend_request(from.address, now + settings_.requested_session_time, now);
   }
-  for (const auto& entry : frame.session_requests) {
-    session_requested(entry, now);
+  for (const auto& request : frame.session_requests) {
+    session_requested(request, now);
   }
   if (frame.outstanding) {
     table_.reconcile(from.owner, *frame.outstanding, now);
--- a/src/fleet/fleet_entry.cpp
+++ b/src/fleet/fleet_entry.cpp
@@ -365,8 +365,10 @@
 void fleet_entry::request_workers(monotonic_time now) {
   fleet_frame frame;
   for (auto& due : scheduler_.search_workers(access_to_site(), now)) {
-    frame.worker_requests.push_back(
-        {self_, next_request_number_++, std::move(due.requirement), due.attempt, false});
+    auto busy_agents =
+        due.idle ? scheduler_.agents_for(due.requirement) : std::vector<std::uint32_t>{};
+    frame.worker_requests.push_back({self_, next_request_number_++, std::move(due.requirement),
+                                     due.attempt, false, due.idle, std::move(busy_agents)});
   }
   for (const auto& event : scheduler_.take_search_events()) {
     const auto& [service, label, needs] = event.requirement;
@@ -393,17 +395,18 @@
       !known_requests_.try_emplace({sender.name, sender.incarnation, request.number}, now).second) {
     return;
   }
-  const auto worker = scheduler_.find_worker(request.requirement,
-                                             sender.name + "/" + std::to_string(request.attempt));
+  const auto worker = scheduler_.find_worker(request);
   if (worker) {
     const auto& agent = agents_.at(*worker);
-    agent->outgoing.session_requests.push_back(sender);
+    agent->outgoing.session_requests.push_back({sender, request.idle});
     flush_soon_();
     log_.write("worker_request_passed_on", "entry", sender.name, "agent", agent->peer.name,
                "service", request.requirement.service, "label", request.requirement.label,
-               "attempt", request.attempt);
+               "attempt", request.attempt, "idle", request.idle);
   }
-  if (!request.relayed && (!worker || request.attempt >= always_relayed_attempt) &&
+  const bool repeated = request.attempt >= always_relayed_attempt;
+  // On a full site no worker is idle: only repeated requests are worth the frames.
+  if (!request.relayed && (repeated || (!worker && !request.idle)) &&
       relayed_requests_.size() < max_relayed_requests) {
     request.relayed = true;
     relayed_requests_.push_back({std::move(request), from});
--- a/src/fleet/fleet_frame.cpp
+++ b/src/fleet/fleet_frame.cpp
@@ -208,16 +208,36 @@
   write(requirement.initNeeds(), request.requirement.needs);
   out.setAttempt(request.attempt);
   out.setRelayed(request.relayed);
+  out.setIdle(request.idle);
+  auto agents = out.initBusyAgents(static_cast<unsigned>(request.busy_agents.size()));
+  for (unsigned i = 0; i < agents.size(); ++i) {
+    agents.set(i, request.busy_agents[i]);
+  }
 }
 
 worker_request read(wire::WorkerRequest::Reader in) {
   const auto requirement = in.getRequirement();
-  return {
-      read(in.getEntry()),
-      in.getNumber(),
-      {text(requirement.getService()), text(requirement.getLabel()), read(requirement.getNeeds())},
-      in.getAttempt(),
-      in.getRelayed()};
+  worker_request request;
+  request.entry = read(in.getEntry());
+  request.number = in.getNumber();
+  request.requirement = {text(requirement.getService()), text(requirement.getLabel()),
+                         read(requirement.getNeeds())};
+  request.attempt = in.getAttempt();
+  request.relayed = in.getRelayed();
+  request.idle = in.getIdle();
+  for (const auto agent : in.getBusyAgents()) {
+    request.busy_agents.push_back(agent);
+  }
+  return request;
+}
+
+void write(wire::SessionRequest::Builder out, const session_request& request) {
+  write(out.initEntry(), request.entry);
+  out.setIdle(request.idle);
+}
+
+session_request read(wire::SessionRequest::Reader in) {
+  return {read(in.getEntry()), in.getIdle()};
 }
 
 template <class List, class Values>
--- a/src/fleet/fleet_frame_test.cpp
+++ b/src/fleet/fleet_frame_test.cpp
@@ -55,6 +55,15 @@
   frame.end_acks = {{{{9, 0, 1}, 1}, true}};
   frame.waiting_durable_jobs = {{"entry-3", milliseconds(40), {{"queue", 5}}}};
   frame.crashes = {{17, true}};
+  frame.worker_requests = {{{"entry-4", 3, "127.0.0.1:82", "c"},
+                            21,
+                            {"desk", "gpu", {3'100, 64, 1}},
+                            2,
+                            true,
+                            true,
+                            {5, 6}}};
+  frame.session_requests = {{{"entry-4", 3, "127.0.0.1:82", "c"}, true}};
+  frame.keep_session = true;
   return frame;
 }
 
@@ -65,6 +74,9 @@
   REQUIRE(got->hello.has_value());
   CHECK(got->hello->sender == sent.hello->sender);
   CHECK(got->hello->resumed_incarnation == 9);
+  CHECK(got->worker_requests == sent.worker_requests);
+  CHECK(got->session_requests == sent.session_requests);
+  CHECK(got->keep_session);
   REQUIRE(got->starts.size() == 1);
   CHECK(got->starts[0].run == sent.starts[0].run);
   CHECK(got->starts[0].payload == "text");
--- a/src/fleet/fleet_reach_test.cpp
+++ b/src/fleet/fleet_reach_test.cpp
@@ -192,6 +192,30 @@
   CHECK(fleet.is_ready());
 }
 
+TEST_CASE("jobs that wait for a busy worker run on an idle one of the same kind") {
+  // Guards against jobs that wait for the only fitting worker in reach while others are idle.
+  site fleet(14, 14, 2);
+  REQUIRE(fleet.wait_for_sessions());
+  REQUIRE(fleet.is_ready());
+  std::optional<std::size_t> chosen;
+  for (std::size_t i = 0; i < fleet.entries.size() && !chosen; ++i) {
+    if (fleet.hosts[0]->agent->has_session(fleet.members[i].name) &&
+        !fleet.hosts[1]->agent->has_session(fleet.members[i].name)) {
+      chosen = i;
+    }
+  }
+  REQUIRE(chosen.has_value());
+  fleet.hosts[0]->worker.run_time = std::chrono::seconds(9);
+  std::size_t done = 0;
+  for (int i = 0; i < 12; ++i) { // Ten fit on one worker.
+    fleet.entries[*chosen]->submit(fleet.make_job("b"), [&](const job_result& result) {
+      done += result.verdict == job_verdict::completed ? 1 : 0;
+    });
+  }
+  CHECK(fleet.run_until([&] { return done >= 2; }, std::chrono::seconds(4)));
+  CHECK(fleet.hosts[1]->worker.starts >= 2);
+}
+
 TEST_CASE("requested sessions are closed when the need for them has ended") {
   // Guards against sessions that grow with each kind of task that was ever run.
   site fleet(12, 12, 1);
--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -44,6 +44,8 @@
 // other tasks must not keep it waiting.
 constexpr std::uint32_t max_returned_isolated_orders = 2;
 constexpr milliseconds quarantine_update_interval{250};
+// A worker is idle for the requests of other entries if this share of its CPU is free.
+constexpr double min_idle_share = 0.5;
 // Maximum number of requirements that are described in a log line.
 constexpr std::size_t max_described_requirements = 8;
 
@@ -898,6 +900,9 @@
       }
       const bool waits = misfit != nullptr ? misfit->waits_for_resources
                                            : !confined && could_ever_run(open_job, step);
+      if (waits && misfit == nullptr) {
+        search_.add_busy(requirement_of(open_job, step), now);
+      }
       group.unplaced_jobs += waits ? 1 : 0;
       if (misfit == nullptr && shape.max_per_worker == 0) { // That limit is the job's own.
         group.misfits.push_back({shape.needs, waits});
@@ -1225,16 +1230,28 @@
       now);
 }
 
-std::optional<worker_index> fleet_scheduler::find_worker(const worker_requirement& requirement,
-                                                         const std::string& seed) const {
+bool fleet_scheduler::is_idle(const worker& candidate, const resource_needs& needs) const {
+  const auto& status = candidate.status;
+  return free_cpu(candidate) >= min_idle_share * status.description.capacity.cpu_millis &&
+         fits(needs, status.committed, status.description.capacity);
+}
+
+std::optional<worker_index> fleet_scheduler::find_worker(const worker_request& request) const {
   std::optional<worker_index> chosen;
   std::uint32_t lowest = 0;
+  const auto seed = request.entry.name + "/" + std::to_string(request.attempt) + "@";
   for (worker_index index = 0; index < workers_.size(); ++index) {
     const auto& candidate = *workers_[index];
-    if (!is_usable(candidate) || !meets(candidate.status.description, requirement)) {
+    if (!is_usable(candidate) || !meets(candidate.status.description, request.requirement)) {
+      continue;
+    }
+    const auto& busy = request.busy_agents;
+    if (request.idle &&
+        (!is_idle(candidate, request.requirement.needs) ||
+         std::find(busy.begin(), busy.end(), queue_hash(candidate.agent)) != busy.end())) {
       continue;
     }
-    const auto rank = queue_hash(seed + "@" + candidate.agent);
+    const auto rank = queue_hash(seed + candidate.agent);
     if (!chosen || rank < lowest) {
       chosen = index;
       lowest = rank;
@@ -1243,6 +1260,17 @@
   return chosen;
 }
 
+std::vector<std::uint32_t>
+fleet_scheduler::agents_for(const worker_requirement& requirement) const {
+  std::vector<std::uint32_t> agents;
+  for (const auto& each : workers_) {
+    if (is_usable(*each) && meets(each->status.description, requirement)) {
+      agents.push_back(queue_hash(each->agent));
+    }
+  }
+  return agents;
+}
+
 bool fleet_scheduler::is_needed(worker_index index) const {
   return search_.is_needed(workers_.at(index)->status.description);
 }
--- a/src/fleet/fleet_scheduler_test.cpp
+++ b/src/fleet/fleet_scheduler_test.cpp
@@ -339,6 +339,39 @@
   CHECK(fleet.scheduler.open_jobs() == 0);
 }
 
+TEST_CASE("a step that needs more workers than are in reach asks for idle ones") {
+  // Guards against tasks that wait for the few workers in reach while others are idle.
+  fixture fleet(2);
+  pass(fleet, 0);
+  auto job = make_job(1, 3);
+  job.terms.target = milliseconds(8'000);
+  job.steps[0].max_per_worker = 1;
+  CHECK(fleet.submit(std::move(job), 10).size() == 2);
+  for (std::int64_t now = 20; now < 500; now += 20) {
+    CHECK(pass(fleet, now).empty());
+  }
+  const auto requests = pass(fleet, 520);
+  REQUIRE(requests.size() == 1);
+  CHECK(requests[0].idle);
+  CHECK(fleet.scheduler.agents_for(requests[0].requirement) ==
+        std::vector<std::uint32_t>{queue_hash("agent-0"), queue_hash("agent-1")});
+
+  // Another entry chooses an idle worker that the requester does not reach.
+  fixture other(3);
+  auto busy = idle_worker();
+  busy.committed = {20'000, 64, 0};
+  other.scheduler.worker_reported(other.workers[2], busy, at_ms(0));
+  worker_request request;
+  request.requirement = requests[0].requirement;
+  request.idle = true;
+  request.busy_agents = {queue_hash("agent-0")};
+  CHECK(other.scheduler.find_worker(request) == other.workers[1]);
+  request.busy_agents.push_back(queue_hash("agent-1"));
+  CHECK_FALSE(other.scheduler.find_worker(request).has_value());
+  request.idle = false;
+  CHECK(other.scheduler.find_worker(request).has_value());
+}
+
 TEST_CASE("jobs that wait for workers to be found can be cancelled and expire") {
   fixture fleet(3);
   pass(fleet, 0);
--- a/src/fleet/worker_search.cpp
+++ b/src/fleet/worker_search.cpp
@@ -44,6 +44,31 @@
   }
 }
 
+void worker_search::add_busy(const worker_requirement& requirement, monotonic_time now) {
+  const auto known = std::find_if(busy_.begin(), busy_.end(), [&](const busy_requirement& each) {
+    return each.requirement == requirement;
+  });
+  if (known != busy_.end()) {
+    known->last = now;
+  } else if (busy_.size() < settings_.max_busy_requirements) {
+    busy_.push_back(
+        {requirement, now, now + settings_.busy_time, settings_.first_idle_interval, 0});
+  }
+}
+
+void worker_search::update_busy(site_access access, std::vector<due_request>& due,
+                                monotonic_time now) {
+  std::erase_if(busy_,
+                [now](const busy_requirement& each) { return now - each.last > max_busy_gap; });
+  for (auto& each : busy_) {
+    if (access == site_access::connected && now >= each.next_request) {
+      due.push_back({each.requirement, ++each.attempts, true});
+      each.next_request = now + each.interval;
+      each.interval = std::min(2 * each.interval, settings_.max_idle_interval);
+    }
+  }
+}
+
 void worker_search::report(event_kind kind, const search& changed, monotonic_time now) {
   events_.push_back({kind, changed.requirement,
                      std::chrono::round<milliseconds>(now - changed.since.value_or(now))});
@@ -79,7 +104,7 @@
       }
     }
     if (access == site_access::connected && now >= each.next_request) {
-      due.push_back({each.requirement, ++each.attempts});
+      due.push_back({each.requirement, ++each.attempts, false});
       each.next_request = now + each.interval;
       each.interval = std::min(2 * each.interval, settings_.max_interval);
     }
@@ -88,6 +113,7 @@
       report(event_kind::absent, each, now);
     }
   }
+  update_busy(access, due, now);
   return due;
 }
 
@@ -109,8 +135,9 @@
 }
 
 bool worker_search::is_needed(const worker_description& worker) const {
-  return std::any_of(searches_.begin(), searches_.end(),
-                     [&](const search& each) { return meets(worker, each.requirement); });
+  const auto is_met = [&](const auto& each) { return meets(worker, each.requirement); };
+  return std::any_of(searches_.begin(), searches_.end(), is_met) ||
+         std::any_of(busy_.begin(), busy_.end(), is_met);
 }
 
 } // namespace parsleylead
--- a/src/fleet/worker_search_test.cpp
+++ b/src/fleet/worker_search_test.cpp
@@ -75,6 +75,30 @@
   CHECK_FALSE(search.is_absent(gpu_worker, at_ms(4'000)));
 }
 
+TEST_CASE("an idle worker is requested for tasks that wait for busy ones, at a bounded rate") {
+  // Guards against tasks that wait for the few workers in reach while others are idle, and against
+  // requests that fill the links of a full site.
+  worker_search search;
+  std::vector<std::int64_t> requests;
+  for (std::int64_t now = 0; now <= 12'000; now += 20) {
+    for (std::uint32_t cpu = 1; cpu <= 20; ++cpu) {
+      search.add_busy({"desk", "", {cpu, 0, 0}}, at_ms(now));
+    }
+    for (const auto& due : search.update(site_access::connected, all, at_ms(now))) {
+      CHECK(due.idle);
+      CHECK(due.requirement.needs.cpu_millis <= 4);
+      if (due.requirement.needs.cpu_millis == 1) {
+        requests.push_back(now);
+      }
+    }
+  }
+  CHECK(requests == std::vector<std::int64_t>{500, 1'500, 3'500, 7'500, 11'500});
+  CHECK(search.is_needed({"w", "desk", "", {}, {1, 0, 0}}));
+  CHECK_FALSE(search.is_needed({"w", "desk", "", {}, {0, 0, 0}}));
+  search.update(site_access::connected, all, at_ms(12'200));
+  CHECK_FALSE(search.is_needed({"w", "desk", "", {}, {1, 0, 0}}));
+}
+
 TEST_CASE("requirements are bounded and forgotten") {
   // Guards against requests that grow with the shapes of the tasks, or outlast them.
   worker_search search;
