Confine a queue only to workers that can run its tasks

While a queue is confined, its tasks run on quarantined workers only and those of other queues on the others, whatever the tasks require. A task whose only fitting workers are on the other side of the quarantine waited while they were idle: tasks of sound queues, and accepted jobs of the confined one. It is the same class of fault as jobs that cannot reach a worker of their kind.

Such tasks now cross the quarantine. Best-effort jobs of the confined queue do not: they are refused with queue_confined, as before.

Measured: "a queue is confined only to workers that can run its tasks" failed before (no start in either direction) and passes.

--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -259,6 +259,14 @@
   admit(open_job, now);
 }
 
+bool fleet_scheduler::has_worker_for(const job& open_job, std::uint32_t step,
+                                     bool quarantined) const {
+  return std::any_of(workers_.begin(), workers_.end(), [&](const auto& candidate) {
+    return candidate->connected && candidate->quarantined == quarantined &&
+           can_run(*candidate, open_job, step);
+  });
+}
+
 worker_requirement fleet_scheduler::requirement_of(const job& open_job, std::uint32_t step) {
   const auto& shape = open_job.spec.steps[step];
   return {open_job.spec.terms.service, shape.required_label, shape.needs};
@@ -748,13 +756,17 @@
   const auto& step = open_job.spec.steps[step_number];
   const bool some_confined = confined_queues_.contains(open_job.spec.terms.service);
   const bool confined = some_confined && is_confined(open_job.spec.terms);
+  // Accepted jobs and those of other queues may cross the quarantine if nobody else can run them.
+  const bool may_cross = !confined || open_job.is_durable();
+  const bool restricted =
+      some_confined && (!may_cross || has_worker_for(open_job, step_number, confined));
   std::optional<placement> best;
   double best_score = std::numeric_limits<double>::max();
   std::uniform_real_distribution<double> jitter(0.0, score_jitter);
   for (worker_index index = 0; index < workers_.size(); ++index) {
     const auto& candidate = *workers_[index];
     if (!candidate.connected || !can_run(candidate, open_job, step_number) ||
-        (some_confined && candidate.quarantined != confined)) {
+        (restricted && candidate.quarantined != confined)) {
       continue;
     }
     const double capacity = candidate.status.description.capacity.cpu_millis;
--- a/src/fleet/fleet_scheduler_test.cpp
+++ b/src/fleet/fleet_scheduler_test.cpp
@@ -1079,6 +1079,39 @@
   CHECK(fleet.scheduler.confined_queues().empty());
 }
 
+TEST_CASE("a queue is confined only to workers that can run its tasks") {
+  // Guards against sound jobs, and accepted ones of the confined queue, that wait while the only
+  // workers that can run them are idle on the other side of the quarantine.
+  for (const bool on_quarantined : {false, true}) {
+    fixture fleet(10);
+    fleet.submit(job_of_queue(1, "sound", 1));
+    fleet.submit(job_of_queue(2, "deadly", 1));
+    for (int i = 0; i < 3; ++i) {
+      fleet.scheduler.worker_crashed({queue_hash("deadly"), true}, at_ms(10));
+    }
+    const auto quarantined = workers_of(fleet.submit(job_of_queue(3, "deadly", 20), 20));
+    REQUIRE(quarantined.size() == 2);
+    fleet.scheduler.cancel(3, at_ms(30));
+    const auto special =
+        std::find_if(fleet.workers.begin(), fleet.workers.end(), [&](const auto index) {
+          return quarantined.contains(index) == on_quarantined;
+        });
+    fleet.scheduler.worker_reported(*special, labelled_worker(), at_ms(30));
+
+    auto accepted = job_of_queue(4, on_quarantined ? "sound" : "deadly", 1);
+    accepted.steps[0].required_label = "gpu";
+    accepted.ownership = job_ownership{1, 0, {}};
+    const auto starts = fleet.submit(std::move(accepted), 40);
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].worker == *special);
+
+    // A job of the confined queue that can be refused does not get the workers of the others.
+    auto refused = job_of_queue(5, "deadly", 1);
+    refused.steps[0].required_label = "gpu";
+    CHECK(fleet.submit(std::move(refused), 50).size() == (on_quarantined ? 1 : 0));
+  }
+}
+
 TEST_CASE("a job of a confined queue that shared a crash is not shown as failed") {
   // Guards against giving up a sound job as if it were the cause.
   fixture fleet(10);
