Bound the sessions and the work that searches for workers cost

After a restart of all hosts every kind of task is out of reach for a moment, so that each peer of an entry could have found another worker for each kind. The first two attempts now go to three and six peers. An entry without sessions of agents' own choice requests some after 1 s, since agents need that long to connect after its start. Waiting jobs are checked when a worker changes, and otherwise every 100 ms, or 250 ms if they may have to be refused.

--- a/include/parsleylead/fleet/fleet_entry.hpp
+++ b/include/parsleylead/fleet/fleet_entry.hpp
@@ -118,6 +118,9 @@
   void request_newer_routes(monotonic_time now);
   /// Asks the other entries for workers that no session reaches.
   void request_workers(monotonic_time now);
+  void send_request(worker_request request);
+  /// Returns the open sessions with other entries.
+  std::vector<std::shared_ptr<session>> peers() const;
   /// Handles the request of another entry: passes it on to the agent of a fitting worker, or to
   /// further entries.
   void worker_requested(const std::shared_ptr<session>& from, worker_request request,
--- a/include/parsleylead/fleet/fleet_scheduler.hpp
+++ b/include/parsleylead/fleet/fleet_scheduler.hpp
@@ -66,6 +66,9 @@
   /// Queues count as active for this long after a submission. A queue is confined only if there
   /// are active queues to protect.
   std::chrono::milliseconds queue_activity{5'000};
+  /// Agents need a second or two to open their own sessions after a start of the entry. Without any
+  /// for this long, the entry requests some.
+  std::chrono::milliseconds own_session_wait{1'000};
   crash_policy crashes;
   worker_search_settings search;
 };
@@ -297,6 +300,12 @@
   std::vector<std::uint64_t> awaiting_jobs_;
   /// Number of tasks of these jobs.
   std::size_t awaiting_tasks_ = 0;
+  /// The awaiting jobs have to be checked: a worker has become usable or has changed.
+  bool workers_changed_ = false;
+  monotonic_time awaiting_checked_{};
+  monotonic_time absence_checked_{};
+  /// When a worker whose agent chose this entry was last usable.
+  monotonic_time last_own_worker_{};
   monotonic_time first_submission_{};
   crash_history crash_history_;
   /// Names of the confined queues, by service.
--- a/include/parsleylead/fleet/worker_search.hpp
+++ b/include/parsleylead/fleet/worker_search.hpp
@@ -28,7 +28,7 @@
   /// Covers the restart of an agent, and some lost requests.
   std::chrono::milliseconds search_time{1'500};
   /// Delay before a request is repeated; doubles up to `max_interval`.
-  std::chrono::milliseconds first_interval{200};
+  std::chrono::milliseconds first_interval{100};
   std::chrono::milliseconds max_interval{1'000};
   /// A requirement is forgotten if no task has needed it for this long. Until then, jobs that no
   /// worker can run are refused at once, and requested sessions are kept.
@@ -88,6 +88,8 @@
   bool is_absent(const worker_requirement& requirement, monotonic_time now) const;
   /// As `is_absent`, and none has been reachable for `search_time`.
   bool is_lastingly_absent(const worker_requirement& requirement, monotonic_time now) const;
+  /// Returns whether there is a requirement that `is_lastingly_absent` may hold for.
+  bool any_reported_absent() const;
   /// Returns whether a known requirement is met by the worker, or one that waits for busy workers.
   bool is_needed(const worker_description& worker) const;
   bool empty() const { return searches_.empty(); }
--- a/src/fleet/fleet_entry.cpp
+++ b/src/fleet/fleet_entry.cpp
@@ -23,9 +23,15 @@
 constexpr milliseconds known_request_retention{5'000};
 // Further requests of other entries are dropped. Their senders repeat them.
 constexpr std::size_t max_relayed_requests = 256;
-// From this attempt on, a request is relayed even if an agent of a fitting worker was asked: that
-// agent may not reach the entry.
-constexpr std::uint32_t always_relayed_attempt = 2;
+// The first attempts go to few peers, since each peer may have another fitting worker: after a
+// restart of all hosts, an entry would get a session for each peer and kind of task. Later ones go
+// to all peers.
+constexpr std::size_t peers_of_first_attempt = 3;
+constexpr std::size_t peers_of_second_attempt = 6;
+// From these attempts on, a request is relayed if no fitting worker is known, and also if the agent
+// of one was asked: that agent may not reach the entry.
+constexpr std::uint32_t relayed_attempt = 2;
+constexpr std::uint32_t always_relayed_attempt = 3;
 
 } // namespace
 
@@ -362,13 +368,22 @@
   return has_known_others_ ? site_access::isolated : site_access::alone;
 }
 
+std::vector<std::shared_ptr<fleet_entry::session>> fleet_entry::peers() const {
+  std::vector<std::shared_ptr<session>> established;
+  for (const auto& peer : sessions_) {
+    if (peer->established && !peer->is_agent) {
+      established.push_back(peer);
+    }
+  }
+  return established;
+}
+
 void fleet_entry::request_workers(monotonic_time now) {
-  fleet_frame frame;
   for (auto& due : scheduler_.search_workers(access_to_site(), now)) {
     auto busy_agents =
         due.idle ? scheduler_.agents_for(due.requirement) : std::vector<std::uint32_t>{};
-    frame.worker_requests.push_back({self_, next_request_number_++, std::move(due.requirement),
-                                     due.attempt, false, due.idle, std::move(busy_agents)});
+    send_request({self_, next_request_number_++, std::move(due.requirement), due.attempt, false,
+                  due.idle, std::move(busy_agents)});
   }
   for (const auto& event : scheduler_.take_search_events()) {
     const auto& [service, label, needs] = event.requirement;
@@ -377,14 +392,19 @@
                "age_ms", event.age.count());
     metrics_.add("parsleylead_entry_worker_searches_total", {{"state", to_string(event.kind)}});
   }
-  if (frame.worker_requests.empty()) {
-    return;
-  }
+}
+
+void fleet_entry::send_request(worker_request request) {
+  const auto all = peers();
+  const auto wanted = request.attempt == 1   ? peers_of_first_attempt
+                      : request.attempt == 2 ? peers_of_second_attempt
+                                             : all.size();
+  fleet_frame frame;
   frame.routes_version = routes_.version;
-  for (const auto& peer : sessions_) {
-    if (peer->established && !peer->is_agent) {
-      send(*peer, frame);
-    }
+  const auto first = request.number; // Other peers with each request.
+  frame.worker_requests.push_back(std::move(request));
+  for (std::size_t i = 0; i < std::min(wanted, all.size()); ++i) {
+    send(*all[(first + i) % all.size()], frame);
   }
 }
 
@@ -404,10 +424,9 @@
                "service", request.requirement.service, "label", request.requirement.label,
                "attempt", request.attempt, "idle", request.idle);
   }
-  const bool repeated = request.attempt >= always_relayed_attempt;
-  // On a full site no worker is idle: only repeated requests are worth the frames.
-  if (!request.relayed && (repeated || (!worker && !request.idle)) &&
-      relayed_requests_.size() < max_relayed_requests) {
+  const bool relayed =
+      request.attempt >= always_relayed_attempt || (!worker && request.attempt >= relayed_attempt);
+  if (!request.relayed && relayed && relayed_requests_.size() < max_relayed_requests) {
     request.relayed = true;
     relayed_requests_.push_back({std::move(request), from});
   }
--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -48,6 +48,10 @@
 constexpr double min_idle_share = 0.5;
 // Maximum number of requirements that are described in a log line.
 constexpr std::size_t max_described_requirements = 8;
+// Interval at which jobs that wait for workers are checked although no worker has changed.
+constexpr milliseconds awaiting_check_interval{100};
+// Interval at which waiting jobs are refused for which the site has no worker any more.
+constexpr milliseconds absence_check_interval{250};
 
 double ms(std::chrono::nanoseconds value) {
   return double_ms(value).count();
@@ -518,6 +522,8 @@
 void fleet_scheduler::worker_reported(worker_index index, const worker_status& status,
                                       monotonic_time /*now*/) {
   auto& known = workers_.at(index)->status;
+  workers_changed_ = workers_changed_ || status.has_description ||
+                     status.present != known.present || status.accepting != known.accepting;
   auto description = std::move(known.description);
   known = status;
   if (!status.has_description) {
@@ -928,7 +934,10 @@
 }
 
 void fleet_scheduler::place_waiting(monotonic_time now) {
-  if (!awaiting_jobs_.empty()) {
+  if (!awaiting_jobs_.empty() &&
+      (workers_changed_ || now - awaiting_checked_ >= awaiting_check_interval)) {
+    workers_changed_ = false;
+    awaiting_checked_ = now;
     handle_awaiting_jobs(now);
   }
   place_backlog(now);
@@ -1220,9 +1229,13 @@
   if (now - quarantine_updated_ >= quarantine_update_interval) {
     update_quarantine(now);
   }
-  if (std::none_of(workers_.begin(), workers_.end(),
-                   [](const auto& each) { return !each->requested && is_usable(*each); })) {
-    // Without its own sessions, the entry keeps some that it requests, so that it stays ready.
+  const bool has_own_worker = std::any_of(workers_.begin(), workers_.end(), [](const auto& each) {
+    return !each->requested && is_usable(*each);
+  });
+  if (has_own_worker || last_own_worker_ == monotonic_time{}) {
+    last_own_worker_ = now;
+  } else if (now - last_own_worker_ >= policy_.own_session_wait) {
+    // The entry keeps some sessions that it requests, so that it stays ready.
     search_.add({}, now);
   }
   release_lost_runs(now);
@@ -1323,6 +1336,9 @@
   std::vector<std::uint64_t> expired;
   std::vector<std::uint64_t> unreachable;
   std::vector<std::uint64_t> incapable;
+  const bool check_absence =
+      search_.any_reported_absent() && now - absence_checked_ >= absence_check_interval;
+  absence_checked_ = check_absence ? now : absence_checked_;
   for (const auto& [id, open_job] : jobs_) {
     if (open_job->is_durable()) {
       continue;
@@ -1331,8 +1347,7 @@
       expired.push_back(id);
     } else if (!open_job->may_have_run() && open_job->late_limit < now + open_job->critical_path) {
       unreachable.push_back(id);
-    } else if (!search_.empty() && !open_job->may_have_run() &&
-               lacks_worker(*open_job, true, now)) {
+    } else if (check_absence && !open_job->may_have_run() && lacks_worker(*open_job, true, now)) {
       incapable.push_back(id);
     }
   }
--- a/src/fleet/worker_search.cpp
+++ b/src/fleet/worker_search.cpp
@@ -130,6 +130,11 @@
          });
 }
 
+bool worker_search::any_reported_absent() const {
+  return std::any_of(searches_.begin(), searches_.end(),
+                     [](const search& each) { return each.since && each.reported_absent; });
+}
+
 bool worker_search::is_recent(const search& known, monotonic_time now) const {
   return now < known.updated + settings_.max_interval;
 }
