Link entries of different availability zones

An entry links to twelve others and preferred those of its own zone. On sites with 13 or more entries in each zone the entries of different zones had no links at all, so that requests for workers, counts of waiting stored jobs and news of members and routes did not leave a zone. Half of the links now go to other zones. Agents still prefer their own zone.

--- a/include/parsleylead/fleet/member_dialer.hpp
+++ b/include/parsleylead/fleet/member_dialer.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -12,15 +13,24 @@
 
 namespace parsleylead {
 
+/// Which entries a process prefers to link to.
+enum class link_preference : std::uint8_t {
+  /// Those of its own availability zone.
+  own_zone,
+  /// As many of its own availability zone as of others.
+  all_zones,
+};
+
 /// Tracks the known entries by address and decides when to connect to them. Does no I/O: the caller
 /// makes the connections and reports their outcome. Not thread-safe.
 class member_dialer {
 public:
   /// `own_address` is never dialled. At most `max_links` entries are dialled or linked at a time.
-  /// Entries of the own availability zone come first, the others in an order that depends on
-  /// `own_name`, so that many processes spread their links over all entries.
+  /// Within a zone their order depends on `own_name`, so that many processes spread their links
+  /// over all entries.
   member_dialer(link_timing timing, std::string own_name, std::string own_zone,
-                std::string own_address, std::size_t max_links);
+                std::string own_address, std::size_t max_links,
+                link_preference preference = link_preference::own_zone);
 
   /// Adds or updates entries that others reported. A report may be outdated, so it changes nothing
   /// about an entry with a link. A member without a name is only an address to dial. Returns
@@ -82,6 +92,7 @@
   std::string own_zone_;
   std::string own_address_;
   std::size_t max_links_;
+  link_preference preference_;
   std::map<std::string, known_member> members_;
 };
 
--- a/src/fleet/fleet_entry.cpp
+++ b/src/fleet/fleet_entry.cpp
@@ -110,7 +110,7 @@
       tick_timer_(io), flush_soon_(io, [this] { flush(); }),
       acceptor_(io, [this](auto link) { link_accepted(std::move(link)); }),
       dialer_(settings_.timing, settings_.name, settings_.availability_zone, self_.address,
-              settings_.max_peers),
+              settings_.max_peers, link_preference::all_zones),
       scheduler_(settings_.policy, settings_.availability_zone, settings_.incarnation),
       waiting_counts_(settings_.name) {}
 
--- a/src/fleet/member_dialer.cpp
+++ b/src/fleet/member_dialer.cpp
@@ -2,14 +2,16 @@
 
 #include <algorithm>
 #include <functional>
+#include <tuple>
 #include <utility>
 
 namespace parsleylead {
 
 member_dialer::member_dialer(link_timing timing, std::string own_name, std::string own_zone,
-                             std::string own_address, std::size_t max_links)
+                             std::string own_address, std::size_t max_links,
+                             link_preference preference)
     : timing_(timing), own_name_(std::move(own_name)), own_zone_(std::move(own_zone)),
-      own_address_(std::move(own_address)), max_links_(max_links) {}
+      own_address_(std::move(own_address)), max_links_(max_links), preference_(preference) {}
 
 bool member_dialer::learn(const std::vector<fleet_member>& members, monotonic_time now) {
   bool changed = false;
@@ -55,17 +57,29 @@
 }
 
 std::vector<member_dialer::known_member*> member_dialer::by_preference() {
-  std::vector<std::pair<std::pair<int, std::size_t>, known_member*>> ranked;
+  // By failing, position (of each two, one in another zone), zone and hash.
+  using rank = std::tuple<bool, std::size_t, bool, std::size_t>;
+  std::vector<std::pair<rank, known_member*>> ranked;
   for (auto& [address, known] : members_) {
     const bool same_zone = known.member.availability_zone == own_zone_;
     // An entry that keeps failing does not use up a link.
     const bool failing = !known.linked && known.backoff >= timing_.max_reconnect_delay;
-    ranked.push_back({{(failing ? 2 : 0) + (same_zone ? 0 : 1),
-                       std::hash<std::string>{}(own_name_ + "@" + address)},
-                      &known});
+    ranked.push_back(
+        {{failing, 0, !same_zone, std::hash<std::string>{}(own_name_ + "@" + address)}, &known});
+  }
+  const auto sort = [&] {
+    std::sort(ranked.begin(), ranked.end(),
+              [](const auto& a, const auto& b) { return a.first < b.first; });
+  };
+  sort();
+  if (preference_ == link_preference::all_zones) {
+    std::size_t in_own_zone = 0;
+    std::size_t in_others = 0;
+    for (auto& [key, known] : ranked) {
+      std::get<1>(key) = std::get<2>(key) ? in_others++ : in_own_zone++;
+    }
+    sort();
   }
-  std::sort(ranked.begin(), ranked.end(),
-            [](const auto& a, const auto& b) { return a.first < b.first; });
   std::vector<known_member*> ordered;
   ordered.reserve(ranked.size());
   for (const auto& [key, known] : ranked) {
--- a/src/fleet/member_dialer_test.cpp
+++ b/src/fleet/member_dialer_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <map>
 
 #include "../test_support.hpp"
 
@@ -159,6 +160,25 @@
   CHECK(dialer.surplus(at_ms(5'000)).empty());
 }
 
+TEST_CASE("links between entries reach all zones") {
+  // Guards against entries that know nothing of other zones, as they have more entries in their own
+  // zone than links: requests, counts of waiting jobs and members did not leave the zone.
+  member_dialer dialer({}, "entry-0", "a", "127.0.0.1:0", 12, link_preference::all_zones);
+  std::vector<fleet_member> members;
+  for (int number = 1; number <= 54; ++number) {
+    members.push_back(member(number, std::string(1, static_cast<char>('a' + number % 4))));
+  }
+  dialer.learn(members, at_ms(0));
+  std::map<std::string, int> zones;
+  for (const auto& address : dialer.due(at_ms(0))) {
+    const auto found = std::find_if(members.begin(), members.end(),
+                                    [&](const auto& each) { return each.address == address; });
+    ++zones[found->availability_zone];
+  }
+  CHECK(zones["a"] == 6);
+  CHECK(zones["b"] + zones["c"] + zones["d"] == 6);
+}
+
 TEST_CASE("a requested link is kept beyond the maximum until the request ends") {
   // Guards against requested links that are never made, are closed while they are needed, or stay.
   member_dialer dialer({}, "agent", "a", "", 1);
