Relay a request for workers to six peers instead of all

With every kind of work out of reach, each entry relayed the requests of all others to all of its peers. Six peers, others with each attempt, reach nearly all of 55 entries at a time, and the attempts go on until a worker is found.

--- a/src/fleet/fleet_entry.cpp
+++ b/src/fleet/fleet_entry.cpp
@@ -31,6 +31,9 @@
 // From these attempts on, a request is relayed if no fitting worker is known, and also if the agent
 // of one was asked: that agent may not reach the entry.
 constexpr std::uint32_t relayed_attempt = 2;
+// Each entry relays a request to this many peers. With 24 relays of a request, that reaches nearly
+// all of 55 entries with each attempt.
+constexpr std::size_t peers_of_relay = 6;
 constexpr std::uint32_t always_relayed_attempt = 3;
 
 } // namespace
@@ -443,19 +446,21 @@
   if (relayed.empty()) {
     return;
   }
-  for (const auto& peer : sessions_) {
-    if (!peer->established || peer->is_agent) {
-      continue;
-    }
-    fleet_frame frame;
-    frame.routes_version = routes_.version;
-    for (const auto& each : relayed) {
-      if (each.from.lock() != peer && each.request.entry.name != peer->peer.name) {
-        frame.worker_requests.push_back(each.request);
+  const auto all = peers();
+  std::vector<fleet_frame> frames(all.size());
+  for (const auto& [request, from] : relayed) {
+    const auto source = from.lock();
+    for (std::size_t i = 0; i < std::min(peers_of_relay, all.size()); ++i) {
+      const auto target = (request.number + i) % all.size(); // Other peers with each attempt.
+      if (all[target] != source && all[target]->peer.name != request.entry.name) {
+        frames[target].worker_requests.push_back(request);
       }
     }
-    if (!frame.worker_requests.empty()) {
-      send(*peer, std::move(frame));
+  }
+  for (std::size_t i = 0; i < all.size(); ++i) {
+    if (!frames[i].worker_requests.empty()) {
+      frames[i].routes_version = routes_.version;
+      send(*all[i], std::move(frames[i]));
     }
   }
 }
