Submit jobs that only few workers can run in the fault soak

Two workers of the soak's site have a label that four jobs a second require, stored and best effort, from the begin of the faults on. Once the site has recovered, each entry gets three such jobs, none of which may be refused for want of a worker.

--- a/standins/standin-platform/worker_service.cpp
+++ b/standins/standin-platform/worker_service.cpp
@@ -312,7 +312,7 @@
                   {"state", draining_ ? "draining" : "ready"},
                   {"cold_remaining_ms", 0},
                   {"capacity", {{"cpu", capacity_}, {"mem_mb", memory_mb}, {"gpu", 0}}},
-                  {"labels", {"a", "r1"}},
+                  {"labels", labels_},
                   {"clock_ms", clock_ms()},
                   {"born", start_time_ms_},
                   {"sequence", ++sequence_}};
--- a/standins/standin-platform/worker_service.hpp
+++ b/standins/standin-platform/worker_service.hpp
@@ -68,6 +68,8 @@
   }
   void set_faults(const worker_faults& faults) { faults_ = faults; }
   void set_draining(bool draining) { draining_ = draining; }
+  /// Precondition: `listen` has not been called.
+  void set_labels(std::vector<std::string> labels) { labels_ = std::move(labels); }
   /// Ends all runs and restarts the worker as a new incarnation. With a downtime, the worker closes
   /// all connections, refuses new ones and sends no announcements until the downtime is over.
   void crash(std::chrono::milliseconds downtime = {}, bool new_id = false);
@@ -146,6 +148,7 @@
   web_client agent_;
   asio::steady_timer tick_timer_;
   worker_faults faults_;
+  std::vector<std::string> labels_{"a", "r1"};
   bool draining_ = false;
   /// The part of the id that is the same in all incarnations.
   std::string base_id_;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -47,11 +47,12 @@
     const bool good = report.violations.empty();
     (good ? passed : failed) += 1;
     std::printf("seed %llu: %s, %zu faults, %zu faults of worker links, %zu jobs "
-                "(%zu long): %zu completed, %zu failed, %zu refused, "
+                "(%zu long, %zu labelled): %zu completed, %zu failed, %zu refused, "
                 "%zu unanswered, %zu stored; %zu starts\n",
                 static_cast<unsigned long long>(seed), good ? "passed" : "FAILED", report.faults,
-                report.link_faults, report.jobs, report.long_jobs, report.completed, report.failed,
-                report.refused, report.unanswered, report.stored, report.starts);
+                report.link_faults, report.jobs, report.long_jobs, report.labelled_jobs,
+                report.completed, report.failed, report.refused, report.unanswered, report.stored,
+                report.starts);
     std::printf(
         "  second route: %zu jobs, %zu of them deadly; %zu worker crashes by tasks, at most "
         "%d under one durable task; served %.2f before, %.2f beside deadly jobs; %zu foreign "
--- a/tests/soak/soak_site.cpp
+++ b/tests/soak/soak_site.cpp
@@ -89,6 +89,7 @@
 constexpr std::uint64_t foreign_seed_offset = 2'000'000;
 constexpr std::uint64_t link_seed_offset = 3'000'000;
 constexpr std::uint64_t long_seed_offset = 4'000'000;
+constexpr std::uint64_t labelled_seed_offset = 5'000'000;
 // Runs that are long enough for another run of the task to begin before they end. They come beside
 // the other jobs while faults are injected.
 constexpr double long_jobs_per_second = 3;
@@ -99,6 +100,12 @@
 constexpr milliseconds healing_time{3'500};
 static_assert(healing_time > worker_links::longest_fault);
 constexpr milliseconds foreign_announcement_interval{250};
+// Workers with the label that some jobs require.
+constexpr int labelled_workers = 2;
+constexpr const char* rare_label = "rare";
+constexpr double labelled_jobs_per_second = 4;
+// Jobs at each entry that need the label, without faults. All of them have to run.
+constexpr int labelled_jobs_per_entry = 3;
 constexpr milliseconds shortest_downtime{500};
 constexpr milliseconds longest_downtime{2'000};
 // When the window of deadly jobs begins and how long it lasts, within the time of the faults.
@@ -147,10 +154,11 @@
 soak_site::soak_site(soak_options options)
     : options_(std::move(options)), random_(options_.seed),
       crash_random_(options_.seed + crash_seed_offset),
-      long_random_(options_.seed + long_seed_offset), load_timer_(io_), second_route_timer_(io_),
-      foreign_writer_(io_, options_.seed + foreign_seed_offset, judge_), store_(io_),
-      worker_links_(io_, options_.seed + link_seed_offset,
-                    [this](const std::string& line) { log(line); }),
+      long_random_(options_.seed + long_seed_offset),
+      labelled_random_(options_.seed + labelled_seed_offset), load_timer_(io_),
+      second_route_timer_(io_), foreign_writer_(io_, options_.seed + foreign_seed_offset, judge_),
+      store_(io_), worker_links_(io_, options_.seed + link_seed_offset,
+                                 [this](const std::string& line) { log(line); }),
       started_at_(steady_clock::now()) {
   throw_if_error(store_.listen(store_address()));
   publish_routes();
@@ -159,6 +167,9 @@
         io_, "worker-" + std::to_string(i), endpoint{agent_ip(i), inner_worker_port},
         endpoint{agent_ip(i), announcements_port}, options_.seed * 100 + i, judge_));
     workers_.back()->set_downtime(shortest_downtime, longest_downtime);
+    if (i < labelled_workers) {
+      workers_.back()->set_labels({"a", "r1", rare_label});
+    }
     workers_.back()->set_announced_address({agent_ip(i), worker_port});
     throw_if_error(workers_.back()->listen());
     worker_links_.add(workers_.back()->id(), {agent_ip(i), worker_port},
@@ -509,6 +520,42 @@
            [this] { submit_next_long_job(); });
 }
 
+void soak_site::submit_labelled_job(std::optional<int> entry) {
+  auto id = labelled_random_();
+  if (entry) {
+    while (is_durable(id)) { // The answer of a best-effort job shows whether it was refused.
+      id = labelled_random_();
+    }
+  }
+  labelled_jobs_.emplace(format_job(id), entry);
+  ++report_.labelled_jobs;
+  submit(id, 1, 0);
+}
+
+void soak_site::submit_next_labelled_job() {
+  if (!generating_load_) {
+    return;
+  }
+  submit_labelled_job(std::nullopt);
+  std::exponential_distribution<double> gap(labelled_jobs_per_second);
+  schedule(std::chrono::round<milliseconds>(std::chrono::duration<double>(gap(labelled_random_))),
+           [this] { submit_next_labelled_job(); });
+}
+
+/// Each entry reaches the few workers that have a label, whatever sessions the agents have chosen.
+void soak_site::check_labelled_jobs() {
+  log("checking that each entry reaches the workers with the label");
+  checking_labelled_jobs_ = true;
+  for (int i = 0; i < labelled_jobs_per_entry; ++i) {
+    for (int entry = 0; entry < options_.entries; ++entry) {
+      submit_labelled_job(entry);
+    }
+    run_and_restart_exited(milliseconds(500));
+  }
+  run_until([this] { return open_labelled_jobs_.empty(); }, caller_timeout);
+  checking_labelled_jobs_ = false;
+}
+
 void soak_site::call_entry(int entry, web_request request, milliseconds timeout,
                            web_client::callback done) {
   if (callers_) {
@@ -550,13 +597,18 @@
   } else {
     judge_.job_resubmitted(name);
   }
-  const json body{{"spec", payload},
-                  {"best_effort", !is_durable(id)},
-                  {"steps", json::array({{{"count", tasks},
-                                          {"cpu", 1'000 + id % 3'000},
-                                          {"mem_mb", 64},
-                                          {"estimate_ms", run_ms}}})}};
-  call_entry(random_below(options_.entries),
+  json step{{"count", tasks}, {"cpu", 1'000 + id % 3'000}, {"mem_mb", 64}, {"estimate_ms", run_ms}};
+  const auto labelled = labelled_jobs_.find(name);
+  if (labelled != labelled_jobs_.end()) {
+    step["requires"] = rare_label;
+  }
+  const json body{
+      {"spec", payload}, {"best_effort", !is_durable(id)}, {"steps", json::array({step})}};
+  const bool entry_given = labelled != labelled_jobs_.end() && labelled->second;
+  if (entry_given) {
+    open_labelled_jobs_.insert(name);
+  }
+  call_entry(entry_given ? *labelled->second : random_below(options_.entries),
              {"POST",
               path_of(name),
               {{"host", "soak.example"}, {"x-deadline-ms", std::to_string(caller_timeout.count())}},
@@ -575,6 +627,12 @@
                                 const absl::StatusOr<web_response>& response) {
   const auto name = format_job(id);
   const bool counted = !second_route_jobs_.contains(name);
+  open_labelled_jobs_.erase(name);
+  if (response.ok() && response->status == 503 && checking_labelled_jobs_ &&
+      labelled_jobs_.contains(name) && labelled_jobs_.at(name)) {
+    judge_.record_violation("entry-" + std::to_string(*labelled_jobs_.at(name)) + " refused job " +
+                            name + " although workers that can run it are up: " + response->body);
+  }
   // After a 504 the outcome of the job is not known, as after a broken connection.
   if (!response.ok() || response->status == 504) {
     if (attempt < (is_durable(id) ? max_resubmissions : 1)) {
@@ -955,6 +1013,7 @@
     inject_capacity_fault();
     worker_links_.start();
     submit_next_long_job();
+    submit_next_labelled_job();
     send_foreign_announcement();
     const milliseconds window_start(crash_random_below(max_deadly_window_start_ms));
     schedule(window_start, [this] {
@@ -972,6 +1031,7 @@
     }
     heal();
     if (check_recovery()) {
+      check_labelled_jobs();
       check_planned_work();
       check_ends();
     }
--- a/tests/soak/soak_site.hpp
+++ b/tests/soak/soak_site.hpp
@@ -52,6 +52,8 @@
   std::size_t link_faults = 0;
   /// Jobs whose runs are long; the counts of the first route include them.
   std::size_t long_jobs = 0;
+  /// Jobs that only few workers can run; the counts of the first route include them.
+  std::size_t labelled_jobs = 0;
   /// Jobs of the second route; the counts above, but for `stored`, leave them out.
   std::size_t second_route_jobs = 0;
   std::size_t deadly_jobs = 0;
@@ -119,6 +121,10 @@
   void send_foreign_announcement();
   void submit_next_job();
   void submit_next_long_job();
+  /// Submits a job that only few workers can run; to an entry as a best-effort one.
+  void submit_labelled_job(std::optional<int> entry);
+  void submit_next_labelled_job();
+  void check_labelled_jobs();
   void submit_second_route_job(bool deadly);
   void submit_next_second_route_job();
   void submit_next_regular_deadly_job();
@@ -186,6 +192,7 @@
   std::mt19937_64 crash_random_;
   /// For the jobs with long runs.
   std::mt19937_64 long_random_;
+  std::mt19937_64 labelled_random_;
   asio::io_context io_;
   asio::steady_timer load_timer_;
   asio::steady_timer second_route_timer_;
@@ -207,6 +214,11 @@
   std::set<std::string> second_route_jobs_;
   std::set<std::string> deadly_jobs_;
   std::set<std::string> long_jobs_;
+  /// Jobs that need the rare label, with the entry that they have to be sent to.
+  std::map<std::string, std::optional<int>> labelled_jobs_;
+  /// Those of them that an entry has not answered.
+  std::set<std::string> open_labelled_jobs_;
+  bool checking_labelled_jobs_ = false;
   /// The phase to which submitted jobs are counted, if any.
   phase_counts* phase_ = nullptr;
   phase_counts phase_before_;
