Test that every entry reaches every kind of worker after restarts at random

Random sites whose entries and agents are replaced ten times in series; then each entry has jobs of three kinds run that one worker each can run, and one kind refused that no worker can run.

--- a/src/fleet/fleet_reach_test.cpp
+++ b/src/fleet/fleet_reach_test.cpp
@@ -52,16 +52,11 @@
   /// The first `special` workers have the label "b".
   site(int entry_count, int worker_count, int special) {
     for (int i = 0; i < entry_count; ++i) {
-      fleet_entry_settings settings;
-      settings.name = "entry-" + std::to_string(i);
-      settings.incarnation = 1 + static_cast<std::uint64_t>(i);
-      settings.availability_zone = "zone-" + std::to_string(i % 4);
-      settings.listen = free_address(io);
-      members.push_back({settings.name, settings.incarnation, to_string(settings.listen),
-                         settings.availability_zone});
-      entries.push_back(
-          std::make_unique<fleet_entry>(io, settings, log, metrics, [](const route_update&) {}));
-      REQUIRE(entries.back()->start().ok());
+      const auto number = std::to_string(i);
+      members.push_back({"entry-" + number, 1, to_string(addresses.emplace_back(free_address(io))),
+                         "zone-" + std::to_string(i % 4)});
+      entries.emplace_back();
+      start_entry(static_cast<std::size_t>(i));
     }
     for (int i = 0; i < worker_count; ++i) {
       worker_announcement announced;
@@ -70,19 +65,48 @@
       }
       add_host(announced);
     }
-    for (const auto& entry : entries) {
-      entry->add_members(members);
+  }
+
+  /// Starts an entry, or a new process in the place of the present one.
+  void start_entry(std::size_t number) {
+    auto& entry = entries[number];
+    entry.reset();
+    fleet_entry_settings settings;
+    settings.name = members[number].name;
+    settings.incarnation = ++last_incarnation;
+    settings.availability_zone = members[number].availability_zone;
+    settings.listen = addresses[number];
+    entry = std::make_unique<fleet_entry>(io, settings, log, metrics, [](const route_update&) {});
+    REQUIRE(entry->start().ok());
+    for (const auto& each : entries) {
+      each->add_members(members);
     }
   }
 
   host& add_host(const worker_announcement& announced) {
     hosts.push_back(
         std::make_unique<host>(io, static_cast<int>(hosts.size()), announced, log, metrics));
-    auto& added = *hosts.back();
-    added.agent->add_members(members);
-    added.agent->start();
-    added.announce();
-    return added;
+    start_agent(*hosts.back());
+    return *hosts.back();
+  }
+
+  void start_agent(host& started) {
+    started.agent->add_members(members);
+    started.agent->start();
+    started.announce();
+  }
+
+  /// Replaces an agent by a new process.
+  void restart_agent(host& restarted) {
+    restarted.agent.reset();
+    restarted.settings.incarnation = ++last_incarnation;
+    restarted.agent =
+        std::make_unique<fleet_agent>(io, restarted.settings, restarted.worker, log, metrics);
+    start_agent(restarted);
+  }
+
+  void run_for(milliseconds time) {
+    run_until([] { return false; }, time);
   }
 
   template <class Condition>
@@ -136,7 +160,9 @@
   asio::io_context io;
   event_log log{"test"};
   metrics_registry metrics;
+  std::vector<endpoint> addresses;
   std::vector<fleet_member> members;
+  std::uint64_t last_incarnation = 1'000;
   std::vector<std::unique_ptr<fleet_entry>> entries;
   std::vector<std::unique_ptr<host>> hosts;
   std::uint64_t last_job = 0;
@@ -186,6 +212,42 @@
   CHECK(fleet.run_until([&] { return completed(fleet.submit_to_all("b")) == 8; }));
 }
 
+TEST_CASE("every entry reaches every kind of worker after restarts at random") {
+  // Guards against searches that depend on the order in which processes start and end, and against
+  // "no worker can run this" where there is one.
+  for (const std::uint64_t seed : {1U, 2U, 3U}) {
+    CAPTURE(seed);
+    std::mt19937_64 random(seed);
+    const auto below = [&](std::size_t limit) {
+      return std::uniform_int_distribution<std::size_t>(0, limit - 1)(random);
+    };
+    site fleet(static_cast<int>(5 + below(15)), static_cast<int>(4 + below(10)), 0);
+    const std::vector<std::string> kinds{"k0", "k1", "k2"};
+    for (const auto& kind : kinds) {
+      worker_announcement announced;
+      announced.labels = {kind};
+      fleet.add_host(announced);
+    }
+    fleet.run_for(milliseconds(below(1'000)));
+    for (int fault = 0; fault < 10; ++fault) {
+      if (below(2) == 0) {
+        fleet.start_entry(below(fleet.entries.size()));
+      } else {
+        fleet.restart_agent(*fleet.hosts[below(fleet.hosts.size())]);
+      }
+      fleet.run_for(milliseconds(below(300)));
+    }
+    fleet.run_for(milliseconds(1'000));
+    for (const auto& kind : kinds) {
+      const auto results = fleet.submit_to_all(kind);
+      CHECK(completed(results) == static_cast<std::ptrdiff_t>(fleet.entries.size()));
+    }
+    const auto results = fleet.submit_to_all("absent");
+    CHECK(results.size() == fleet.entries.size());
+    CHECK(completed(results) == 0);
+  }
+}
+
 TEST_CASE("an entry that no agent has chosen gets a session and is ready") {
   // Guards against entries that are never ready on sites with many entries and few workers.
   site fleet(20, 2, 0);
