Keep a confined queue off the other workers while its own are down

A worker that is down counts now: its tasks wait for it.

Measured: "a confined queue does not get the other workers while its own are down" failed before and passes.

--- a/include/parsleylead/fleet/fleet_scheduler.hpp
+++ b/include/parsleylead/fleet/fleet_scheduler.hpp
@@ -232,8 +232,9 @@
   static bool is_suitable(const worker& candidate, const job& open_job, std::uint32_t step);
   static bool can_run(const worker& candidate, const job& open_job, std::uint32_t step);
   bool could_ever_run(const job& open_job, std::uint32_t step) const;
-  /// Returns whether a quarantined worker, or one that is not, can run the step.
-  bool has_worker_for(const job& open_job, std::uint32_t step, bool quarantined) const;
+  /// Returns whether a quarantined worker, or one that is not, meets the needs of the step. It may
+  /// be down: its tasks wait for it, so that a queue that crashes its workers gets no others.
+  bool has_suitable_worker(const job& open_job, std::uint32_t step, bool quarantined) const;
   static worker_requirement requirement_of(const job& open_job, std::uint32_t step);
   /// Searches for a worker for the step if none is reachable.
   void require_worker(const job& open_job, std::uint32_t step, monotonic_time now);
--- a/src/fleet/fleet_entry.cpp
+++ b/src/fleet/fleet_entry.cpp
@@ -31,10 +31,10 @@
 // From these attempts on, a request is relayed if no fitting worker is known, and also if the agent
 // of one was asked: that agent may not reach the entry.
 constexpr std::uint32_t relayed_attempt = 2;
+constexpr std::uint32_t always_relayed_attempt = 3;
 // Each entry relays a request to this many peers. With 24 relays of a request, that reaches nearly
 // all of 55 entries with each attempt.
 constexpr std::size_t peers_of_relay = 6;
-constexpr std::uint32_t always_relayed_attempt = 3;
 
 } // namespace
 
--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -263,11 +263,11 @@
   admit(open_job, now);
 }
 
-bool fleet_scheduler::has_worker_for(const job& open_job, std::uint32_t step,
-                                     bool quarantined) const {
+bool fleet_scheduler::has_suitable_worker(const job& open_job, std::uint32_t step,
+                                          bool quarantined) const {
   return std::any_of(workers_.begin(), workers_.end(), [&](const auto& candidate) {
     return candidate->connected && candidate->quarantined == quarantined &&
-           can_run(*candidate, open_job, step);
+           is_suitable(*candidate, open_job, step);
   });
 }
 
@@ -765,7 +765,7 @@
   // Accepted jobs and those of other queues may cross the quarantine if nobody else can run them.
   const bool may_cross = !confined || open_job.is_durable();
   const bool restricted =
-      some_confined && (!may_cross || has_worker_for(open_job, step_number, confined));
+      some_confined && (!may_cross || has_suitable_worker(open_job, step_number, confined));
   std::optional<placement> best;
   double best_score = std::numeric_limits<double>::max();
   std::uniform_real_distribution<double> jitter(0.0, score_jitter);
@@ -811,12 +811,9 @@
 fleet_scheduler::choose_isolated_worker(const job& open_job, std::uint32_t step,
                                         const task& waiting) const {
   // The other workers are kept from tasks of a confined queue, unless only they can run the task.
-  const bool quarantined_only =
-      waiting.returned_isolated_orders == 0 && is_confined(open_job.spec.terms) &&
-      std::any_of(workers_.begin(), workers_.end(), [&](const auto& candidate) {
-        return candidate->connected && candidate->quarantined &&
-               is_suitable(*candidate, open_job, step);
-      });
+  const bool quarantined_only = waiting.returned_isolated_orders == 0 &&
+                                is_confined(open_job.spec.terms) &&
+                                has_suitable_worker(open_job, step, true);
   std::optional<placement> best;
   std::pair<bool, std::uint32_t> best_rank; // Quarantined workers first, then by load.
   for (worker_index index = 0; index < workers_.size(); ++index) {
--- a/src/fleet/fleet_scheduler_test.cpp
+++ b/src/fleet/fleet_scheduler_test.cpp
@@ -1112,6 +1112,35 @@
   }
 }
 
+TEST_CASE("a confined queue does not get the other workers while its own are down") {
+  // Guards against a queue that crashes its quarantined workers and then the others. Found by the
+  // soak, seed 13004.
+  fixture fleet(10);
+  fleet.submit(job_of_queue(1, "sound", 1));
+  fleet.submit(job_of_queue(2, "deadly", 1));
+  for (int i = 0; i < 3; ++i) {
+    fleet.scheduler.worker_crashed({queue_hash("deadly"), true}, at_ms(10));
+  }
+  const auto quarantined = workers_of(fleet.submit(job_of_queue(3, "deadly", 20), 20));
+  REQUIRE(quarantined.size() == 2);
+  fleet.scheduler.cancel(3, at_ms(30));
+  for (const auto index : quarantined) {
+    auto down = idle_worker();
+    down.present = false;
+    fleet.scheduler.worker_reported(index, down, at_ms(30));
+  }
+  auto accepted = job_of_queue(4, "deadly", 1);
+  accepted.ownership = job_ownership{1, 0, {}};
+  CHECK(fleet.submit(std::move(accepted), 40).empty());
+  for (const auto index : quarantined) {
+    fleet.scheduler.worker_reported(index, idle_worker(), at_ms(50));
+  }
+  fleet.scheduler.place_waiting(at_ms(50));
+  const auto starts = fleet.scheduler.take_starts();
+  REQUIRE(starts.size() == 1);
+  CHECK(quarantined.contains(starts[0].worker));
+}
+
 TEST_CASE("a job of a confined queue that shared a crash is not shown as failed") {
   // Guards against giving up a sound job as if it were the cause.
   fixture fleet(10);
