--- a/src/fleet/fleet_scheduler_test.cpp
+++ b/src/fleet/fleet_scheduler_test.cpp
@@ -1079,19 +1079,26 @@
   CHECK(fleet.scheduler.confined_queues().empty());
 }
 
+/// Confines the queue "deadly" beside the queue "sound". Returns the quarantined workers, which
+/// have no runs at 30 ms.
+std::set<worker_index> confine_deadly_queue(fixture& fleet) {
+  fleet.submit(job_of_queue(1, "sound", 1));
+  fleet.submit(job_of_queue(2, "deadly", 1));
+  for (int i = 0; i < 3; ++i) {
+    fleet.scheduler.worker_crashed({queue_hash("deadly"), true}, at_ms(10));
+  }
+  auto quarantined = workers_of(fleet.submit(job_of_queue(3, "deadly", 20), 20));
+  REQUIRE(quarantined.size() == 2);
+  fleet.scheduler.cancel(3, at_ms(30));
+  return quarantined;
+}
+
 TEST_CASE("a queue is confined only to workers that can run its tasks") {
   // Guards against sound jobs, and accepted ones of the confined queue, that wait while the only
   // workers that can run them are idle on the other side of the quarantine.
   for (const bool on_quarantined : {false, true}) {
     fixture fleet(10);
-    fleet.submit(job_of_queue(1, "sound", 1));
-    fleet.submit(job_of_queue(2, "deadly", 1));
-    for (int i = 0; i < 3; ++i) {
-      fleet.scheduler.worker_crashed({queue_hash("deadly"), true}, at_ms(10));
-    }
-    const auto quarantined = workers_of(fleet.submit(job_of_queue(3, "deadly", 20), 20));
-    REQUIRE(quarantined.size() == 2);
-    fleet.scheduler.cancel(3, at_ms(30));
+    const auto quarantined = confine_deadly_queue(fleet);
     const auto special =
         std::find_if(fleet.workers.begin(), fleet.workers.end(), [&](const auto index) {
           return quarantined.contains(index) == on_quarantined;
@@ -1116,14 +1123,7 @@
   // Guards against a queue that crashes its quarantined workers and then the others. Found by the
   // soak, seed 13004.
   fixture fleet(10);
-  fleet.submit(job_of_queue(1, "sound", 1));
-  fleet.submit(job_of_queue(2, "deadly", 1));
-  for (int i = 0; i < 3; ++i) {
-    fleet.scheduler.worker_crashed({queue_hash("deadly"), true}, at_ms(10));
-  }
-  const auto quarantined = workers_of(fleet.submit(job_of_queue(3, "deadly", 20), 20));
-  REQUIRE(quarantined.size() == 2);
-  fleet.scheduler.cancel(3, at_ms(30));
+  const auto quarantined = confine_deadly_queue(fleet);
   for (const auto index : quarantined) {
     auto down = idle_worker();
     down.present = false;
