Evacuate availability zones on request of the operators

Change: entries read the evacuations from the store with the configuration, pass them on to other entries and agents as a state as of a log offset, and place nothing on workers of these zones. Agents start nothing while their zone is evacuated, whoever asks. Cold workers get few tasks, after the others. keyed_watch delivers batches and says when a read is complete, so that deleted records are noticed.

--- a/include/parsleylead/fleet/fleet_agent.hpp
+++ b/include/parsleylead/fleet/fleet_agent.hpp
@@ -122,6 +122,10 @@
   absl::Status update_worker(const worker_announcement& announcement);
   /// The worker has answered under the announced id and incarnation.
   void worker_confirmed(const worker_announcement& announcement);
+  /// Applies the evacuations that an entry reported.
+  void evacuations_reported(const evacuation_state& state, const std::string& entry);
+  /// Returns whether the worker may be given new tasks.
+  bool accepts_tasks() const;
   /// Applies what may change in the lifetime of a worker.
   void apply_announcement(const worker_announcement& announcement);
   void log_worker();
@@ -171,10 +175,13 @@
   std::map<std::string, std::unique_ptr<session>> sessions_;
   run_table table_;
   worker_candidates candidates_;
+  zone_evacuations evacuations_;
   /// Newest announcement of the confirmed worker.
   std::optional<worker_announcement> worker_;
   /// When `worker_` was received.
   monotonic_time announced_at_{};
+  /// Until when the worker is slow after its start.
+  monotonic_time cold_until_{};
   /// When the worker said that it leaves.
   std::optional<monotonic_time> departed_at_;
   /// Incarnation of the worker that the known end numbers belong to; 0 if none is known.
--- a/include/parsleylead/fleet/fleet_entry.hpp
+++ b/include/parsleylead/fleet/fleet_entry.hpp
@@ -68,6 +68,13 @@
   void add_members(const std::vector<fleet_member>& members);
   /// Sets the active routes, which are passed on to other entries. Older versions are ignored.
   void set_routes(const route_update& routes);
+  /// Applies the operators' evacuations of availability zones: see
+  /// `zone_evacuations::apply_records`.
+  void evacuations_read(std::uint64_t as_of, bool complete,
+                        const std::vector<zone_change>& records);
+  /// Returns whether the store or another entry has told which zones are evacuated. Until then, a
+  /// worker must not be used, as its zone may be.
+  bool knows_evacuations() const { return evacuations_.state().has_value(); }
 
   /// Runs a job; `done` is called once with its result. Submitting the id of an open job again adds
   /// a caller to that job: both callers get the result.
@@ -129,6 +136,8 @@
   site_access access_to_site();
   void close_surplus_links(monotonic_time now);
   void announce_routes();
+  /// Applies changed evacuations and tells all sessions of them.
+  void evacuations_changed(const std::vector<zone_change>& changes, const std::string& source);
   fleet_frame member_frame() const;
   void send(session& to, fleet_frame frame);
   /// Returns the waiting durable jobs of this entry, by queue.
@@ -159,6 +168,7 @@
   std::unordered_map<std::uint64_t, std::map<caller_id, result_handler>> callers_;
   caller_id next_caller_id_ = 1;
   route_update routes_{-1, ""};
+  zone_evacuations evacuations_;
   monotonic_time last_tick_{};
   monotonic_time last_gossip_{};
   monotonic_time last_traffic_report_{};
--- a/include/parsleylead/fleet/fleet_frame.hpp
+++ b/include/parsleylead/fleet/fleet_frame.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "absl/status/statusor.h"
+#include "parsleylead/evacuation/zone_evacuations.hpp"
 #include "parsleylead/fleet/run_types.hpp"
 
 namespace parsleylead {
@@ -123,6 +124,8 @@
   std::vector<session_request> session_requests;
   /// The entry still needs this session, which it requested. Not counted as content.
   bool keep_session = false;
+  /// Absent if the receiver was told before, or if the sender knows none.
+  std::optional<evacuation_state> evacuations;
 
   /// Returns whether the frame has no content; the times do not count.
   bool empty() const;
--- a/include/parsleylead/fleet/fleet_job.hpp
+++ b/include/parsleylead/fleet/fleet_job.hpp
@@ -123,6 +123,8 @@
   crashes_workers,
   /// Tasks of the job's queue crash workers, and the few that run them are busy or down.
   queue_confined,
+  /// The availability zone of the only workers that can run the job is evacuated.
+  zone_evacuated,
 };
 
 inline const char* to_string(job_verdict verdict) {
@@ -160,6 +162,8 @@
     return "crashes_workers";
   case job_cause::queue_confined:
     return "queue_confined";
+  case job_cause::zone_evacuated:
+    return "zone_evacuated";
   default:
     return "none";
   }
--- a/include/parsleylead/fleet/fleet_scheduler.hpp
+++ b/include/parsleylead/fleet/fleet_scheduler.hpp
@@ -40,6 +40,9 @@
   std::chrono::milliseconds max_wait{20};
   /// A worker with a higher share of failed runs gets a task only if no other worker fits.
   double max_failure_share = 0.5;
+  /// A cold worker gets tasks only if no other one has free resources, and only up to this share of
+  /// its CPU.
+  double cold_capacity_share = 0.25;
   /// A slow run is moved only if that is expected to save at least this much time.
   std::chrono::milliseconds min_move_gain{250};
   /// For this long after the first submission, jobs wait for workers of their service to report:
@@ -144,6 +147,8 @@
   /// Returns the index of the agent's worker; always the same for the same agent name.
   worker_index worker_for(const std::string& agent, const std::string& availability_zone);
   void worker_reported(worker_index worker, const worker_status& status, monotonic_time now);
+  /// From now on no task is placed on workers of these availability zones. Runs there go on.
+  void set_evacuated_zones(std::set<std::string> zones);
   /// A session to the agent was opened. `same_agent`: by the agent process of the session before.
   void session_opened(worker_index worker, bool same_agent, monotonic_time now);
   /// The open session was requested with `search_workers`: its agent closes it once it is no longer
@@ -232,6 +237,8 @@
   static bool is_suitable(const worker& candidate, const job& open_job, std::uint32_t step);
   static bool can_run(const worker& candidate, const job& open_job, std::uint32_t step);
   bool could_ever_run(const job& open_job, std::uint32_t step) const;
+  /// Returns why no worker in reach can run the job.
+  job_cause cause_of_absence(const job& open_job) const;
   /// Returns whether a quarantined worker, or one that is not, meets the needs of the step. It may
   /// be down: its tasks wait for it, so that a queue that crashes its workers gets no others.
   bool has_suitable_worker(const job& open_job, std::uint32_t step, bool quarantined) const;
@@ -286,6 +293,7 @@
 
   fleet_policy policy_;
   std::string availability_zone_;
+  std::set<std::string> evacuated_zones_;
   std::mt19937_64 random_;
   std::map<std::string, worker_index> worker_names_;
   std::vector<std::unique_ptr<worker>> workers_;
--- a/include/parsleylead/fleet/run_types.hpp
+++ b/include/parsleylead/fleet/run_types.hpp
@@ -291,6 +291,8 @@
   double slowdown = 1.0;
   /// Share of failed runs among recent ones, 0 to 1.
   double failure_share = 0.0;
+  /// The worker is still slow after its start.
+  bool cold = false;
 };
 
 } // namespace parsleylead
--- a/include/parsleylead/fleet/worker_port.hpp
+++ b/include/parsleylead/fleet/worker_port.hpp
@@ -27,6 +27,8 @@
   resource_needs capacity;
   /// The worker is shutting down and accepts no new tasks.
   bool draining = false;
+  /// For how much longer the worker is slow after its start.
+  std::chrono::milliseconds cold_for{0};
 };
 
 /// A worker's lists of runs.
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -146,6 +146,8 @@
   failureMillis @6 :UInt32;
   # Part of `committed` and `queuedCpuMillis` that belongs to runs of the receiver.
   ownCpuMillis @7 :UInt32;
+  # The worker is still slow after its start.
+  cold @8 :Bool;
 }
 
 # A run that takes far longer than estimated.
@@ -205,6 +207,12 @@
   idle @1 :Bool;
 }
 
+# The availability zones whose workers get no new tasks, as of an offset of the store's log.
+struct ZoneEvacuations {
+  asOf @0 :UInt64;
+  zones @1 :List(Text);
+}
+
 struct Frame {
   hello @0 :Hello;
   starts @1 :List(Start);
@@ -244,4 +252,6 @@
   sessionRequests @23 :List(SessionRequest);
   # The entry still needs this session, which it requested.
   keepSession @24 :Bool;
+  # The newest state that the sender knows; absent if unchanged or unknown.
+  evacuations @25 :ZoneEvacuations;
 }
--- a/src/fleet/fleet_agent.cpp
+++ b/src/fleet/fleet_agent.cpp
@@ -198,7 +198,7 @@
 }
 
 void fleet_agent::session_requested(const session_request& request, monotonic_time now) {
-  if (leaving_ || suspected_ || !worker_ || worker_->draining || departed_at_) {
+  if (suspected_ || !accepts_tasks()) {
     return;
   }
   const auto& entry = request.entry;
@@ -257,6 +257,8 @@
                     true,
                     peer.incarnation,
                     !dialer_.is_preferred(address)};
+  // An entry that has just started, without the store or a link to others, learns them here.
+  hello.evacuations = evacuations_.state();
   send(peer, hello);
 }
 
@@ -331,6 +333,9 @@
   if (!from.established) {
     return;
   }
+  if (frame.evacuations) {
+    evacuations_reported(*frame.evacuations, from.entry);
+  }
   if (frame.keep_session) {
     dialer_.extend_request(from.address, now + settings_.requested_session_time, now);
   }
@@ -447,8 +452,9 @@
   const bool changed = worker_->draining != announcement.draining;
   worker_ = announcement;
   announced_at_ = lease_now();
+  cold_until_ = announced_at_ + announcement.cold_for;
   table_.set_capacity(announcement.capacity);
-  table_.set_accepting(!leaving_ && !announcement.draining);
+  table_.set_accepting(accepts_tasks());
   if (changed) {
     log_worker();
     status_dirty_ = true;
@@ -459,6 +465,24 @@
   flush_soon_();
 }
 
+bool fleet_agent::accepts_tasks() const {
+  return worker_ && !worker_->draining && !departed_at_ && !leaving_ &&
+         !evacuations_.is_evacuated(settings_.availability_zone);
+}
+
+void fleet_agent::evacuations_reported(const evacuation_state& state, const std::string& entry) {
+  for (const auto& change : evacuations_.merge(state)) {
+    if (change.zone == settings_.availability_zone) {
+      log_.write(change.evacuated ? "zone_evacuated" : "zone_evacuation_ended", "zone", change.zone,
+                 "offset", state.as_of, "source", entry, "runs", table_.running(), "waiting",
+                 table_.waiting());
+      metrics_.set("parsleylead_evacuated_zones", {}, change.evacuated ? 1 : 0);
+    }
+  }
+  table_.set_accepting(accepts_tasks());
+  status_dirty_ = true;
+}
+
 void fleet_agent::log_worker() {
   log_.write("worker_announced", "worker", worker_->id, "life", worker_->incarnation, "service",
              worker_->service, "draining", worker_->draining, "cpu_millis",
@@ -472,7 +496,7 @@
   }
   log_.write("worker_left", "worker", id);
   departed_at_ = lease_now();
-  table_.set_accepting(false);
+  table_.set_accepting(accepts_tasks());
   status_dirty_ = true;
   flush_soon_();
 }
@@ -783,7 +807,8 @@
   if (!worker_) {
     return status;
   }
-  status.accepting = !leaving_ && !worker_->draining && !departed_at_ && !to.closing_since;
+  status.accepting = accepts_tasks() && !to.closing_since;
+  status.cold = lease_now() < cold_until_;
   status.description = {worker_->id, worker_->service, worker_->rack, worker_->labels,
                         table_.capacity()};
   status.committed = table_.committed();
@@ -800,8 +825,8 @@
   }
   const auto& sent = *to.sent_status;
   return status.present != sent.present || status.accepting != sent.accepting ||
-         status.description != sent.description || status.committed != sent.committed ||
-         status.queued_cpu_millis != sent.queued_cpu_millis ||
+         status.cold != sent.cold || status.description != sent.description ||
+         status.committed != sent.committed || status.queued_cpu_millis != sent.queued_cpu_millis ||
          status.own_cpu_millis != sent.own_cpu_millis ||
          std::abs(status.slowdown - sent.slowdown) > min_reported_change * sent.slowdown ||
          std::abs(status.failure_share - sent.failure_share) > min_reported_change;
@@ -847,7 +872,7 @@
   on_left_ = std::move(done);
   last_busy_ = lease_now(); // Orders may be on their way.
   leave_deadline_ = last_busy_ + limit;
-  table_.set_accepting(false);
+  table_.set_accepting(accepts_tasks());
   status_dirty_ = true;
   log_.write("leaving", "runs", table_.running(), "waiting", table_.waiting());
   flush_soon_();
--- a/src/fleet/fleet_entry.cpp
+++ b/src/fleet/fleet_entry.cpp
@@ -181,6 +181,34 @@
   announce_routes();
 }
 
+void fleet_entry::evacuations_read(std::uint64_t as_of, bool complete,
+                                   const std::vector<zone_change>& records) {
+  evacuations_changed(evacuations_.apply_records(as_of, complete, records), "store");
+}
+
+void fleet_entry::evacuations_changed(const std::vector<zone_change>& changes,
+                                      const std::string& source) {
+  if (changes.empty()) {
+    return;
+  }
+  const auto& state = *evacuations_.state();
+  for (const auto& change : changes) {
+    log_.write(change.evacuated ? "zone_evacuated" : "zone_evacuation_ended", "zone", change.zone,
+               "offset", state.as_of, "source", source);
+  }
+  metrics_.set("parsleylead_evacuated_zones", {}, static_cast<double>(state.zones.size()));
+  scheduler_.set_evacuated_zones(state.zones);
+  fleet_frame frame;
+  frame.evacuations = state;
+  frame.routes_version = routes_.version;
+  for (const auto& peer : sessions_) {
+    if (peer->established) {
+      send(*peer, frame);
+    }
+  }
+  flush_soon_();
+}
+
 void fleet_entry::tick() {
   const auto now = lease_now();
   const auto before = std::exchange(last_tick_, now);
@@ -289,6 +317,7 @@
   frame.members = dialer_.linked_members();
   frame.members.push_back(self_);
   frame.routes_version = routes_.version;
+  frame.evacuations = evacuations_.state();
   return frame;
 }
 
@@ -605,6 +634,8 @@
     fleet_frame update;
     update.routes_version = routes_.version;
     update.routes = routes_.text;
+    // The receiver serves with these routes at once.
+    update.evacuations = evacuations_.state();
     send(from, update);
   }
 }
@@ -639,6 +670,9 @@
   if (!from->established) {
     return;
   }
+  if (frame.evacuations) {
+    evacuations_changed(evacuations_.merge(*frame.evacuations), from->peer.name);
+  }
   if (!from->is_agent) {
     add_members(frame.members);
     routes_received(*from, frame);
--- a/src/fleet/fleet_frame.cpp
+++ b/src/fleet/fleet_frame.cpp
@@ -113,6 +113,7 @@
   out.setOwnCpuMillis(status.own_cpu_millis);
   out.setSlowdownMillis(static_cast<std::uint32_t>(std::lround(status.slowdown * thousandth)));
   out.setFailureMillis(static_cast<std::uint32_t>(std::lround(status.failure_share * thousandth)));
+  out.setCold(status.cold);
 }
 
 worker_status read(wire::WorkerStatus::Reader in) {
@@ -128,6 +129,7 @@
   status.own_cpu_millis = in.getOwnCpuMillis();
   status.slowdown = in.getSlowdownMillis() / thousandth;
   status.failure_share = in.getFailureMillis() / thousandth;
+  status.cold = in.getCold();
   return status;
 }
 
@@ -240,6 +242,23 @@
   return {read(in.getEntry()), in.getIdle()};
 }
 
+void write(wire::ZoneEvacuations::Builder out, const evacuation_state& state) {
+  out.setAsOf(state.as_of);
+  auto zones = out.initZones(static_cast<unsigned>(state.zones.size()));
+  unsigned next = 0;
+  for (const auto& zone : state.zones) {
+    zones.set(next++, zone);
+  }
+}
+
+evacuation_state read(wire::ZoneEvacuations::Reader in) {
+  evacuation_state state{in.getAsOf(), {}};
+  for (const auto zone : in.getZones()) {
+    state.zones.insert(text(zone));
+  }
+  return state;
+}
+
 template <class List, class Values>
 void write_all(List list, const Values& values);
 template <class List, class Values>
@@ -353,6 +372,9 @@
   read_all(in.getWorkerRequests(), frame.worker_requests);
   read_all(in.getSessionRequests(), frame.session_requests);
   frame.keep_session = in.getKeepSession();
+  if (in.hasEvacuations()) {
+    frame.evacuations = read(in.getEvacuations());
+  }
   return frame;
 }
 
@@ -363,7 +385,7 @@
          slow_runs.empty() && !status && members.empty() && !outstanding && routes.empty() &&
          !routes_wanted && !leaving && claims.empty() && end_acks.empty() &&
          waiting_durable_jobs.empty() && crashes.empty() && worker_requests.empty() &&
-         session_requests.empty();
+         session_requests.empty() && !evacuations;
 }
 
 std::string encode_frame(const fleet_frame& frame) {
@@ -426,6 +448,9 @@
               frame.session_requests);
   }
   out.setKeepSession(frame.keep_session);
+  if (frame.evacuations) {
+    write(out.initEvacuations(), *frame.evacuations);
+  }
   // Packing removes zero bytes, which make up most of a frame.
   kj::VectorOutputStream stream;
   capnp::writePackedMessage(stream, message);
--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -65,7 +65,7 @@
     require_worker(open_job, step, now);
   }
   if (lacks_worker(open_job, false, now)) {
-    finish(open_job, job_verdict::not_run, job_cause::no_capable_worker, now);
+    finish(open_job, job_verdict::not_run, cause_of_absence(open_job), now);
     return;
   }
   if (backlog_ + awaiting_tasks_ + open_job.result.tasks > policy_.max_backlog) {
@@ -92,7 +92,7 @@
       require_worker(open_job, step, now);
     }
     if (lacks_worker(open_job, false, now)) {
-      finish(open_job, job_verdict::not_run, job_cause::no_capable_worker, now);
+      finish(open_job, job_verdict::not_run, cause_of_absence(open_job), now);
     } else if (all_workers_reachable(open_job)) {
       stop_awaiting(open_job);
       admit(open_job, now);
@@ -404,7 +404,8 @@
     }
   }
   for (const auto id : incapable) {
-    finish(*jobs_.at(id), job_verdict::not_run, job_cause::no_capable_worker, now);
+    auto& open_job = *jobs_.at(id);
+    finish(open_job, job_verdict::not_run, cause_of_absence(open_job), now);
   }
   for (const auto id : expired) {
     auto& open_job = *jobs_.at(id);
--- a/src/fleet/fleet_scheduler_placement.cpp
+++ b/src/fleet/fleet_scheduler_placement.cpp
@@ -17,6 +17,8 @@
 constexpr double remote_rack_factor = 1.5;
 // Added to the score of a worker that is used only if no other one fits.
 constexpr double avoided_penalty_ms = 1e6;
+// Added to the score of a cold worker: it is used before those that are avoided, after all others.
+constexpr double cold_penalty_ms = 1e5;
 // The run time is extrapolated from the progress only above this share.
 constexpr double min_extrapolated_progress = 0.05;
 // A restarted run is assumed to take at most this many times its estimate.
@@ -70,10 +72,24 @@
 }
 
 bool fleet_scheduler::can_run(const worker& candidate, const job& open_job, std::uint32_t step) {
-  return candidate.status.present && candidate.status.accepting &&
+  return candidate.status.present && candidate.status.accepting && !candidate.evacuated &&
          is_suitable(candidate, open_job, step);
 }
 
+job_cause fleet_scheduler::cause_of_absence(const job& open_job) const {
+  for (std::uint32_t step = 0; step < open_job.spec.steps.size(); ++step) {
+    const bool evacuated =
+        !could_ever_run(open_job, step) &&
+        std::any_of(workers_.begin(), workers_.end(), [&](const auto& each) {
+          return each->connected && each->evacuated && is_suitable(*each, open_job, step);
+        });
+    if (evacuated) {
+      return job_cause::zone_evacuated;
+    }
+  }
+  return job_cause::no_capable_worker;
+}
+
 bool fleet_scheduler::could_ever_run(const job& open_job, std::uint32_t step) const {
   return std::any_of(workers_.begin(), workers_.end(), [&](const auto& candidate) {
     return candidate->connected && can_run(*candidate, open_job, step);
@@ -117,6 +133,10 @@
         continue;
       }
     }
+    if (candidate.status.cold &&
+        capacity - free + step.needs.cpu_millis > policy_.cold_capacity_share * capacity) {
+      continue;
+    }
     const double run_ms = run_time_ms(candidate, step);
     const double load = 1.0 - free / capacity;
     double score = run_ms * (1.0 + load_weight * load + jitter(random_));
@@ -126,6 +146,7 @@
     if (avoided || candidate.status.failure_share > policy_.max_failure_share) {
       score += avoided_penalty_ms;
     }
+    score += candidate.status.cold ? cold_penalty_ms : 0.0;
     if (score < best_score) {
       best_score = score;
       best = placement{index, run_ms};
--- a/src/fleet/fleet_scheduler_state.hpp
+++ b/src/fleet/fleet_scheduler_state.hpp
@@ -28,9 +28,12 @@
 
 struct fleet_scheduler::worker {
   std::string agent;
+  std::string availability_zone;
   /// In another availability zone than this entry.
   bool remote = false;
   bool connected = false;
+  /// Its availability zone is evacuated.
+  bool evacuated = false;
   worker_status status;
   /// CPU demand of this entry's runs on the worker.
   std::uint32_t own_cpu_millis = 0;
--- a/src/fleet/fleet_scheduler_workers.cpp
+++ b/src/fleet/fleet_scheduler_workers.cpp
@@ -18,11 +18,21 @@
   if (added) {
     workers_.push_back(std::make_unique<worker>());
     workers_.back()->agent = agent;
+    workers_.back()->availability_zone = availability_zone;
     workers_.back()->remote = availability_zone != availability_zone_;
+    workers_.back()->evacuated = evacuated_zones_.contains(availability_zone);
   }
   return position->second;
 }
 
+void fleet_scheduler::set_evacuated_zones(std::set<std::string> zones) {
+  evacuated_zones_ = std::move(zones);
+  for (auto& each : workers_) {
+    each->evacuated = evacuated_zones_.contains(each->availability_zone);
+  }
+  workers_changed_ = true;
+}
+
 void fleet_scheduler::worker_reported(worker_index index, const worker_status& status,
                                       monotonic_time /*now*/) {
   auto& known = workers_.at(index)->status;
@@ -189,7 +199,8 @@
 }
 
 bool fleet_scheduler::is_usable(const worker& candidate) {
-  return candidate.connected && candidate.status.present && candidate.status.accepting;
+  return candidate.connected && candidate.status.present && candidate.status.accepting &&
+         !candidate.evacuated;
 }
 
 void fleet_scheduler::release_lost_runs(monotonic_time now) {
--- a/src/store/keyed_watch.cpp
+++ b/src/store/keyed_watch.cpp
@@ -1,6 +1,8 @@
 #include "parsleylead/store/keyed_watch.hpp"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 #include "parsleylead/base/call_after.hpp"
 
@@ -8,19 +10,17 @@
 
 keyed_watch::keyed_watch(asio::io_context& io, keyed_store& store, event_log& log,
                          std::string topic, watch_options options,
-                         std::function<void(const keyed_record&)> on_record)
+                         std::function<void(const keyed_update&)> on_update)
     : store_(store), log_(log), topic_(std::move(topic)), options_(options),
-      on_record_(std::move(on_record)), timer_(io) {}
+      on_update_(std::move(on_update)), timer_(io) {}
 
-void keyed_watch::deliver(const keyed_snapshot& snapshot) {
+void keyed_watch::deliver(const keyed_update& update) {
   backoff_ = options_.min_backoff;
   if (!reachable_) {
     reachable_ = true;
     log_.write("store_regained", "topic", topic_);
   }
-  for (const auto& record : snapshot.records) {
-    on_record_(record);
-  }
+  on_update_(update);
 }
 
 void keyed_watch::read_newest(const std::string& after) {
@@ -34,17 +34,21 @@
                          schedule_retry(snapshot.status());
                          return;
                        }
-                       deliver(*snapshot);
                        if (after.empty()) {
                          // The pages are not one consistent snapshot: changes made while they
                          // are read are read again from the end of the first page.
                          next_offset_ = snapshot->end;
+                         pages_.clear();
                        }
-                       if (snapshot->has_more && !snapshot->records.empty()) {
-                         read_newest(snapshot->records.back().key);
+                       auto& page = snapshot->records;
+                       pages_.insert(pages_.end(), std::make_move_iterator(page.begin()),
+                                     std::make_move_iterator(page.end()));
+                       if (snapshot->has_more && !page.empty()) {
+                         read_newest(std::string(pages_.back().key));
                          return;
                        }
                        caught_up_ = true;
+                       deliver({std::exchange(pages_, {}), next_offset_, true});
                        poll_changes();
                      });
 }
@@ -60,8 +64,8 @@
           schedule_retry(snapshot.status());
           return;
         }
-        deliver(*snapshot);
         next_offset_ = snapshot->end;
+        deliver({std::move(snapshot->records), next_offset_, false});
         poll_changes();
       });
 }
--- a/src/store/keyed_watch_test.cpp
+++ b/src/store/keyed_watch_test.cpp
@@ -57,13 +57,20 @@
   store.newest.emplace_back(absl::UnavailableError("busy"));
   store.newest.emplace_back(keyed_snapshot{{{"a", "4"}}, 40, false});
   std::vector<std::string> delivered;
-  keyed_watch watch(
-      io, store, log, "topic", {milliseconds(1), milliseconds(1), milliseconds(2)},
-      [&](const keyed_record& record) { delivered.push_back(record.key + record.value); });
+  keyed_watch watch(io, store, log, "topic", {milliseconds(1), milliseconds(1), milliseconds(2)},
+                    [&](const keyed_update& update) {
+                      for (const auto& record : update.records) {
+                        delivered.push_back(record.key + record.value);
+                      }
+                      delivered.push_back((update.complete ? "complete:" : "until:") +
+                                          std::to_string(update.end));
+                    });
   watch.start();
   io.run_for(std::chrono::seconds(2));
   CHECK(watch.caught_up());
-  CHECK(delivered == std::vector<std::string>{"a1", "b1", "a2", "a4"});
+  // Each full read says so, as a key that was deleted meanwhile is noticed by its absence only.
+  CHECK(delivered ==
+        std::vector<std::string>{"a1", "b1", "complete:5", "a2", "until:7", "a4", "complete:40"});
   CHECK(store.requests == std::vector<std::string>{"newest:", "newest:a", "from:5", "from:7",
                                                    "newest:", "newest:", "from:40"});
 }
