Tell peers of the first known state of evacuations, also without zones

Cause: an entry told its sessions of changed zones only. An entry that the store rejects, linked to a peer before that one had read the store, heard nothing if no zone was evacuated, unless it also lacked the routes, and held its callers until the next periodic member list, which only the dialling side of a link sends. Change: the first known state is sent to all sessions like a change. Requests that are held at the start are released also if the missing state came from another process.

--- a/include/parsleylead/fleet/fleet_entry.hpp
+++ b/include/parsleylead/fleet/fleet_entry.hpp
@@ -72,8 +72,8 @@
   /// `zone_evacuations::apply_records`.
   void evacuations_read(std::uint64_t as_of, bool complete,
                         const std::vector<zone_change>& records);
-  /// Returns whether the store or another entry has told which zones are evacuated. Until then, a
-  /// worker must not be used, as its zone may be.
+  /// Returns whether the store or another process has told which zones are evacuated. Until then, no
+  /// task is placed, as the zone of its worker may be evacuated.
   bool knows_evacuations() const { return evacuations_.state().has_value(); }
 
   /// Runs a job; `done` is called once with its result. Submitting the id of an open job again adds
@@ -136,8 +136,10 @@
   site_access access_to_site();
   void close_surplus_links(monotonic_time now);
   void announce_routes();
-  /// Applies changed evacuations and tells all sessions of them.
-  void evacuations_changed(const std::vector<zone_change>& changes, const std::string& source);
+  /// Tells all sessions of changed evacuations, and also of the first known state without any: a
+  /// peer that has none waits for it. `known_before`: whether there was a state before the change.
+  void evacuations_changed(bool known_before, const std::vector<zone_change>& changes,
+                           const std::string& source);
   fleet_frame member_frame() const;
   void send(session& to, fleet_frame frame);
   /// Returns the waiting durable jobs of this entry, by queue.
--- a/src/fleet/fleet_entry.cpp
+++ b/src/fleet/fleet_entry.cpp
@@ -183,15 +183,20 @@
 
 void fleet_entry::evacuations_read(std::uint64_t as_of, bool complete,
                                    const std::vector<zone_change>& records) {
-  evacuations_changed(evacuations_.apply_records(as_of, complete, records), "store");
+  const bool known_before = knows_evacuations();
+  evacuations_changed(known_before, evacuations_.apply_records(as_of, complete, records), "store");
 }
 
-void fleet_entry::evacuations_changed(const std::vector<zone_change>& changes,
+void fleet_entry::evacuations_changed(bool known_before, const std::vector<zone_change>& changes,
                                       const std::string& source) {
-  if (changes.empty()) {
+  if (known_before && changes.empty()) {
     return;
   }
   const auto& state = *evacuations_.state();
+  if (!known_before) {
+    log_.write("evacuations_known", "offset", state.as_of, "zones", state.zones.size(), "source",
+               source);
+  }
   for (const auto& change : changes) {
     log_.write(change.evacuated ? "zone_evacuated" : "zone_evacuation_ended", "zone", change.zone,
                "offset", state.as_of, "source", source);
@@ -671,7 +676,8 @@
     return;
   }
   if (frame.evacuations) {
-    evacuations_changed(evacuations_.merge(*frame.evacuations), from->peer.name);
+    const bool known_before = knows_evacuations();
+    evacuations_changed(known_before, evacuations_.merge(*frame.evacuations), from->peer.name);
   }
   if (!from->is_agent) {
     add_members(frame.members);
--- /dev/null
+++ b/src/fleet/fleet_evacuation_test.cpp
@@ -0,0 +1,102 @@
+// Tests that entries and agents over TCP connections start nothing in an evacuated zone.
+
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "fake_worker.hpp"
+#include "parsleylead/fleet/fleet_agent.hpp"
+#include "parsleylead/fleet/fleet_entry.hpp"
+
+namespace parsleylead {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::chrono::seconds test_limit{10};
+
+fleet_job make_job(std::uint64_t id) {
+  fleet_job job;
+  job.id = id;
+  job.terms = {"queue", "desk", milliseconds(500), 2.0, 3};
+  job.answer_timeout = milliseconds(30'000);
+  job.steps.push_back({});
+  job.steps[0].count = 1;
+  job.steps[0].needs = {1'000, 64, 0};
+  job.steps[0].estimate = milliseconds(20);
+  return job;
+}
+
+/// An agent of zone "a" with its worker, and entries that know no evacuations at first.
+struct evacuable_fleet {
+  fleet_entry& add_entry(const std::string& name) {
+    fleet_entry_settings settings;
+    settings.name = name;
+    settings.incarnation = 100 + entries.size();
+    settings.availability_zone = "b";
+    settings.listen = free_address(io);
+    addresses.push_back(to_string(settings.listen));
+    entries.push_back(
+        std::make_unique<fleet_entry>(io, settings, log, metrics, [](const route_update&) {}));
+    REQUIRE(entries.back()->start().ok());
+    return *entries.back();
+  }
+
+  /// Starts the agent with sessions to these entries.
+  void start_agent(const std::vector<std::size_t>& linked) {
+    fleet_agent_settings settings;
+    settings.name = "agent";
+    settings.incarnation = 5;
+    settings.availability_zone = "a";
+    agent.emplace(io, settings, worker, log, metrics);
+    for (const auto entry : linked) {
+      agent->add_members({{"", 0, addresses[entry], ""}});
+    }
+    agent->start();
+    worker_announcement announced;
+    announced.id = "w-1";
+    announced.incarnation = 1;
+    announced.service = "desk";
+    announced.capacity = {32'000, 65'536, 0};
+    agent->worker_announced(announced, [](const absl::Status&) {});
+  }
+
+  template <class Condition>
+  bool run_until(Condition done, milliseconds within = test_limit) {
+    const auto limit = std::chrono::steady_clock::now() + within;
+    while (!done() && std::chrono::steady_clock::now() < limit) {
+      io.run_one_for(milliseconds(20));
+    }
+    return done();
+  }
+  void run_for(milliseconds time) {
+    run_until([] { return false; }, time);
+  }
+  bool logged(const std::string& text) { return log.buffered().find(text) != std::string::npos; }
+
+  asio::io_context io;
+  event_log log{"test"};
+  metrics_registry metrics;
+  fake_worker worker{io};
+  std::vector<std::string> addresses;
+  std::vector<std::unique_ptr<fleet_entry>> entries;
+  std::optional<fleet_agent> agent;
+};
+
+TEST_CASE("an entry without the store learns from a peer that no zone is evacuated") {
+  // Guards against an entry that never serves: its peer told it of changes only, so not of a first
+  // state without any zone.
+  evacuable_fleet fleet;
+  auto& with_store = fleet.add_entry("entry-0");
+  auto& without = fleet.add_entry("entry-1");
+  without.add_members({{"", 0, fleet.addresses[0], ""}});
+  fleet.run_for(milliseconds(300)); // The links are open before either knows anything.
+  with_store.evacuations_read(3, true, {});
+  // Without the message, the peers' periodic lists come every five seconds.
+  CHECK(fleet.run_until([&] { return without.knows_evacuations(); }, milliseconds(2'000)));
+}
+
+} // namespace
+} // namespace parsleylead
