Place no task while the evacuated zones are not known

Cause: an entry held its callers until it knew the evacuations, but not the stored jobs that it restores at its start, so their tasks could be started in an evacuated zone before its first read. Change: the scheduler of an entry places nothing until the first state is known. Tests that use entries without a store give them an empty state. Result: the new test failed before (1 start) and passes. The tests of outdated entries, of peers and of an agent's hello passed before and after.

--- a/include/parsleylead/fleet/fleet_scheduler.hpp
+++ b/include/parsleylead/fleet/fleet_scheduler.hpp
@@ -149,6 +149,8 @@
   void worker_reported(worker_index worker, const worker_status& status, monotonic_time now);
   /// From now on no task is placed on workers of these availability zones. Runs there go on.
   void set_evacuated_zones(std::set<std::string> zones);
+  /// While held, no task is placed; jobs wait. Runs go on.
+  void hold_placement(bool held) { placement_held_ = held; }
   /// A session to the agent was opened. `same_agent`: by the agent process of the session before.
   void session_opened(worker_index worker, bool same_agent, monotonic_time now);
   /// The open session was requested with `search_workers`: its agent closes it once it is no longer
@@ -294,6 +296,7 @@
   fleet_policy policy_;
   std::string availability_zone_;
   std::set<std::string> evacuated_zones_;
+  bool placement_held_ = false;
   std::mt19937_64 random_;
   std::map<std::string, worker_index> worker_names_;
   std::vector<std::unique_ptr<worker>> workers_;
--- a/src/fleet/fleet_entry.cpp
+++ b/src/fleet/fleet_entry.cpp
@@ -115,7 +115,10 @@
       dialer_(settings_.timing, settings_.name, settings_.availability_zone, self_.address,
               settings_.max_peers, link_preference::all_zones),
       scheduler_(settings_.policy, settings_.availability_zone, settings_.incarnation),
-      waiting_counts_(settings_.name) {}
+      waiting_counts_(settings_.name) {
+  // Stored jobs are restored regardless of callers, and perhaps before the evacuations are known.
+  scheduler_.hold_placement(true);
+}
 
 fleet_entry::~fleet_entry() {
   for (auto& peer : sessions_) {
@@ -203,6 +206,7 @@
   }
   metrics_.set("parsleylead_evacuated_zones", {}, static_cast<double>(state.zones.size()));
   scheduler_.set_evacuated_zones(state.zones);
+  scheduler_.hold_placement(false);
   fleet_frame frame;
   frame.evacuations = state;
   frame.routes_version = routes_.version;
--- a/src/fleet/fleet_evacuation_test.cpp
+++ b/src/fleet/fleet_evacuation_test.cpp
@@ -85,6 +85,22 @@
   std::optional<fleet_agent> agent;
 };
 
+TEST_CASE("an entry that does not know the evacuations places nothing") {
+  // Guards against tasks of stored jobs that an entry restores and starts before its first read of
+  // the evacuations: only callers were held until then.
+  evacuable_fleet fleet;
+  auto& entry = fleet.add_entry("entry");
+  fleet.start_agent({0});
+  REQUIRE(fleet.run_until([&] { return entry.has_worker(); }));
+  std::optional<job_result> result;
+  entry.submit(make_job(1), [&](const job_result& got) { result = got; });
+  fleet.run_for(milliseconds(300));
+  CHECK(fleet.worker.starts == 0);
+  entry.evacuations_read(3, true, {});
+  REQUIRE(fleet.run_until([&] { return result.has_value(); }));
+  CHECK(result->verdict == job_verdict::completed);
+}
+
 TEST_CASE("an entry without the store learns from a peer that no zone is evacuated") {
   // Guards against an entry that never serves: its peer told it of changes only, so not of a first
   // state without any zone.
@@ -98,5 +114,63 @@
   CHECK(fleet.run_until([&] { return without.knows_evacuations(); }, milliseconds(2'000)));
 }
 
+TEST_CASE("an entry learns an evacuation and its end from a peer") {
+  // Guards against starts by an entry that the store rejects while it serves others.
+  evacuable_fleet fleet;
+  auto& with_store = fleet.add_entry("entry-0");
+  auto& without = fleet.add_entry("entry-1");
+  without.add_members({{"", 0, fleet.addresses[0], ""}});
+  fleet.start_agent({1});
+  with_store.evacuations_read(3, true, {});
+  REQUIRE(fleet.run_until([&] { return without.has_worker(); }));
+  with_store.evacuations_read(4, false, {{"a", true}});
+  REQUIRE(fleet.run_until([&] { return !without.has_worker(); }, milliseconds(1'000)));
+  CHECK(fleet.metrics.value("parsleylead_evacuated_zones", {}) == 1);
+  with_store.evacuations_read(5, false, {{"a", false}});
+  CHECK(fleet.run_until([&] { return without.has_worker(); }, milliseconds(1'000)));
+  CHECK(fleet.metrics.value("parsleylead_evacuated_zones", {}) == 0);
+}
+
+TEST_CASE("an agent returns the orders of an entry that does not know of the evacuation") {
+  // Guards against starts that an entry orders that missed the operators' record.
+  evacuable_fleet fleet;
+  auto& outdated = fleet.add_entry("entry-0");
+  auto& informed = fleet.add_entry("entry-1");
+  outdated.evacuations_read(3, true, {});
+  informed.evacuations_read(3, true, {});
+  fleet.start_agent({0, 1});
+  REQUIRE(fleet.run_until([&] { return outdated.has_worker() && informed.has_worker(); }));
+  informed.evacuations_read(4, false, {{"a", true}});
+  REQUIRE(fleet.run_until([&] { return fleet.logged("source=entry-1"); }));
+  // The outdated entry has not heard of the agent's new state yet.
+  REQUIRE(outdated.has_worker());
+  std::optional<job_result> result;
+  outdated.submit(make_job(1), [&](const job_result& got) { result = got; });
+  REQUIRE(fleet.run_until([&] { return fleet.logged("outcome=not_started"); }));
+  fleet.run_for(milliseconds(300));
+  CHECK(fleet.worker.starts == 0);
+  CHECK_FALSE(outdated.has_worker());
+  informed.evacuations_read(5, false, {{"a", false}});
+  REQUIRE(fleet.run_until([&] { return result.has_value(); }));
+  CHECK(result->verdict == job_verdict::completed);
+}
+
+TEST_CASE("an entry learns an evacuation from the hello of an agent") {
+  // Guards against starts by an entry that has just started and reaches agents only.
+  evacuable_fleet fleet;
+  auto& informed = fleet.add_entry("entry-0");
+  informed.evacuations_read(3, true, {{"a", true}});
+  fleet.start_agent({0});
+  REQUIRE(fleet.run_until([&] { return fleet.logged("source=entry-0"); }));
+  auto& started = fleet.add_entry("entry-1");
+  fleet.agent->add_members({{"", 0, fleet.addresses[1], ""}});
+  CHECK(fleet.run_until([&] { return started.knows_evacuations(); }));
+  CHECK(fleet.logged("source=agent"));
+  std::optional<job_result> result;
+  started.submit(make_job(1), [&](const job_result& got) { result = got; });
+  fleet.run_for(milliseconds(300));
+  CHECK(fleet.worker.starts == 0);
+}
+
 } // namespace
 } // namespace parsleylead
--- a/src/fleet/fleet_link_test.cpp
+++ b/src/fleet/fleet_link_test.cpp
@@ -151,6 +151,7 @@
     auto created =
         std::make_unique<fleet_entry>(io, settings, log, metrics, [](const route_update&) {});
     REQUIRE(created->start().ok());
+    created->evacuations_read(1, true, {});
     return created;
   }
 
@@ -287,6 +288,7 @@
   settings.advertised = relayed;
   fleet_entry entry(io, settings, log, metrics, [](const route_update&) {});
   REQUIRE(entry.start().ok());
+  entry.evacuations_read(1, true, {});
   slow_relay relay(io, relayed, settings.listen);
   fleet_agent_settings agent_settings;
   agent_settings.name = "agent";
--- a/src/fleet/fleet_reach_test.cpp
+++ b/src/fleet/fleet_reach_test.cpp
@@ -78,6 +78,7 @@
     settings.listen = addresses[number];
     entry = std::make_unique<fleet_entry>(io, settings, log, metrics, [](const route_update&) {});
     REQUIRE(entry->start().ok());
+    entry->evacuations_read(1, true, {});
     for (const auto& each : entries) {
       each->add_members(members);
     }
--- a/src/fleet/fleet_scheduler_placement.cpp
+++ b/src/fleet/fleet_scheduler_placement.cpp
@@ -289,7 +289,7 @@
 }
 
 void fleet_scheduler::place_backlog(monotonic_time now) {
-  if (backlog_ == 0) {
+  if (backlog_ == 0 || placement_held_) {
     return;
   }
   std::vector<job*> ready;
--- a/tests/sessions/main.cpp
+++ b/tests/sessions/main.cpp
@@ -160,6 +160,7 @@
         std::fprintf(stderr, "an entry cannot listen at %s\n", to_string(settings.listen).c_str());
         std::exit(1);
       }
+      entry->evacuations_read(1, true, {});
       entries_.push_back({std::move(metrics), std::move(entry)});
     }
     for (const auto& each : entries_) {
