--- a/include/parsleylead/fleet/fleet_entry.hpp
+++ b/include/parsleylead/fleet/fleet_entry.hpp
@@ -72,8 +72,8 @@
   /// `zone_evacuations::apply_records`.
   void evacuations_read(std::uint64_t as_of, bool complete,
                         const std::vector<zone_change>& records);
-  /// Returns whether the store or another process has told which zones are evacuated. Until then, no
-  /// task is placed, as the zone of its worker may be evacuated.
+  /// Returns whether the store or another process has told which zones are evacuated. Until then,
+  /// no task is placed, as the zone of its worker may be evacuated.
   bool knows_evacuations() const { return evacuations_.state().has_value(); }
 
   /// Runs a job; `done` is called once with its result. Submitting the id of an open job again adds
--- a/src/fleet/fleet_frame_test.cpp
+++ b/src/fleet/fleet_frame_test.cpp
@@ -42,6 +42,7 @@
   status.description.capacity = {32'000, 65'536, 0};
   status.slowdown = 1.25;
   status.failure_share = 0.125;
+  status.cold = true;
   frame.status = status;
   frame.members.push_back({"entry-2", 8, "127.0.0.1:81", "b"});
   frame.outstanding = std::vector<run_id>{};
@@ -64,6 +65,7 @@
                             {5, 6}}};
   frame.session_requests = {{{"entry-4", 3, "127.0.0.1:82", "c"}, true}};
   frame.keep_session = true;
+  frame.evacuations = evacuation_state{41, {"a", "b"}};
   return frame;
 }
 
@@ -77,6 +79,7 @@
   CHECK(got->worker_requests == sent.worker_requests);
   CHECK(got->session_requests == sent.session_requests);
   CHECK(got->keep_session);
+  CHECK(got->evacuations == sent.evacuations);
   REQUIRE(got->starts.size() == 1);
   CHECK(got->starts[0].run == sent.starts[0].run);
   CHECK(got->starts[0].payload == "text");
@@ -99,6 +102,7 @@
   CHECK(got->waiting_durable_jobs == sent.waiting_durable_jobs);
   REQUIRE(got->status.has_value());
   CHECK(got->status->description.labels == sent.status->description.labels);
+  CHECK(got->status->cold);
   CHECK(got->status->slowdown == doctest::Approx(1.25));
   CHECK(got->members == sent.members);
   REQUIRE(got->outstanding.has_value());
@@ -109,6 +113,21 @@
   CHECK(got->heard == milliseconds(1'700'000'000'045));
 }
 
+TEST_CASE("a frame tells no evacuations apart from unknown ones") {
+  // Guards against an entry without a state that ends evacuations elsewhere, and against a state
+  // without zones that is not sent.
+  const auto unknown = decode_frame(encode_frame({}));
+  REQUIRE(unknown.ok());
+  CHECK_FALSE(unknown->evacuations.has_value());
+  fleet_frame frame;
+  frame.evacuations = evacuation_state{};
+  CHECK_FALSE(frame.empty());
+  const auto none = decode_frame(encode_frame(frame));
+  REQUIRE(none.ok());
+  REQUIRE(none->evacuations.has_value());
+  CHECK(none->evacuations->zones.empty());
+}
+
 TEST_CASE("the tasks of a job share one copy of its payload") {
   // Guards against needless traffic between availability zones.
   fleet_frame frame;
--- /dev/null
+++ b/src/fleet/fleet_scheduler_evacuation_test.cpp
@@ -0,0 +1,140 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <set>
+
+#include "../test_support.hpp"
+#include "parsleylead/fleet/fleet_scheduler.hpp"
+
+namespace parsleylead {
+namespace {
+
+using std::chrono::milliseconds;
+
+worker_status idle_worker() {
+  worker_status status;
+  status.present = true;
+  status.accepting = true;
+  status.description.service = "desk";
+  status.description.capacity = {32'000, 65'536, 0};
+  return status;
+}
+
+fleet_job make_job(std::uint64_t id, std::uint32_t tasks, std::uint32_t cpu_millis = 3'100,
+                   const std::string& queue = "queue") {
+  fleet_job job;
+  job.id = id;
+  job.terms = {queue, "desk", milliseconds(60), 1.6, 3};
+  job.answer_timeout = milliseconds(30'000);
+  job_step step;
+  step.count = tasks;
+  step.needs = {cpu_millis, 64, 0};
+  step.estimate = milliseconds(60);
+  job.steps.push_back(step);
+  return job;
+}
+
+fleet_job make_durable_job(std::uint64_t id, std::uint32_t tasks,
+                           const std::string& queue = "queue") {
+  auto job = make_job(id, tasks, 3'100, queue);
+  job.ownership = job_ownership{1, 0, {}};
+  return job;
+}
+
+/// A scheduler with one idle worker for each named zone.
+struct fixture {
+  explicit fixture(const std::vector<std::string>& zones) : scheduler({}, "a", 7) {
+    for (const auto& zone : zones) {
+      add_worker(zone);
+    }
+  }
+
+  worker_index add_worker(const std::string& zone) {
+    workers.push_back(scheduler.worker_for("agent-" + std::to_string(workers.size()), zone));
+    scheduler.session_opened(workers.back(), false, at_ms(0));
+    scheduler.worker_reported(workers.back(), idle_worker(), at_ms(0));
+    return workers.back();
+  }
+
+  void report_cold(worker_index index) {
+    auto status = idle_worker();
+    status.cold = true;
+    scheduler.worker_reported(index, status, at_ms(0));
+  }
+
+  /// Returns the number of tasks that are placed now, by worker.
+  std::vector<std::size_t> placed(std::int64_t at) {
+    scheduler.place_waiting(at_ms(at));
+    std::vector<std::size_t> tasks(workers.size());
+    starts = scheduler.take_starts();
+    for (const auto& start : starts) {
+      ++tasks.at(start.worker);
+    }
+    return tasks;
+  }
+  std::vector<std::size_t> submit(fleet_job job, std::int64_t at = 0) {
+    scheduler.submit(std::move(job), at_ms(at));
+    return placed(at);
+  }
+
+  fleet_scheduler scheduler;
+  std::vector<worker_index> workers;
+  std::vector<placed_start> starts;
+};
+
+using counts = std::vector<std::size_t>;
+
+TEST_CASE("no task is placed in an evacuated zone until the evacuation ends") {
+  // Guards against starts in a zone that loses its power, and against runs that are ended early.
+  fixture fleet({"a", "b"});
+  CHECK(fleet.submit(make_durable_job(1, 1)) == counts{1, 0});
+  fleet.scheduler.set_evacuated_zones({"a", "no such zone"});
+  CHECK(fleet.submit(make_durable_job(2, 12), 10) == counts{0, 10});
+  CHECK(fleet.scheduler.take_stops().empty());
+  // An agent of the zone that connects later is not used either.
+  fleet.add_worker("a");
+  CHECK(fleet.placed(20) == counts{0, 0, 0});
+  fleet.scheduler.set_evacuated_zones({"a", "b"});
+  CHECK_FALSE(fleet.scheduler.has_worker());
+  fleet.scheduler.set_evacuated_zones({});
+  CHECK(fleet.scheduler.has_worker());
+  const auto placed = fleet.placed(30);
+  CHECK(placed[0] + placed[2] == 2);
+}
+
+TEST_CASE("a job whose only workers are in an evacuated zone is refused with that cause") {
+  // Guards against callers that wait for their deadline, and against a misleading cause.
+  fixture fleet({"a", "a"});
+  fleet.scheduler.search_workers(site_access::alone, at_ms(0));
+  fleet.scheduler.set_evacuated_zones({"a"});
+  CHECK(fleet.submit(make_durable_job(1, 1)) == counts{0, 0});
+  fleet.submit(make_job(2, 1));
+  auto other = make_job(3, 1);
+  other.steps[0].required_label = "gpu";
+  fleet.submit(other);
+  const auto results = fleet.scheduler.take_results();
+  REQUIRE(results.size() == 2);
+  CHECK(results[0].verdict == job_verdict::not_run);
+  CHECK(results[0].cause == job_cause::zone_evacuated);
+  CHECK(results[1].cause == job_cause::no_capable_worker);
+  fleet.scheduler.set_evacuated_zones({});
+  CHECK(fleet.placed(10) != counts{0, 0}); // The stored job has waited.
+  CHECK(fleet.submit(make_job(4, 1), 20) != counts{0, 0});
+  CHECK(fleet.scheduler.take_results().empty());
+}
+
+TEST_CASE("a cold worker gets tasks after all others, up to a quarter of its CPU") {
+  // Guards against tasks that are late because the workers of a zone have just started.
+  fixture fleet({"a", "b"});
+  fleet.report_cold(fleet.workers[0]);
+  CHECK(fleet.submit(make_durable_job(1, 10)) == counts{0, 10});
+  CHECK(fleet.submit(make_durable_job(2, 5), 10) == counts{2, 0});
+  auto warm = idle_worker();
+  warm.committed = {6'200, 128, 0};
+  warm.own_cpu_millis = 6'200;
+  fleet.scheduler.worker_reported(fleet.workers[0], warm, at_ms(20));
+  CHECK(fleet.placed(20) == counts{3, 0});
+}
+
+} // namespace
+} // namespace parsleylead
