Let an idle cold worker run a task that needs more than its share

Cause: a task that needs more than a quarter of a worker's CPU fitted on no cold worker. While all workers that can run it are cold, after an evacuation or a restart of a site, it waited for as long as they announce, up to an hour. Change: an idle cold worker takes one such task if no warm worker can ever run it. Result: the new test failed before (nothing placed) and passes.

--- a/include/parsleylead/fleet/fleet_scheduler.hpp
+++ b/include/parsleylead/fleet/fleet_scheduler.hpp
@@ -41,7 +41,7 @@
   /// A worker with a higher share of failed runs gets a task only if no other worker fits.
   double max_failure_share = 0.5;
   /// A cold worker gets tasks only if no other one has free resources, and only up to this share of
-  /// its CPU.
+  /// its CPU. An idle one also gets a task that needs more, if no warm worker can ever run it.
   double cold_capacity_share = 0.25;
   /// A slow run is moved only if that is expected to save at least this much time.
   std::chrono::milliseconds min_move_gain{250};
@@ -239,6 +239,8 @@
   static bool is_suitable(const worker& candidate, const job& open_job, std::uint32_t step);
   static bool can_run(const worker& candidate, const job& open_job, std::uint32_t step);
   bool could_ever_run(const job& open_job, std::uint32_t step) const;
+  /// Returns whether the cold worker may get a task of this step; see `cold_capacity_share`.
+  bool cold_worker_takes(const worker& candidate, const job& open_job, std::uint32_t step) const;
   /// Returns why no worker in reach can run the job.
   job_cause cause_of_absence(const job& open_job) const;
   /// Returns whether a quarantined worker, or one that is not, meets the needs of the step. It may
--- a/src/fleet/fleet_scheduler_evacuation_test.cpp
+++ b/src/fleet/fleet_scheduler_evacuation_test.cpp
@@ -136,5 +136,24 @@
   CHECK(fleet.placed(20) == counts{3, 0});
 }
 
+TEST_CASE("a task that is larger than the share of a cold worker runs on one that is idle") {
+  // Guards against large tasks that wait for an hour, although all workers that could run them are
+  // only cold.
+  fixture fleet({"a"});
+  fleet.report_cold(fleet.workers[0]);
+  auto job = make_job(1, 2, 12'000);
+  job.ownership = job_ownership{1, 0, {}};
+  REQUIRE(fleet.submit(job) == counts{1});
+  fleet.scheduler.run_ended(fleet.workers[0],
+                            {fleet.starts[0].order.run, run_outcome::done, milliseconds(60), {}},
+                            at_ms(60));
+  CHECK(fleet.placed(60) == counts{1});
+  // With a warm worker, it waits for that one.
+  fixture mixed({"a", "a"});
+  mixed.report_cold(mixed.workers[0]);
+  job.steps[0].count = 3;
+  CHECK(mixed.submit(job) == counts{0, 2});
+}
+
 } // namespace
 } // namespace parsleylead
--- a/src/fleet/fleet_scheduler_placement.cpp
+++ b/src/fleet/fleet_scheduler_placement.cpp
@@ -96,6 +96,20 @@
   });
 }
 
+bool fleet_scheduler::cold_worker_takes(const worker& candidate, const job& open_job,
+                                        std::uint32_t step) const {
+  const double capacity = candidate.status.description.capacity.cpu_millis;
+  const double used = capacity - free_cpu(candidate);
+  const double needed = open_job.spec.steps[step].needs.cpu_millis;
+  const double share = policy_.cold_capacity_share * capacity;
+  if (needed <= share) {
+    return used + needed <= share;
+  }
+  return used <= 0 && std::none_of(workers_.begin(), workers_.end(), [&](const auto& each) {
+           return each->connected && !each->status.cold && can_run(*each, open_job, step);
+         });
+}
+
 std::optional<fleet_scheduler::placement> fleet_scheduler::choose_worker(const job& open_job,
                                                                          std::uint32_t step_number,
                                                                          const task& waiting) {
@@ -133,8 +147,7 @@
         continue;
       }
     }
-    if (candidate.status.cold &&
-        capacity - free + step.needs.cpu_millis > policy_.cold_capacity_share * capacity) {
+    if (candidate.status.cold && !cold_worker_takes(candidate, open_job, step_number)) {
       continue;
     }
     const double run_ms = run_time_ms(candidate, step);
