Move no slow run to a cold worker

Cause: the gain of a move is estimated from the slowdown of a warm worker. A cold one was chosen if no other had room, and the run began again on a worker that is slow for an unknown factor. Change: a run is not moved if only a cold worker has room for it.

--- a/src/fleet/fleet_scheduler_evacuation_test.cpp
+++ b/src/fleet/fleet_scheduler_evacuation_test.cpp
@@ -155,5 +155,20 @@
   CHECK(mixed.submit(job) == counts{0, 2});
 }
 
+TEST_CASE("a slow run is not moved to a cold worker") {
+  // Guards against runs that begin again on a worker that is slower than expected.
+  fixture fleet({"a", "a"});
+  fleet.report_cold(fleet.workers[0]);
+  auto job = make_job(1, 1);
+  job.steps[0].estimate = milliseconds(900);
+  REQUIRE(fleet.submit(job) == counts{0, 1});
+  const auto run = fleet.starts[0].order.run;
+  fleet.scheduler.run_is_slow(fleet.workers[1], {run, 2, milliseconds(2'300)}, at_ms(2'310));
+  CHECK(fleet.scheduler.take_stops().empty());
+  fleet.scheduler.worker_reported(fleet.workers[0], idle_worker(), at_ms(2'320));
+  fleet.scheduler.run_is_slow(fleet.workers[1], {run, 2, milliseconds(2'300)}, at_ms(2'330));
+  CHECK(fleet.scheduler.take_stops().size() == 1);
+}
+
 } // namespace
 } // namespace parsleylead
--- a/src/fleet/fleet_scheduler_placement.cpp
+++ b/src/fleet/fleet_scheduler_placement.cpp
@@ -343,7 +343,8 @@
   slow_task->avoided_workers.push_back(index);
   const auto alternative = choose_worker(open_job, slow.run.task.step, *slow_task);
   slow_task->avoided_workers.pop_back();
-  if (!alternative || alternative->index == index) {
+  // The expected run time holds for warm workers only.
+  if (!alternative || alternative->index == index || workers_[alternative->index]->status.cold) {
     return;
   }
   const double elapsed = ms(slow.ran);
