Leave evacuated workers out of the quarantine

Cause: tasks of a confined queue waited for the quarantined workers, and those of other queues for the others, also if all of these were in an evacuated zone and workers elsewhere were idle. Unlike a worker that is down, an evacuated one may be absent for hours. Change: workers of evacuated zones do not count when workers are quarantined, nor as workers that tasks wait for. Result: the new test failed before in both directions (no task placed) and passes.

--- a/include/parsleylead/fleet/fleet_scheduler.hpp
+++ b/include/parsleylead/fleet/fleet_scheduler.hpp
@@ -245,6 +245,7 @@
   job_cause cause_of_absence(const job& open_job) const;
   /// Returns whether a quarantined worker, or one that is not, meets the needs of the step. It may
   /// be down: its tasks wait for it, so that a queue that crashes its workers gets no others.
+  /// Workers of evacuated zones do not count, as their absence may last for hours.
   bool has_suitable_worker(const job& open_job, std::uint32_t step, bool quarantined) const;
   static worker_requirement requirement_of(const job& open_job, std::uint32_t step);
   /// Searches for a worker for the step if none is reachable.
--- a/src/fleet/fleet_scheduler_crashes.cpp
+++ b/src/fleet/fleet_scheduler_crashes.cpp
@@ -22,7 +22,7 @@
   std::map<std::string, std::vector<worker*>> workers_of_service;
   for (const auto& each : workers_) {
     each->quarantined = false;
-    if (each->connected) {
+    if (each->connected && !each->evacuated) {
       workers_of_service[each->status.description.service].push_back(each.get());
     }
   }
--- a/src/fleet/fleet_scheduler_evacuation_test.cpp
+++ b/src/fleet/fleet_scheduler_evacuation_test.cpp
@@ -170,5 +170,43 @@
   CHECK(fleet.scheduler.take_stops().size() == 1);
 }
 
+TEST_CASE("a confined queue and the others both keep workers while a zone is evacuated") {
+  // Guards against jobs that wait for the workers of their side of the quarantine, all of which are
+  // in the evacuated zone, while workers elsewhere are idle.
+  for (const bool quarantined_evacuated : {false, true}) {
+    fixture fleet({});
+    // The quarantine takes the first workers by a hash of the agent's name.
+    std::vector<std::string> names;
+    for (int i = 0; i < 10; ++i) {
+      names.push_back("agent-" + std::to_string(i));
+    }
+    auto sorted = names;
+    std::sort(sorted.begin(), sorted.end(), [](const auto& a, const auto& b) {
+      return std::pair(queue_hash(a), a) < std::pair(queue_hash(b), b);
+    });
+    for (const auto& name : names) {
+      fleet.add_worker(name == sorted[0] || name == sorted[1] ? "quarantine" : "other");
+    }
+    fleet.submit(make_durable_job(1, 1, "sound"));
+    fleet.submit(make_durable_job(2, 1, "deadly"));
+    for (int i = 0; i < 3; ++i) {
+      fleet.scheduler.worker_crashed({queue_hash("deadly"), true}, at_ms(10));
+    }
+    REQUIRE(fleet.scheduler.confined_queues() == std::set<std::string>{"deadly"});
+    fleet.scheduler.set_evacuated_zones({quarantined_evacuated ? "quarantine" : "other"});
+    fleet.scheduler.tick(at_ms(400));
+    const auto total = [](const counts& placed) {
+      std::size_t sum = 0;
+      for (const auto each : placed) {
+        sum += each;
+      }
+      return sum;
+    };
+    CHECK(total(fleet.submit(make_durable_job(3, 1, "deadly"), 410)) == 1);
+    CHECK(total(fleet.submit(make_durable_job(4, 1, "sound"), 420)) == 1);
+    CHECK(total(fleet.submit(make_job(5, 1, 3'100, "deadly"), 430)) == 1);
+  }
+}
+
 } // namespace
 } // namespace parsleylead
--- a/src/fleet/fleet_scheduler_workers.cpp
+++ b/src/fleet/fleet_scheduler_workers.cpp
@@ -97,7 +97,7 @@
 bool fleet_scheduler::has_suitable_worker(const job& open_job, std::uint32_t step,
                                           bool quarantined) const {
   return std::any_of(workers_.begin(), workers_.end(), [&](const auto& candidate) {
-    return candidate->connected && candidate->quarantined == quarantined &&
+    return candidate->connected && !candidate->evacuated && candidate->quarantined == quarantined &&
            is_suitable(*candidate, open_job, step);
   });
 }
