Look up unanswered starts in the worker's lists before stopping them

Cause: a start without an answer within 40 ms was stopped and its task placed again, although the run went on; a lost answer to a list request delayed the end of a run by up to 100 ms. Change: 8 ms after a start without an answer the agent requests the lists. A run that they show has started and is not stopped. One that lists requested later do not show is stopped as before; without any list, 200 ms after the start. A stop whose answer is lost is repeated 40 ms after it was sent instead of 60 ms. A list that was requested before a run's end was known no longer makes that run a foreign one, which would hold up all starts. answer_monitor decides, fleet_agent carries it out.

--- a/include/parsleylead/fleet/fleet_agent.hpp
+++ b/include/parsleylead/fleet/fleet_agent.hpp
@@ -13,6 +13,7 @@
 #include "absl/status/status.h"
 #include "parsleylead/base/post_once.hpp"
 #include "parsleylead/base/time.hpp"
+#include "parsleylead/fleet/answer_monitor.hpp"
 #include "parsleylead/fleet/fleet_frame.hpp"
 #include "parsleylead/fleet/link_timing.hpp"
 #include "parsleylead/fleet/link_traffic.hpp"
@@ -51,6 +52,8 @@
   /// ended runs stay unknown and their resources unused for about this time; each request costs
   /// about 0.2 ms of CPU time on a small host.
   std::chrono::milliseconds list_interval{60};
+  /// While the worker loses answers, lists are requested again after this time without one.
+  std::chrono::milliseconds second_list_interval{30};
   /// Interval between requests for lists while ends are held for their owners: the worker then
   /// answers immediately. An owner stores an end within two such intervals.
   std::chrono::milliseconds held_list_interval{10};
@@ -132,8 +135,19 @@
   void list_runs();
   /// Requests the lists immediately, in addition to the pending long poll of `list_runs`.
   void request_extra_list();
-  /// Repeats a failed extra request after a pause, if its answer is still needed.
-  void repeat_extra_list();
+  /// Repeats an extra request that failed, after a pause, if its answer is still needed.
+  void extra_list_failed(const absl::Status& status, monotonic_time requested);
+  /// Requests the lists again at intervals while the long poll has no answer and the worker loses
+  /// answers.
+  void schedule_second_list();
+  /// Sends a start to the worker.
+  void send_start(const run_id& run, monotonic_time now);
+  void send_stop(const run_id& run);
+  void start_answered(const run_id& run, start_answer answer, monotonic_time sent);
+  /// Requests the lists once a start has had no answer for too long.
+  void schedule_start_check(monotonic_time now);
+  /// Logs and counts what became of the starts without an answer.
+  void report_resolved_starts();
   void apply_lists(const run_lists& lists, monotonic_time requested);
   /// Resets the known end numbers when the worker's incarnation changes: each incarnation numbers
   /// its ends from 1. Called for announcements and lists, as either may arrive first.
@@ -168,6 +182,8 @@
   metrics_registry& metrics_;
   asio::steady_timer tick_timer_;
   asio::steady_timer extra_list_timer_;
+  asio::steady_timer second_list_timer_;
+  asio::steady_timer start_check_timer_;
   /// Schedules one `flush` for the current turn of the event loop, so that frames are batched.
   post_once flush_soon_;
   member_dialer dialer_;
@@ -175,6 +191,7 @@
   std::map<std::string, std::unique_ptr<session>> sessions_;
   run_table table_;
   worker_candidates candidates_;
+  answer_monitor monitor_;
   zone_evacuations evacuations_;
   /// Newest announcement of the confirmed worker.
   std::optional<worker_announcement> worker_;
@@ -190,6 +207,11 @@
   bool listing_ = false;
   bool extra_list_pending_ = false;
   bool extra_list_wanted_ = false;
+  /// A list request that the worker answers at the next end has no answer yet.
+  bool long_poll_pending_ = false;
+  bool start_check_scheduled_ = false;
+  /// When the latest list request that was answered was sent.
+  monotonic_time answered_request_{};
   bool suspected_ = false;
   bool last_list_failed_ = false;
   /// When the first of the latest failed requests for lists failed.
--- a/include/parsleylead/fleet/worker_port.hpp
+++ b/include/parsleylead/fleet/worker_port.hpp
@@ -62,9 +62,11 @@
   /// Confirms the ends up to number `confirmed_end` and requests the lists. The worker answers at
   /// the next end or after `wait`, or immediately while there are unconfirmed ends. With
   /// `lease_end`, the leases of all runs are extended, see `start`. Errors: kUnavailable if no
-  /// connection could be opened. No error says anything about the runs.
+  /// connection could be opened; kDeadlineExceeded if there is no answer within `wait` and
+  /// `answer_time`; kUnknown if the connection failed before the answer. No error says anything
+  /// about the runs.
   virtual void list_runs(std::uint64_t confirmed_end, std::optional<monotonic_time> lease_end,
-                         std::chrono::milliseconds wait,
+                         std::chrono::milliseconds wait, std::chrono::milliseconds answer_time,
                          std::function<void(absl::StatusOr<run_lists>)> done) = 0;
 };
 
--- a/include/parsleylead/runs/run_table.hpp
+++ b/include/parsleylead/runs/run_table.hpp
@@ -33,6 +33,33 @@
   unknown,
 };
 
+/// How the agent learnt what became of a start that the worker did not answer.
+enum class start_resolution : std::uint8_t {
+  /// A list shows the run as active.
+  active,
+  /// A list shows that the run has ended.
+  ended,
+  /// No list shows the run: it is stopped.
+  stopped,
+};
+
+inline const char* to_string(start_resolution resolution) {
+  switch (resolution) {
+  case start_resolution::active:
+    return "active";
+  case start_resolution::ended:
+    return "ended";
+  default:
+    return "stopped";
+  }
+}
+
+/// A start without an answer whose outcome is known.
+struct resolved_start {
+  run_id run;
+  start_resolution resolution = start_resolution::active;
+};
+
 /// A run that the worker lists as active.
 struct active_run {
   run_id run;
@@ -67,7 +94,8 @@
 ///
 /// A worker may execute a start that it did not answer seconds later. Such a run keeps its
 /// resources until the worker lists it, or until the worker has confirmed a stop, after which it
-/// rejects the run, and a list requested after the confirmation does not contain it.
+/// rejects the run, and a list requested after the confirmation does not contain it. It is stopped
+/// only if a list that was requested after the start does not contain it, or if no list arrives.
 ///
 /// That a worker cannot be reached says nothing about its runs: it may be up and go on with them.
 /// They have ended once a list no longer contains them, once another worker answers at the address,
@@ -141,7 +169,12 @@
   /// Returns whether ends or crashes are held whose partition no owner has claimed.
   bool has_unclaimed_end() const;
 
+  /// `start_answer::unknown`: the run is stopped, unless a list has shown it.
   void start_answered(const run_id& run, start_answer answer, monotonic_time now);
+  /// The worker did not answer the start in time. The lists decide whether the run is stopped.
+  void start_unanswered(const run_id& run, monotonic_time now);
+  /// Returns whether the start was neither answered nor listed nor stopped.
+  bool is_starting(const run_id& run) const;
   /// `confirmed`: the worker is stopping this run or will never start it.
   void stop_answered(const run_id& run, bool confirmed, monotonic_time now);
   /// Applies the worker's lists, requested at `requested`. `complete`: no run or end is missing.
@@ -153,6 +186,8 @@
 
   std::vector<worker_call> take_calls() { return std::exchange(calls_, {}); }
   std::vector<owned_end> take_ends() { return std::exchange(ends_, {}); }
+  /// Returns what became of the starts reported with `start_unanswered`.
+  std::vector<resolved_start> take_resolved_starts() { return std::exchange(resolved_starts_, {}); }
   /// Returns the later reports on runs whose worker did not answer: the same ends, now with whether
   /// the worker had crashed.
   std::vector<owned_end> take_loss_reports() { return std::exchange(loss_reports_, {}); }
@@ -188,6 +223,10 @@
     /// The end is not reported: the owner stopped the run or is gone.
     bool abandoned = false;
     bool stop_confirmed = false;
+    /// The worker did not answer the start in time.
+    bool unanswered = false;
+    /// A list that was requested after the start does not contain the run.
+    bool unlisted = false;
     /// See `run_end`.
     bool worker_crashed = false;
     bool suspect = false;
@@ -205,6 +244,7 @@
     monotonic_time queue_deadline;
     /// When the worker confirmed the start or the stop.
     monotonic_time confirmed_at;
+    monotonic_time stop_sent_at;
     monotonic_time next_stop_at;
   };
   struct recent_end {
@@ -247,6 +287,15 @@
   owner_id claimant_of(const run_end& end) const;
   void remember_end(const owned_end& end, monotonic_time now);
   void request_stop(run& target, monotonic_time now);
+  /// Stops a run whose start was not answered.
+  void revoke(run& target, monotonic_time now);
+  /// Stops the runs whose starts no list has explained in time.
+  void revoke_unexplained(monotonic_time now);
+  /// Applies that the complete lists requested at `requested` do not contain the run.
+  void start_unlisted(run& target, monotonic_time requested, monotonic_time now);
+  /// Returns whether a list showed the end of the run after `requested`, so that a list requested
+  /// then may be older and contain the run as active.
+  bool has_ended_since(const run_id& run, monotonic_time requested) const;
   /// Ends the started runs as lost and returns the waiting orders.
   void lose_all(loss_cause cause, monotonic_time now);
   void count_end(run_outcome outcome, monotonic_time now);
@@ -272,6 +321,7 @@
   std::unordered_map<task_key, monotonic_time, task_key_hash> foreign_runs_;
   std::vector<worker_call> calls_;
   std::vector<owned_end> ends_;
+  std::vector<resolved_start> resolved_starts_;
   std::vector<owned_end> loss_reports_;
   std::vector<crash_report> crashes_;
   resource_needs capacity_;
--- a/src/fleet/fake_worker.hpp
+++ b/src/fleet/fake_worker.hpp
@@ -58,8 +58,29 @@
       post([done = std::move(done)] { done(start_answer::refused); });
       return;
     }
-    ++starts;
     latest_lease_end = std::max(latest_lease_end, lease_end);
+    if (start_delay) {
+      after(order_timeout, [done = std::move(done)] { done(start_answer::unknown); });
+      after(*std::exchange(start_delay, std::nullopt), [this, order] { execute(order); });
+      return;
+    }
+    execute(order);
+    if (loses_answer()) {
+      ++lost_starts;
+      after(order_timeout, [done = std::move(done)] { done(start_answer::unknown); });
+      return;
+    }
+    post([done = std::move(done)] { done(start_answer::started); });
+  }
+
+  /// Starts a run, unless it was stopped before.
+  void execute(const start_order& order) {
+    if (const auto stopped = stopped_.find(order.run.task);
+        stopped != stopped_.end() && order.run.attempt <= stopped->second) {
+      ++late_starts_rejected;
+      return;
+    }
+    ++starts;
     auto& slot = active_[order.run.task];
     CHECK_MESSAGE(!slot, "two runs of one task at a time");
     slot = std::make_unique<running>(running{order.run, asio::steady_timer(io_, run_time)});
@@ -68,7 +89,6 @@
         end(run, outcome);
       }
     });
-    post([done = std::move(done)] { done(start_answer::started); });
   }
 
   void stop(const run_id& run, std::function<void(bool)> done) override {
@@ -78,6 +98,7 @@
       return;
     }
     ++stops;
+    stopped_[run.task] = std::max(stopped_[run.task], run.attempt);
     if (const auto found = active_.find(run.task); found != active_.end()) {
       found->second->end.cancel();
       end(run, run_outcome::stopped);
@@ -86,20 +107,19 @@
   }
 
   void list_runs(std::uint64_t, std::optional<monotonic_time> lease_end,
-                 std::chrono::milliseconds wait,
+                 std::chrono::milliseconds wait, std::chrono::milliseconds answer_time,
                  std::function<void(absl::StatusOr<run_lists>)> done) override {
+    extra_list_requests += lease_end ? 0 : 1;
     if (refusing || (refusing_extra_lists && !lease_end)) {
       ++refused_lists;
       post([done = std::move(done)] { done(absl::UnavailableError("connection refused")); });
       return;
     }
     latest_lease_end = std::max(latest_lease_end, lease_end.value_or(monotonic_time{}));
-    if (lost_lists > 0) {
-      --lost_lists;
-      auto timer = std::make_shared<asio::steady_timer>(io_, wait);
-      timer->async_wait([timer, done = std::move(done)](const asio::error_code&) {
-        done(absl::DeadlineExceededError("no answer"));
-      });
+    if (lost_lists > 0 || loses_answer()) {
+      lost_lists = std::max(0, lost_lists - 1);
+      after(wait + answer_time,
+            [done = std::move(done)] { done(absl::DeadlineExceededError("no answer")); });
       return;
     }
     auto timer = std::make_shared<asio::steady_timer>(io_, ended_.empty() ? wait / 10 : wait * 0);
@@ -131,7 +151,16 @@
   run_outcome outcome = run_outcome::done;
   int starts = 0;
   int stops = 0;
+  /// List requests that extend no lease.
+  int extra_list_requests = 0;
   int lost_lists = 0;
+  /// Each answer of this number to starts and lists is lost, unless it is 0.
+  int lost_answer_interval = 0;
+  int lost_starts = 0;
+  int late_starts_rejected = 0;
+  /// The next start gets no answer and is executed after this time, unless the run was stopped
+  /// before.
+  std::optional<std::chrono::milliseconds> start_delay;
   bool refusing = false;
   /// Refuses the connections for requests that extend no lease.
   bool refusing_extra_lists = false;
@@ -148,6 +177,19 @@
     asio::steady_timer end;
   };
 
+  static constexpr std::chrono::milliseconds order_timeout{40};
+
+  bool loses_answer() { return lost_answer_interval > 0 && ++answers_ % lost_answer_interval == 0; }
+
+  void after(std::chrono::milliseconds delay, std::function<void()> callback) {
+    auto timer = std::make_shared<asio::steady_timer>(io_, delay);
+    timer->async_wait([timer, callback = std::move(callback)](const asio::error_code& error) {
+      if (!error) {
+        callback();
+      }
+    });
+  }
+
   void post(std::function<void()> callback) { asio::post(io_, std::move(callback)); }
 
   void end(const run_id& run, run_outcome ended_as) {
@@ -158,6 +200,9 @@
   asio::io_context& io_;
   std::map<task_key, std::unique_ptr<running>> active_;
   std::vector<finished_run> ended_;
+  /// Highest attempt of each task that was stopped.
+  std::map<task_key, std::uint32_t> stopped_;
+  int answers_ = 0;
   std::uint64_t last_end_ = 0;
 };
 
--- a/src/fleet/fleet_agent.cpp
+++ b/src/fleet/fleet_agent.cpp
@@ -32,6 +32,11 @@
 // Delay after the first refused connection. After the second one, waiting orders are returned.
 constexpr milliseconds refused_list_retry{10};
 
+/// Returns whether the worker may have carried out a request that failed in this way.
+bool is_lost_answer(const absl::Status& status) {
+  return absl::IsDeadlineExceeded(status) || absl::IsUnknown(status);
+}
+
 /// The partitions and epochs, as "3:12 5:14".
 std::string format_claims(const std::vector<partition_claim>& claims) {
   std::string text;
@@ -67,7 +72,8 @@
 fleet_agent::fleet_agent(asio::io_context& io, fleet_agent_settings settings, worker_port& worker,
                          event_log& log, metrics_registry& metrics)
     : io_(io), settings_(std::move(settings)), port_(worker), log_(log), metrics_(metrics),
-      tick_timer_(io), extra_list_timer_(io), flush_soon_(io, [this] { flush(); }),
+      tick_timer_(io), extra_list_timer_(io), second_list_timer_(io), start_check_timer_(io),
+      flush_soon_(io, [this] { flush(); }),
       dialer_(settings_.timing, settings_.name, settings_.availability_zone, "",
               settings_.max_sessions),
       table_(settings_.partitions), candidates_(io, worker, log, [this](const auto& announcement) {
@@ -532,15 +538,23 @@
   // After a failed request the worker may have restarted, so that the known end numbers would
   // confirm ends of its new incarnation that were not read yet.
   const auto confirmed = last_list_failed_ ? 0 : table_.confirmable_end();
-  port_.list_runs(confirmed, lease_end, wait,
+  long_poll_pending_ = wait > milliseconds{0};
+  if (long_poll_pending_) {
+    schedule_second_list();
+  }
+  port_.list_runs(confirmed, lease_end, wait, monitor_.list_answer_time(now),
                   [this, now, alive = std::weak_ptr<int>(alive_)](absl::StatusOr<run_lists> lists) {
                     if (alive.expired()) {
                       return;
                     }
+                    const bool waited = std::exchange(long_poll_pending_, false);
                     if (!lists.ok()) {
                       list_failed(lists.status(), lease_now());
                       return;
                     }
+                    if (!waited) {
+                      monitor_.answered(lease_now() - now);
+                    }
                     apply_lists(*lists, now);
                     if (table_.has_held_ends() || awaiting_lease_expiry_ ||
                         table_.has_foreign_runs()) {
@@ -607,17 +621,18 @@
     return;
   }
   extra_list_wanted_ = false;
-  port_.list_runs(0, std::nullopt, milliseconds{0},
-                  [this, now = lease_now(),
-                   alive = std::weak_ptr<int>(alive_)](absl::StatusOr<run_lists> lists) {
+  const auto now = lease_now();
+  port_.list_runs(0, std::nullopt, milliseconds{0}, monitor_.list_answer_time(now),
+                  [this, now, alive = std::weak_ptr<int>(alive_)](absl::StatusOr<run_lists> lists) {
                     if (alive.expired()) {
                       return;
                     }
                     extra_list_pending_ = false;
                     if (!lists.ok()) {
-                      repeat_extra_list();
+                      extra_list_failed(lists.status(), now);
                       return;
                     }
+                    monitor_.answered(lease_now() - now);
                     apply_lists(*lists, now);
                     if (extra_list_wanted_) {
                       request_extra_list();
@@ -625,18 +640,40 @@
                   });
 }
 
-void fleet_agent::repeat_extra_list() {
-  if (suspected_ && !extra_list_wanted_) {
+void fleet_agent::extra_list_failed(const absl::Status& status, monotonic_time requested) {
+  const bool lost = is_lost_answer(status);
+  if (lost) {
+    monitor_.list_lost(lease_now());
+  }
+  const bool needed = !suspected_ && answered_request_ < requested;
+  if (!needed && !extra_list_wanted_) {
     return;
   }
   // A refused request fails at once.
-  call_after(extra_list_timer_, refused_list_retry, [this, alive = std::weak_ptr<int>(alive_)] {
+  const auto delay = lost && !suspected_ ? list_retry : refused_list_retry;
+  call_after(extra_list_timer_, delay, [this, alive = std::weak_ptr<int>(alive_)] {
     if (!alive.expired()) {
       request_extra_list();
     }
   });
 }
 
+void fleet_agent::schedule_second_list() {
+  if (!monitor_.losing_answers(lease_now())) {
+    return;
+  }
+  call_after(second_list_timer_, settings_.second_list_interval,
+             [this, alive = std::weak_ptr<int>(alive_)] {
+               if (alive.expired() || !long_poll_pending_) {
+                 return;
+               }
+               if (table_.running() > 0 && !extra_list_pending_) {
+                 request_extra_list();
+               }
+               schedule_second_list();
+             });
+}
+
 void fleet_agent::update_worker_incarnation(std::int64_t incarnation) {
   if (incarnation != 0 && incarnation != worker_incarnation_) {
     log_.write("worker_life", "life", incarnation, "previous", worker_incarnation_);
@@ -657,6 +694,8 @@
   if (lists.incarnation != 0) { // Otherwise the lists may be those of the next incarnation.
     table_.worker_answered();
   }
+  monitor_.list_answered();
+  answered_request_ = std::max(answered_request_, requested);
   last_list_at_ = now;
   last_list_failed_ = false;
   connection_refused_ = false;
@@ -674,6 +713,9 @@
 
 void fleet_agent::list_failed(const absl::Status& status, monotonic_time now) {
   metrics_.add("parsleylead_agent_list_failures_total", {});
+  if (is_lost_answer(status)) {
+    monitor_.list_lost(now);
+  }
   if (!std::exchange(last_list_failed_, true)) {
     failing_since_ = now;
   }
@@ -734,38 +776,14 @@
     table_.start_waiting(now);
   }
   for (const auto& call : table_.take_calls()) {
-    const std::weak_ptr<int> alive = alive_;
     if (call.call_kind == worker_call::kind::stop) {
-      port_.stop(call.run, [this, run = call.run, alive](bool confirmed) {
-        if (!alive.expired()) {
-          table_.stop_answered(run, confirmed, lease_now());
-          if (confirmed) {
-            // Only a list requested after the confirmation shows that the run has ended.
-            request_extra_list();
-          }
-        }
-      });
-      continue;
-    }
-    const auto* order = table_.find_order(call.run);
-    if (order == nullptr) {
-      continue;
+      send_stop(call.run);
+    } else {
+      send_start(call.run, now);
     }
-    const auto lease_end = next_lease_end(now);
-    lease_end_ = std::max(lease_end_, lease_end);
-    port_.start(*order, lease_end, [this, run = call.run, alive](start_answer answer) {
-      if (alive.expired()) {
-        return;
-      }
-      if (answer != start_answer::started) {
-        log_.write("start_not_confirmed", "run", format_run(run), "answer",
-                   static_cast<int>(answer));
-        metrics_.add("parsleylead_agent_starts_not_confirmed_total", {});
-      }
-      table_.start_answered(run, answer, lease_now());
-      flush_soon_();
-    });
   }
+  schedule_start_check(now);
+  report_resolved_starts();
   for (auto& [owner, end] : table_.take_ends()) {
     log_.write("run_ended", "run", format_run(end.run), "outcome", to_string(end.outcome), "ran_ms",
                end.ran.count(), "waited_ms", end.waited.count(), "worker_crashed",
@@ -794,6 +812,85 @@
   send_reports();
 }
 
+void fleet_agent::send_stop(const run_id& run) {
+  port_.stop(run, [this, run, alive = std::weak_ptr<int>(alive_)](bool confirmed) {
+    if (alive.expired()) {
+      return;
+    }
+    table_.stop_answered(run, confirmed, lease_now());
+    if (confirmed) {
+      // Only a list requested after the confirmation shows that the run has ended.
+      request_extra_list();
+    } else {
+      flush_soon_();
+    }
+  });
+}
+
+void fleet_agent::send_start(const run_id& run, monotonic_time now) {
+  const auto* order = table_.find_order(run);
+  if (order == nullptr) {
+    return;
+  }
+  const auto lease_end = next_lease_end(now);
+  lease_end_ = std::max(lease_end_, lease_end);
+  monitor_.start_sent(run, now);
+  port_.start(*order, lease_end,
+              [this, run, now, alive = std::weak_ptr<int>(alive_)](start_answer answer) {
+                if (!alive.expired()) {
+                  start_answered(run, answer, now);
+                }
+              });
+}
+
+void fleet_agent::start_answered(const run_id& run, start_answer answer, monotonic_time sent) {
+  const auto now = lease_now();
+  if (answer != start_answer::started) {
+    log_.write("start_not_confirmed", "run", format_run(run), "answer", static_cast<int>(answer));
+    metrics_.add("parsleylead_agent_starts_not_confirmed_total", {});
+  }
+  if (answer == start_answer::unknown) {
+    monitor_.answer_lost(now);
+    table_.start_unanswered(run, now);
+    if (table_.is_starting(run) && !monitor_.awaits_check(run)) {
+      request_extra_list();
+    }
+  } else {
+    monitor_.answered(now - sent);
+    monitor_.start_answered(run);
+    table_.start_answered(run, answer, now);
+  }
+  flush_soon_();
+}
+
+void fleet_agent::schedule_start_check(monotonic_time now) {
+  const auto next = monitor_.next_check();
+  if (!next || std::exchange(start_check_scheduled_, true)) {
+    return;
+  }
+  const auto delay = std::max(milliseconds{0}, std::chrono::ceil<milliseconds>(*next - now));
+  call_after(start_check_timer_, delay, [this, alive = std::weak_ptr<int>(alive_)] {
+    if (alive.expired()) {
+      return;
+    }
+    start_check_scheduled_ = false;
+    const auto checked = lease_now();
+    if (monitor_.take_due_checks(checked)) {
+      request_extra_list();
+    }
+    schedule_start_check(checked);
+  });
+}
+
+void fleet_agent::report_resolved_starts() {
+  for (const auto& [run, resolution] : table_.take_resolved_starts()) {
+    log_.write("unanswered_start", "run", format_run(run), "resolution", to_string(resolution),
+               "list_age_ms", (lease_now() - last_list_at_) / milliseconds(1));
+    metrics_.add("parsleylead_agent_unanswered_starts_total",
+                 {{"resolution", to_string(resolution)}});
+  }
+}
+
 void fleet_agent::send(session& to, fleet_frame frame) {
   frame.sent = std::chrono::duration_cast<milliseconds>(lease_now().time_since_epoch());
   const auto bytes = encode_frame(frame);
--- a/src/runs/run_table.cpp
+++ b/src/runs/run_table.cpp
@@ -16,6 +16,14 @@
 constexpr std::size_t max_recent_ends = 1'000;
 // Delay before a stop that the worker has not confirmed is repeated.
 constexpr milliseconds stop_retry_interval{60};
+// The same if the answer to the stop is known to be lost.
+constexpr milliseconds lost_stop_retry{40};
+// A list shows a start that the worker has executed if it was requested this long after the start.
+// Sooner, it may overtake the start on another connection.
+constexpr milliseconds start_listed_after{8};
+// A start without an answer is stopped after this time if no list has arrived. The worker is
+// suspected then.
+constexpr milliseconds unexplained_start_limit{200};
 // Delay before a confirmed stop is repeated if the run is still active. The worker lists a stopped
 // run as ended sooner than this.
 constexpr milliseconds confirmed_stop_retry{300};
@@ -293,11 +301,29 @@
 }
 
 void run_table::request_stop(run& target, monotonic_time now) {
+  target.stop_sent_at = now;
   target.next_stop_at = now + stop_retry_interval;
   target.stop_confirmed = false;
   calls_.push_back({worker_call::kind::stop, target.order.run});
 }
 
+void run_table::revoke(run& target, monotonic_time now) {
+  target.current_state = state::revoking;
+  request_stop(target, now);
+  if (target.unanswered) {
+    resolved_starts_.push_back({target.order.run, start_resolution::stopped});
+  }
+}
+
+void run_table::revoke_unexplained(monotonic_time now) {
+  for (auto& [key, each] : runs_) {
+    if (each.current_state == state::starting && each.unanswered &&
+        now - each.began >= unexplained_start_limit) {
+      revoke(each, now);
+    }
+  }
+}
+
 void run_table::stop(owner_id owner, const run_id& id, bool report_end, monotonic_time now) {
   const auto found = locate(id);
   if (found == runs_.end() || found->second.owner != owner) {
@@ -311,8 +337,7 @@
     target.current_state = state::stopping;
     request_stop(target, now);
   } else if (target.current_state == state::starting) {
-    target.current_state = state::revoking;
-    request_stop(target, now);
+    revoke(target, now);
   }
 }
 
@@ -396,8 +421,7 @@
     break;
   case start_answer::unknown:
     if (target.current_state == state::starting) {
-      target.current_state = state::revoking;
-      request_stop(target, now);
+      revoke(target, now);
     }
     break;
   default:
@@ -406,6 +430,45 @@
   }
 }
 
+void run_table::start_unanswered(const run_id& id, monotonic_time now) {
+  auto* target = find(id);
+  if (target == nullptr) {
+    resolved_starts_.push_back({id, start_resolution::ended});
+    return;
+  }
+  target->unanswered = true;
+  if (target->current_state != state::starting) {
+    const bool stopped = target->current_state == state::revoking;
+    resolved_starts_.push_back(
+        {id, stopped ? start_resolution::stopped : start_resolution::active});
+  } else if (target->unlisted || now - target->began >= unexplained_start_limit) {
+    revoke(*target, now);
+  }
+}
+
+bool run_table::is_starting(const run_id& id) const {
+  const auto* target = find(id);
+  return target != nullptr && target->current_state == state::starting;
+}
+
+void run_table::start_unlisted(run& target, monotonic_time requested, monotonic_time now) {
+  if (requested < target.began + start_listed_after) {
+    return;
+  }
+  target.unlisted = true;
+  if (target.unanswered) {
+    revoke(target, now);
+  }
+}
+
+bool run_table::has_ended_since(const run_id& id, monotonic_time requested) const {
+  return std::any_of(recent_ends_.begin(), recent_ends_.end(), [&](const recent_end& each) {
+    const auto outcome = each.end.end.outcome;
+    return each.ended_at >= requested && each.end.end.run == id && outcome != run_outcome::lost &&
+           outcome != run_outcome::not_started;
+  });
+}
+
 void run_table::stop_answered(const run_id& id, bool confirmed, monotonic_time now) {
   auto* target = find(id);
   if (target == nullptr ||
@@ -416,6 +479,9 @@
     target->stop_confirmed = true;
     target->confirmed_at = now;
     target->next_stop_at = now + confirmed_stop_retry;
+  } else if (!target->stop_confirmed) {
+    // An earlier answer means that the worker could not be reached.
+    target->next_stop_at = std::min(target->next_stop_at, target->stop_sent_at + lost_stop_retry);
   }
 }
 
@@ -435,6 +501,9 @@
   });
   for (const auto& item : active) {
     if (is_foreign(item.run)) {
+      if (has_ended_since(item.run, requested)) {
+        continue;
+      }
       // Not started by this agent.
       if (foreign_runs_.try_emplace(item.run.task, now).second ||
           now - foreign_runs_[item.run.task] > stop_retry_interval) {
@@ -451,6 +520,9 @@
     if (known->current_state == state::starting) {
       known->current_state = state::running;
       known->confirmed_at = now;
+      if (known->unanswered) {
+        resolved_starts_.push_back({item.run, start_resolution::active});
+      }
     }
     const std::chrono::duration<double> spent = now - known->began;
     const double before = known->percent;
@@ -494,9 +566,12 @@
     return;
   }
   std::vector<task_key> ended;
-  for (const auto& [key, item] : runs_) {
-    if (listed.contains(key) || item.current_state == state::waiting ||
-        item.current_state == state::starting) {
+  for (auto& [key, item] : runs_) {
+    if (listed.contains(key) || item.current_state == state::waiting) {
+      continue;
+    }
+    if (item.current_state == state::starting) {
+      start_unlisted(item, requested, now);
       continue;
     }
     const bool confirmed = item.current_state == state::running || item.stop_confirmed;
@@ -560,6 +635,9 @@
   }
   // Ends of abandoned runs are kept too: their owner may ask for them when it resumes its session.
   remember_end({target.owner, end}, now);
+  if (target.unanswered && target.current_state == state::starting && cause == loss_cause::listed) {
+    resolved_starts_.push_back({end.run, start_resolution::ended});
+  }
   if (!target.abandoned) {
     ends_.push_back({target.owner, end});
   } else if (end.held || durable_crash) {
@@ -577,6 +655,7 @@
 }
 
 void run_table::start_waiting(monotonic_time now) {
+  revoke_unexplained(now);
   for (auto& [key, candidate] : runs_) {
     const bool ending =
         candidate.current_state == state::revoking || candidate.current_state == state::stopping;
--- a/tests/sessions/main.cpp
+++ b/tests/sessions/main.cpp
@@ -78,7 +78,7 @@
     asio::post(io_, [done = std::move(done)] { done(true); });
   }
 
-  void list_runs(std::uint64_t, std::optional<monotonic_time>, milliseconds wait,
+  void list_runs(std::uint64_t, std::optional<monotonic_time>, milliseconds wait, milliseconds,
                  std::function<void(absl::StatusOr<run_lists>)> done) override {
     auto timer = std::make_shared<asio::steady_timer>(io_, wait);
     timer->async_wait([this, timer, done = std::move(done)](const asio::error_code&) {
