Confirm no ends after a failed list request until a later one is answered

Cause: the answer to an additional list request that was sent before a failed one may be older than a restart of the worker. It ended the caution after the failure, so that the next request could confirm ends of the new incarnation that were not read. Change: only a request that was sent after the failure ends it.

--- a/include/parsleylead/fleet/fleet_agent.hpp
+++ b/include/parsleylead/fleet/fleet_agent.hpp
@@ -213,7 +213,9 @@
   /// When the latest list request that was answered was sent.
   monotonic_time answered_request_{};
   bool suspected_ = false;
+  /// The latest request of `list_runs` failed, and no later one was answered.
   bool last_list_failed_ = false;
+  monotonic_time list_failed_at_{};
   /// When the first of the latest failed requests for lists failed.
   monotonic_time failing_since_{};
   monotonic_time last_list_at_{};
--- a/src/fleet/fleet_agent.cpp
+++ b/src/fleet/fleet_agent.cpp
@@ -697,7 +697,8 @@
   monitor_.list_answered();
   answered_request_ = std::max(answered_request_, requested);
   last_list_at_ = now;
-  last_list_failed_ = false;
+  // An answer that was requested before the failure may be older than a restart of the worker.
+  last_list_failed_ = last_list_failed_ && requested < list_failed_at_;
   connection_refused_ = false;
   crash_suspected_ = false;
   set_worker_suspected(false, "");
@@ -713,6 +714,7 @@
 
 void fleet_agent::list_failed(const absl::Status& status, monotonic_time now) {
   metrics_.add("parsleylead_agent_list_failures_total", {});
+  list_failed_at_ = now;
   if (is_lost_answer(status)) {
     monitor_.list_lost(now);
   }
