Repeat refused connections sooner while a process has few links

After a loss of all hosts an agent doubled the delay between attempts to 1.6 s while the entries were not listening yet, and so connected up to 1.6 s after them. A process with fewer than half of its links now repeats a refused connection after 15 ms for each known entry, at least 100 ms: about 60 attempts a second in all. Links that an entry requested, those that end before the hello, and processes with half of their links keep the backoff.

member_dialer_test: with nine entries that listen after 1.6 s, six links within 160 ms of that; passes.

--- a/include/parsleylead/fleet/link_timing.hpp
+++ b/include/parsleylead/fleet/link_timing.hpp
@@ -29,6 +29,10 @@
   /// Delay between two attempts to connect; doubles up to `max_reconnect_delay`.
   std::chrono::milliseconds reconnect_delay{100};
   std::chrono::milliseconds max_reconnect_delay{1'600};
+  /// A process with fewer than half of its links repeats a refused connection after this time for
+  /// each known entry, if that is sooner: about 60 attempts a second. Entries and agents that start
+  /// together, after a loss of all hosts, would otherwise wait for up to `max_reconnect_delay`.
+  std::chrono::milliseconds scarce_dial_interval{15};
   /// Entries send their whole member lists to the entries that they connected to this often: with
   /// 12 links, 13 members of 70 bytes to each, 2 KB a second.
   std::chrono::milliseconds gossip_interval{5'000};
--- a/include/parsleylead/fleet/member_dialer.hpp
+++ b/include/parsleylead/fleet/member_dialer.hpp
@@ -85,6 +85,8 @@
     std::optional<std::uint64_t> confirmed;
   };
 
+  /// Returns the delay of the next attempt after a refused connection.
+  std::chrono::milliseconds refused_delay(const known_member& refused, monotonic_time now) const;
   std::vector<known_member*> by_preference();
 
   link_timing timing_;
--- a/src/fleet/member_dialer.cpp
+++ b/src/fleet/member_dialer.cpp
@@ -7,6 +7,8 @@
 
 namespace parsleylead {
 
+using std::chrono::milliseconds;
+
 member_dialer::member_dialer(link_timing timing, std::string own_name, std::string own_zone,
                              std::string own_address, std::size_t max_links,
                              link_preference preference)
@@ -125,19 +127,31 @@
   }
 }
 
+milliseconds member_dialer::refused_delay(const known_member& refused, monotonic_time now) const {
+  // An entry that requests a link repeats the request.
+  if (refused.requested_until > now || 2 * links() >= std::min(max_links_, members_.size())) {
+    return refused.backoff;
+  }
+  const auto interval =
+      std::max(timing_.reconnect_delay,
+               timing_.scarce_dial_interval * static_cast<std::int64_t>(members_.size()));
+  return std::min(refused.backoff, interval);
+}
+
 void member_dialer::lost(const std::string& address, monotonic_time now) {
   const auto found = members_.find(address);
   if (found == members_.end()) {
     return;
   }
   auto& known = found->second;
+  const bool refused = !known.linked;
   if (known.linked && known.greeted) {
     known.last_reachable = now;
     known.backoff = std::chrono::milliseconds{0};
   }
   known.dialling = false;
   known.linked = false;
-  known.next_attempt = now + known.backoff;
+  known.next_attempt = now + (refused ? refused_delay(known, now) : known.backoff);
   known.backoff =
       std::clamp(known.backoff * 2, timing_.reconnect_delay, timing_.max_reconnect_delay);
 }
--- a/src/fleet/member_dialer_test.cpp
+++ b/src/fleet/member_dialer_test.cpp
@@ -57,6 +57,51 @@
   CHECK(attempts <= 12);
 }
 
+TEST_CASE("a process without links finds entries that start within a second or two") {
+  // Guards against agents that connect 1.6 s after the entries when all hosts start together.
+  member_dialer dialer({}, "agent", "a", "", 6);
+  for (int i = 0; i < 9; ++i) {
+    dialer.learn({member(i)}, at_ms(0));
+  }
+  constexpr std::int64_t entries_start = 1'600;
+  std::size_t attempts = 0;
+  std::int64_t connected = 0;
+  for (std::int64_t now = 0; now < 5'000 && connected == 0; now += 20) {
+    for (const auto& address : dialer.due(at_ms(now))) {
+      ++attempts;
+      if (now < entries_start) {
+        dialer.lost(address, at_ms(now));
+      } else {
+        dialer.linked(address, at_ms(now));
+      }
+    }
+    connected = dialer.links() >= 6 ? now : 0;
+  }
+  CHECK(connected > 0);
+  CHECK(connected <= entries_start + 160);
+  CHECK(attempts <= 130);
+}
+
+TEST_CASE("a process with most of its links dials a dead entry with the whole backoff") {
+  // Guards against attempts in steady state to hosts that no longer exist.
+  member_dialer dialer({}, "agent", "a", "", 6);
+  for (int i = 0; i < 6; ++i) {
+    dialer.learn({member(i)}, at_ms(0));
+  }
+  std::size_t attempts = 0;
+  for (std::int64_t now = 0; now < 10'000; now += 20) {
+    for (const auto& address : dialer.due(at_ms(now))) {
+      if (address == "127.0.0.1:0") {
+        ++attempts;
+        dialer.lost(address, at_ms(now));
+      } else {
+        dialer.linked(address, at_ms(now));
+      }
+    }
+  }
+  CHECK(attempts <= 12);
+}
+
 TEST_CASE("the own address is never dialled, and a changed entry is reported as new") {
   member_dialer dialer({}, "entry-1", "a", "127.0.0.1:1", 4);
   CHECK_FALSE(dialer.learn({member(1)}, at_ms(0)));
