Request idle workers before tasks are late

An entry requested an idle worker only after tasks had waited for 0.5 s, while the objective of an urgent job is 0.14 s, so that it refused jobs or was late while workers out of its reach were idle.

An agent takes six such sessions instead of four while more than half of its worker is free. The first request asks for a worker of the entry's own zone first; each further one for others than before.

--- a/include/parsleylead/fleet/fleet_agent.hpp
+++ b/include/parsleylead/fleet/fleet_agent.hpp
@@ -40,6 +40,8 @@
   /// An idle worker whose agent has this many requested sessions takes no more from entries that
   /// reach only busy workers of its kind.
   std::size_t max_idle_requested_sessions = 4;
+  /// The same while more than half of the worker's CPU is free.
+  std::size_t max_mostly_idle_requested_sessions = 6;
   /// A requested session is kept for this long after the entry's last frame that asks for it.
   std::chrono::milliseconds requested_session_time{3'000};
   /// Longest lease that the worker grants.
@@ -108,6 +110,8 @@
   void session_closed(session& from, const std::string& cause);
   /// An entry that reaches no worker of this kind, or only busy ones, asks for a session.
   void session_requested(const session_request& request, monotonic_time now);
+  /// Returns the maximum number of requested sessions for a request.
+  std::size_t max_requested(const session_request& request) const;
   void dial_due(monotonic_time now);
   void check_sessions(monotonic_time now);
   /// Returns whether the entry may have given up this agent, although its frames still arrive.
--- a/include/parsleylead/fleet/fleet_entry.hpp
+++ b/include/parsleylead/fleet/fleet_entry.hpp
@@ -101,6 +101,7 @@
     return scheduler_.waiting_jobs(queue);
   }
   bool has_worker() const { return scheduler_.has_worker(); }
+  std::size_t usable_workers() const { return scheduler_.usable_workers(); }
   const fleet_member& self() const { return self_; }
 
 private:
@@ -120,6 +121,7 @@
   void session_closed(const std::shared_ptr<session>& from, const std::string& cause);
   void check_sessions(monotonic_time now);
   void log_lasting_backlog(monotonic_time now);
+  void report_reach(monotonic_time now);
   void log_confined_queues();
   void gossip(monotonic_time now);
   void request_newer_routes(monotonic_time now);
@@ -172,6 +174,7 @@
   monotonic_time last_tick_{};
   monotonic_time last_gossip_{};
   monotonic_time last_traffic_report_{};
+  monotonic_time reach_reported_{};
   monotonic_time last_surplus_check_{};
   std::set<std::string> confined_queues_;
   monotonic_time backlog_since_{};
--- a/include/parsleylead/fleet/fleet_scheduler.hpp
+++ b/include/parsleylead/fleet/fleet_scheduler.hpp
@@ -16,6 +16,7 @@
 #include "parsleylead/fleet/crash_history.hpp"
 #include "parsleylead/fleet/fleet_frame.hpp"
 #include "parsleylead/fleet/fleet_job.hpp"
+#include "parsleylead/fleet/reach_monitor.hpp"
 #include "parsleylead/fleet/run_types.hpp"
 #include "parsleylead/fleet/worker_search.hpp"
 
@@ -74,6 +75,7 @@
   std::chrono::milliseconds own_session_wait{1'000};
   crash_policy crashes;
   worker_search_settings search;
+  reach_settings reach;
 };
 
 /// A start order and the worker it is placed on.
@@ -184,6 +186,14 @@
   /// Returns the requests for workers to send to other entries now. Has to be called after each
   /// `tick` and `place_waiting`.
   std::vector<worker_search::due_request> search_workers(site_access access, monotonic_time now);
+  /// The event loop of this process was late: see `reach_monitor`.
+  void loop_delayed(std::chrono::milliseconds delay, monotonic_time now) {
+    reach_.loop_delayed(delay, now);
+  }
+  /// Returns the CPU of the usable workers in reach that meet the requirement.
+  cpu_in_reach measure_reach(const worker_requirement& requirement) const;
+  /// Number of usable workers.
+  std::size_t usable_workers() const;
   /// Changes of the searches since the last call, for the log.
   std::vector<worker_search::event> take_search_events() { return search_.take_events(); }
   /// Returns a usable worker for a request of another entry. The request's sender and attempt
@@ -191,7 +201,7 @@
   std::optional<worker_index> find_worker(const worker_request& request) const;
   /// Returns `queue_hash` of the agents of the usable workers that meet the requirement.
   std::vector<std::uint32_t> agents_for(const worker_requirement& requirement) const;
-  /// Returns whether a requirement of a search is met by the worker.
+  /// Returns whether a session with the worker that was requested is to be kept.
   bool is_needed(worker_index worker) const;
 
   std::vector<placed_start> take_starts() { return std::exchange(starts_, {}); }
@@ -242,6 +252,9 @@
   /// Returns whether a quarantined worker, or one that is not, meets the needs of the step. It may
   /// be down: its tasks wait for it, so that a queue that crashes its workers gets no others.
   bool has_suitable_worker(const job& open_job, std::uint32_t step, bool quarantined) const;
+  /// Returns the time left until the job would be late if none of its tasks had run yet. Nobody
+  /// waits for a durable job.
+  static std::chrono::milliseconds slack_of(const job& open_job, monotonic_time now);
   static worker_requirement requirement_of(const job& open_job, std::uint32_t step);
   /// Searches for a worker for the step if none is reachable.
   void require_worker(const job& open_job, std::uint32_t step, monotonic_time now);
@@ -305,6 +318,7 @@
   std::vector<job_result> results_;
   std::size_t backlog_ = 0;
   worker_search search_;
+  reach_monitor reach_;
   /// Best-effort jobs that wait for workers to be found, in the order of submission.
   std::vector<std::uint64_t> awaiting_jobs_;
   /// Number of tasks of these jobs.
--- a/include/parsleylead/fleet/worker_search.hpp
+++ b/include/parsleylead/fleet/worker_search.hpp
@@ -23,6 +23,18 @@
   isolated,
 };
 
+/// Why an entry requests a worker.
+enum class request_cause : std::uint8_t {
+  /// No worker in reach meets the requirement.
+  none_in_reach,
+  /// Tasks have waited for busy workers for some time.
+  waiting,
+  /// Tasks that wait for busy workers would be late.
+  late,
+  /// Little of the CPU in reach is free: see `reach_monitor`.
+  low_reach,
+};
+
 struct worker_search_settings {
   /// A site has no worker of a kind if requests for one were made for this long without effect.
   /// Covers the restart of an agent, and some lost requests.
@@ -40,6 +52,13 @@
   std::chrono::milliseconds busy_time{500};
   std::chrono::milliseconds first_idle_interval{1'000};
   std::chrono::milliseconds max_idle_interval{4'000};
+  /// Tasks that would be late if they waited for `busy_time` have an idle worker requested at once.
+  /// The request is repeated after `first_late_interval`, which doubles up to `max_late_interval`.
+  std::chrono::milliseconds first_late_interval{100};
+  std::chrono::milliseconds max_late_interval{1'000};
+  /// The intervals are kept for this long after the last waiting task, so that tasks which wait now
+  /// and then do not restart them.
+  std::chrono::milliseconds busy_retention{1'000};
   /// Bounds the requests for idle workers of an entry on a full site.
   std::size_t max_busy_requirements = 4;
 };
@@ -54,6 +73,7 @@
     std::uint32_t attempt = 1;
     /// Workers in reach meet the requirement, but are busy: see `add_busy`.
     bool idle = false;
+    request_cause cause = request_cause::none_in_reach;
   };
   enum class event_kind : std::uint8_t { started, found, absent };
   /// A change of a search, for the log.
@@ -73,9 +93,11 @@
   /// A task needs a worker. Retains the requirement if it is known.
   void retain(const worker_requirement& requirement, monotonic_time now);
 
-  /// Tasks wait for workers in reach that are all busy. Has to be called again at least every
+  /// Tasks wait for workers in reach that are all busy. `slack` is the time left until they would
+  /// be late; `milliseconds::max()` if nobody waits for them. Has to be called again at least every
   /// `max_busy_gap` while that lasts.
-  void add_busy(const worker_requirement& requirement, monotonic_time now);
+  void add_busy(const worker_requirement& requirement, std::chrono::milliseconds slack,
+                monotonic_time now);
   static constexpr std::chrono::milliseconds max_busy_gap{100};
 
   /// Starts and ends searches, and returns the requests to make. Has to be called every few tens of
@@ -114,9 +136,21 @@
     monotonic_time last{};
     monotonic_time next_request{};
     std::chrono::milliseconds interval{0};
+    /// The latest `add_busy` for tasks that would be late, and the schedule of their requests.
+    std::optional<monotonic_time> last_late;
+    monotonic_time next_late_request{};
+    std::chrono::milliseconds late_interval{0};
     std::uint32_t attempts = 0;
   };
 
+  busy_requirement* find_or_add_busy(const worker_requirement& requirement, monotonic_time now);
+  /// Returns the cause of a request that is due for the tasks, and schedules the next one.
+  static std::optional<request_cause>
+  take_due(busy_requirement& each, const worker_search_settings& settings, monotonic_time now);
+  /// Returns whether tasks still wait.
+  static bool is_waiting(const busy_requirement& each, monotonic_time now) {
+    return now - each.last <= max_busy_gap;
+  }
   /// Appends the requests for idle workers.
   void update_busy(site_access access, std::vector<due_request>& due, monotonic_time now);
   /// Returns whether the search was updated lately.
@@ -126,11 +160,13 @@
 
   worker_search_settings settings_;
   site_access access_ = site_access::alone;
+  monotonic_time updated_{};
   std::vector<search> searches_;
   std::vector<busy_requirement> busy_;
   std::vector<event> events_;
 };
 
 const char* to_string(worker_search::event_kind kind);
+const char* to_string(request_cause cause);
 
 } // namespace parsleylead
--- a/src/fleet/fleet_agent.cpp
+++ b/src/fleet/fleet_agent.cpp
@@ -202,9 +202,8 @@
     return;
   }
   const auto& entry = request.entry;
-  const auto limit =
-      request.idle ? settings_.max_idle_requested_sessions : settings_.max_requested_sessions;
-  const bool accepted = dialer_.request(entry, now + settings_.requested_session_time, limit, now);
+  const bool accepted =
+      dialer_.request(entry, now + settings_.requested_session_time, max_requested(request), now);
   log_.write("session_requested", "entry", entry.name, "address", entry.address, "accepted",
              accepted, "idle", request.idle, "requested_sessions", dialer_.requests(now));
   metrics_.add("parsleylead_agent_session_requests_total",
@@ -212,6 +211,16 @@
   dial_due(now);
 }
 
+std::size_t fleet_agent::max_requested(const session_request& request) const {
+  if (!request.idle) {
+    return settings_.max_requested_sessions;
+  }
+  const std::uint64_t used =
+      std::uint64_t{table_.committed().cpu_millis} + table_.queued_cpu_millis();
+  return 2 * used < table_.capacity().cpu_millis ? settings_.max_mostly_idle_requested_sessions
+                                                 : settings_.max_idle_requested_sessions;
+}
+
 void fleet_agent::dial_due(monotonic_time now) {
   for (const auto& address : dialer_.due(now)) {
     dial(address);
--- a/src/fleet/fleet_entry.cpp
+++ b/src/fleet/fleet_entry.cpp
@@ -14,6 +14,7 @@
 
 // A backlog that lasts this long is logged, with this entry's view of the workers.
 constexpr milliseconds backlog_notice{1'000};
+constexpr milliseconds reach_report_interval{1'000};
 // A connection without a hello is closed after this time.
 constexpr milliseconds hello_timeout{2'000};
 // Requests for workers that come from other entries are relayed in one frame for all that arrive
@@ -218,6 +219,8 @@
                scheduler_.open_jobs());
     scheduler_.process_stalled(before);
   }
+  scheduler_.loop_delayed(std::chrono::round<milliseconds>(passed) - settings_.timing.tick_interval,
+                          now);
   if (durable_) {
     durable_->tick(now);
   }
@@ -237,6 +240,7 @@
     last_traffic_report_ = now;
     traffic_.report(log_, metrics_, now);
   }
+  report_reach(now);
   call_after(tick_timer_, settings_.timing.tick_interval,
              [this, alive = std::weak_ptr<int>(alive_)] {
                if (!alive.expired()) {
@@ -245,6 +249,16 @@
              });
 }
 
+void fleet_entry::report_reach(monotonic_time now) {
+  if (now - reach_reported_ < reach_report_interval) {
+    return;
+  }
+  reach_reported_ = now;
+  const auto reach = scheduler_.measure_reach({});
+  metrics_.set("parsleylead_entry_reach_cpu_millis", {{"kind", "total"}}, reach.total);
+  metrics_.set("parsleylead_entry_reach_cpu_millis", {{"kind", "free"}}, reach.free);
+}
+
 void fleet_entry::log_confined_queues() {
   auto confined = scheduler_.confined_queues();
   if (confined == confined_queues_) {
@@ -414,6 +428,15 @@
   for (auto& due : scheduler_.search_workers(access_to_site(), now)) {
     auto busy_agents =
         due.idle ? scheduler_.agents_for(due.requirement) : std::vector<std::uint32_t>{};
+    if (due.idle) {
+      const auto reach = scheduler_.measure_reach(due.requirement);
+      log_.write("worker_search", "state", "requested", "idle", true, "cause", to_string(due.cause),
+                 "service", due.requirement.service, "label", due.requirement.label, "cpu_millis",
+                 due.requirement.needs.cpu_millis, "attempt", due.attempt, "in_reach",
+                 busy_agents.size(), "cpu_in_reach", reach.total, "free_cpu", reach.free);
+      metrics_.add("parsleylead_entry_idle_worker_requests_total",
+                   {{"cause", to_string(due.cause)}});
+    }
     send_request({self_, next_request_number_++, std::move(due.requirement), due.attempt, false,
                   due.idle, std::move(busy_agents)});
   }
--- a/src/fleet/fleet_reach_test.cpp
+++ b/src/fleet/fleet_reach_test.cpp
@@ -278,6 +278,47 @@
   CHECK(fleet.hosts[1]->worker.starts >= 2);
 }
 
+TEST_CASE("an urgent job at an entry that reaches only busy workers runs in time on an idle one") {
+  // Guards against urgent jobs that are late or refused because workers elsewhere on the site are
+  // requested only after tasks have waited for longer than the objective.
+  site fleet(10, 10, 0);
+  REQUIRE(fleet.wait_for_sessions());
+  REQUIRE(fleet.is_ready());
+  const auto reaches = [&](std::size_t entry, const std::unique_ptr<host>& each) {
+    return each->agent->has_session(fleet.members[entry].name);
+  };
+  std::size_t chosen = 0; // The entry with the fewest sessions.
+  std::size_t in_reach = fleet.hosts.size();
+  for (std::size_t i = 0; i < fleet.entries.size(); ++i) {
+    const auto sessions =
+        static_cast<std::size_t>(std::count_if(fleet.hosts.begin(), fleet.hosts.end(),
+                                               [&](const auto& each) { return reaches(i, each); }));
+    if (sessions > 0 && sessions < in_reach) {
+      chosen = i;
+      in_reach = sessions;
+    }
+  }
+  auto& entry = *fleet.entries[chosen];
+  for (auto& each : fleet.hosts) {
+    each->worker.run_time = reaches(chosen, each) ? std::chrono::seconds(9) : milliseconds(20);
+  }
+  REQUIRE(in_reach < fleet.hosts.size());
+  REQUIRE(fleet.run_until([&] { return entry.usable_workers() == in_reach; }));
+  auto filling = fleet.make_job("");
+  filling.steps[0].count = static_cast<std::uint32_t>(in_reach) * 10;
+  filling.steps[0].estimate = std::chrono::seconds(9);
+  entry.submit(filling, [](const job_result&) {});
+  auto urgent = fleet.make_job("");
+  urgent.terms.target = milliseconds(60);
+  urgent.terms.stretch = 1.6;
+  urgent.steps[0].estimate = milliseconds(50);
+  std::optional<job_result> ended;
+  entry.submit(urgent, [&](const job_result& result) { ended = result; });
+  REQUIRE(fleet.run_until([&] { return ended.has_value(); }));
+  CHECK(ended->verdict == job_verdict::completed);
+  CHECK(ended->elapsed <= ended->objective);
+}
+
 TEST_CASE("requested sessions are closed when the need for them has ended") {
   // Guards against sessions that grow with each kind of task that was ever run.
   site fleet(12, 12, 1);
--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -23,7 +23,7 @@
 fleet_scheduler::fleet_scheduler(fleet_policy policy, std::string availability_zone,
                                  std::uint64_t seed)
     : policy_(policy), availability_zone_(std::move(availability_zone)), random_(seed),
-      search_(policy.search), crash_history_(policy.crashes) {}
+      search_(policy.search), reach_(policy.reach), crash_history_(policy.crashes) {}
 
 fleet_scheduler::~fleet_scheduler() = default;
 
--- a/src/fleet/fleet_scheduler_placement.cpp
+++ b/src/fleet/fleet_scheduler_placement.cpp
@@ -194,6 +194,7 @@
   if (!search_.empty()) {
     search_.retain(requirement_of(open_job, step), now);
   }
+  reach_.placed(requirement_of(open_job, step), now);
   --open_job.ready;
   ++open_job.placed;
   --backlog_;
@@ -264,7 +265,7 @@
       const bool waits = misfit != nullptr ? misfit->waits_for_resources
                                            : !confined && could_ever_run(open_job, step);
       if (waits && misfit == nullptr) {
-        search_.add_busy(requirement_of(open_job, step), now);
+        search_.add_busy(requirement_of(open_job, step), slack_of(open_job, now), now);
       }
       group.unplaced_jobs += waits ? 1 : 0;
       if (misfit == nullptr && shape.max_per_worker == 0) { // That limit is the job's own.
--- a/src/fleet/fleet_scheduler_workers.cpp
+++ b/src/fleet/fleet_scheduler_workers.cpp
@@ -141,18 +141,6 @@
   return true;
 }
 
-std::vector<worker_search::due_request> fleet_scheduler::search_workers(site_access access,
-                                                                        monotonic_time now) {
-  return search_.update(
-      access,
-      [this](const worker_requirement& requirement) {
-        return std::any_of(workers_.begin(), workers_.end(), [&](const auto& each) {
-          return is_usable(*each) && meets(each->status.description, requirement);
-        });
-      },
-      now);
-}
-
 bool fleet_scheduler::is_idle(const worker& candidate, const resource_needs& needs) const {
   const auto& status = candidate.status;
   return free_cpu(candidate) >= min_idle_share * status.description.capacity.cpu_millis &&
@@ -160,9 +148,12 @@
 }
 
 std::optional<worker_index> fleet_scheduler::find_worker(const worker_request& request) const {
+  // An agent that was asked before may have refused, so that each request asks others. The nearest
+  // worker of each other entry is asked first.
   std::optional<worker_index> chosen;
-  std::uint32_t lowest = 0;
-  const auto seed = request.entry.name + "/" + std::to_string(request.attempt) + "@";
+  std::pair<bool, std::uint32_t> lowest;
+  const auto seed = request.entry.name + "/" + std::to_string(request.attempt) + "/" +
+                    std::to_string(request.number) + "@";
   for (worker_index index = 0; index < workers_.size(); ++index) {
     const auto& candidate = *workers_[index];
     if (!is_usable(candidate) || !meets(candidate.status.description, request.requirement)) {
@@ -174,7 +165,9 @@
          std::find(busy.begin(), busy.end(), queue_hash(candidate.agent)) != busy.end())) {
       continue;
     }
-    const auto rank = queue_hash(seed + candidate.agent);
+    const bool farther = request.idle && request.attempt == 1 &&
+                         candidate.availability_zone != request.entry.availability_zone;
+    const std::pair rank{farther, queue_hash(seed + candidate.agent)};
     if (!chosen || rank < lowest) {
       chosen = index;
       lowest = rank;
@@ -194,10 +187,6 @@
   return agents;
 }
 
-bool fleet_scheduler::is_needed(worker_index index) const {
-  return search_.is_needed(workers_.at(index)->status.description);
-}
-
 bool fleet_scheduler::is_usable(const worker& candidate) {
   return candidate.connected && candidate.status.present && candidate.status.accepting &&
          !candidate.evacuated;
--- a/src/fleet/worker_search_test.cpp
+++ b/src/fleet/worker_search_test.cpp
@@ -82,7 +82,7 @@
   std::vector<std::int64_t> requests;
   for (std::int64_t now = 0; now <= 12'000; now += 20) {
     for (std::uint32_t cpu = 1; cpu <= 20; ++cpu) {
-      search.add_busy({"desk", "", {cpu, 0, 0}}, at_ms(now));
+      search.add_busy({"desk", "", {cpu, 0, 0}}, milliseconds::max(), at_ms(now));
     }
     for (const auto& due : search.update(site_access::connected, all, at_ms(now))) {
       CHECK(due.idle);
@@ -99,6 +99,48 @@
   CHECK_FALSE(search.is_needed({"w", "desk", "", {}, {1, 0, 0}}));
 }
 
+TEST_CASE("an idle worker is requested at once for tasks that would be late") {
+  // Guards against a request after 0.5 s for tasks whose objective is 0.14 s.
+  worker_search search;
+  const worker_requirement urgent{"desk", "", {6'900, 64, 0}};
+  std::vector<std::int64_t> requests;
+  for (std::int64_t now = 0; now < 4'000; now += 20) {
+    search.add_busy(urgent, milliseconds(90), at_ms(now));
+    for (const auto& due : search.update(site_access::connected, all, at_ms(now))) {
+      CHECK(due.cause == request_cause::late);
+      requests.push_back(now);
+    }
+  }
+  CHECK(requests == std::vector<std::int64_t>{0, 100, 300, 700, 1'500, 2'500, 3'500});
+}
+
+TEST_CASE("tasks that wait now and then do not restart the backoff of the requests") {
+  // Guards against requests with each burst of a busy site.
+  worker_search search;
+  std::size_t requests = 0;
+  for (std::int64_t now = 0; now < 10'000; now += 20) {
+    if (now % 400 < 40) {
+      search.add_busy(gpu_worker, milliseconds(90), at_ms(now));
+    }
+    requests += search.update(site_access::connected, all, at_ms(now)).size();
+  }
+  CHECK(requests <= 14);
+}
+
+TEST_CASE("tasks that become urgent while they wait request an idle worker then") {
+  worker_search search;
+  std::vector<request_cause> causes;
+  for (std::int64_t now = 0; now < 300; now += 20) {
+    search.add_busy(gpu_worker, milliseconds(600 - now), at_ms(now));
+    for (const auto& due : search.update(site_access::connected, all, at_ms(now))) {
+      CHECK(now >= 100);
+      causes.push_back(due.cause);
+    }
+  }
+  REQUIRE_FALSE(causes.empty());
+  CHECK(causes.front() == request_cause::late);
+}
+
 TEST_CASE("requirements are bounded and forgotten") {
   // Guards against requests that grow with the shapes of the tasks, or outlast them.
   worker_search search;
