Count an entry as ready once a fair share of its agents has connected

An entry was ready with its first usable worker. After a loss of all hosts it refused jobs for 0.6 s, as one or two of 55 agents had connected.

--- a/include/parsleylead/fleet/fleet_entry.hpp
+++ b/include/parsleylead/fleet/fleet_entry.hpp
@@ -18,6 +18,7 @@
 #include "parsleylead/base/post_once.hpp"
 #include "parsleylead/base/time.hpp"
 #include "parsleylead/durable/durable_jobs.hpp"
+#include "parsleylead/fleet/entry_readiness.hpp"
 #include "parsleylead/fleet/fleet_frame.hpp"
 #include "parsleylead/fleet/fleet_scheduler.hpp"
 #include "parsleylead/fleet/link_timing.hpp"
@@ -101,6 +102,9 @@
     return scheduler_.waiting_jobs(queue);
   }
   bool has_worker() const { return scheduler_.has_worker(); }
+  /// Returns whether enough agents have connected for the entry to serve callers: see
+  /// `entry_readiness`.
+  bool is_ready() const { return readiness_.is_ready() && has_worker(); }
   std::size_t usable_workers() const { return scheduler_.usable_workers(); }
   const fleet_member& self() const { return self_; }
 
@@ -162,6 +166,7 @@
   fleet_scheduler scheduler_;
   std::unique_ptr<durable_job_port> durable_job_port_;
   std::unique_ptr<durable_jobs> durable_;
+  entry_readiness readiness_;
   link_traffic traffic_;
   waiting_counts waiting_counts_;
   std::vector<std::shared_ptr<session>> sessions_;
--- a/src/fleet/fleet_entry.cpp
+++ b/src/fleet/fleet_entry.cpp
@@ -233,6 +233,7 @@
   request_newer_routes(now);
   relay_requests(now);
   scheduler_.tick(now);
+  readiness_.update(scheduler_.usable_workers(), now);
   flush();
   log_confined_queues();
   log_lasting_backlog(now);
