Offer workers that are 40 % free to entries with busier ones

An entry asked for an idle worker offered only those with half of their CPU free, so that one with less than a quarter free in reach got none of a site that is 60 % busy elsewhere. It now offers workers with 40 % free, those with half of it free first.

--- a/src/fleet/fleet_scheduler_workers.cpp
+++ b/src/fleet/fleet_scheduler_workers.cpp
@@ -1,13 +1,18 @@
 #include "fleet_scheduler_state.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace parsleylead {
 namespace {
 
-// A worker is idle for the requests of other entries if this share of its CPU is free.
-constexpr double min_idle_share = 0.5;
+// A worker counts as idle for the requests of other entries if this share of its CPU is free. Those
+// entries have less than a quarter of the CPU in their reach free, or none that fits.
+constexpr double min_idle_share = 0.4;
+// Workers with this share of their CPU free are chosen first. Their agents take more requested
+// sessions than others: see `fleet_agent_settings::max_mostly_idle_requested_sessions`.
+constexpr double mostly_idle_share = 0.5;
 
 } // namespace
 
@@ -151,7 +156,7 @@
   // An agent that was asked before may have refused, so that each request asks others. The nearest
   // worker of each other entry is asked first.
   std::optional<worker_index> chosen;
-  std::pair<bool, std::uint32_t> lowest;
+  std::tuple<bool, bool, std::uint32_t> lowest;
   const auto seed = request.entry.name + "/" + std::to_string(request.attempt) + "/" +
                     std::to_string(request.number) + "@";
   for (worker_index index = 0; index < workers_.size(); ++index) {
@@ -167,7 +172,10 @@
     }
     const bool farther = request.idle && request.attempt == 1 &&
                          candidate.availability_zone != request.entry.availability_zone;
-    const std::pair rank{farther, queue_hash(seed + candidate.agent)};
+    const bool busier =
+        request.idle &&
+        free_cpu(candidate) < mostly_idle_share * candidate.status.description.capacity.cpu_millis;
+    const std::tuple rank{busier, farther, queue_hash(seed + candidate.agent)};
     if (!chosen || rank < lowest) {
       chosen = index;
       lowest = rank;
