Limit only requests in advance while the event loop is late

A process with a tenth of a CPU is suspended for up to 90 ms at a time; with the limit of 60 ms it would have requested no worker for urgent tasks either. The limit is 100 ms and holds for requests in advance.

--- a/include/parsleylead/fleet/reach_monitor.hpp
+++ b/include/parsleylead/fleet/reach_monitor.hpp
@@ -35,9 +35,10 @@
   /// An entry with this many sessions of agents requests no idle workers. Each session costs a
   /// descriptor and up to 25 status reports a second.
   std::size_t max_sessions = 96;
-  /// After a turn of the event loop was this late, the process has too little CPU for further
-  /// sessions for `overload_time`.
-  std::chrono::milliseconds max_loop_delay{60};
+  /// After a turn of the event loop was this late, the process has too little CPU to request
+  /// sessions in advance for `overload_time`. A process with a small share of a CPU is suspended
+  /// for less than 100 ms at a time.
+  std::chrono::milliseconds max_loop_delay{100};
   std::chrono::milliseconds overload_time{1'000};
 };
 
@@ -65,12 +66,9 @@
   void placed(const worker_requirement& requirement, monotonic_time now);
   /// The event loop of the process was late.
   void loop_delayed(std::chrono::milliseconds delay, monotonic_time now);
-  /// Returns whether the descriptors and the CPU of the process allow further sessions. `sessions`
-  /// is the number of sessions with agents.
-  bool may_add_session(std::size_t sessions, monotonic_time now) const;
-
-  /// Returns the request to make now, if any. Has to be called at least every few tens of
-  /// milliseconds, and does nothing within `check_interval` of the latest check.
+  /// Returns the request to make now, if any. `sessions` is the number of sessions with agents. Has
+  /// to be called at least every few tens of milliseconds, and does nothing within `check_interval`
+  /// of the latest check.
   std::optional<worker_search::due_request> update(site_access access, std::size_t sessions,
                                                    const reach_measure& measure,
                                                    monotonic_time now);
@@ -79,6 +77,9 @@
   bool is_needed(const worker_description& worker) const;
 
 private:
+  /// Returns whether the descriptors and the CPU of the process allow further sessions.
+  bool may_add_session(std::size_t sessions, monotonic_time now) const;
+
   struct shape {
     worker_requirement requirement;
     monotonic_time last_placed{};
--- a/src/fleet/fleet_scheduler_reach.cpp
+++ b/src/fleet/fleet_scheduler_reach.cpp
@@ -60,7 +60,7 @@
       now);
   const auto sessions = static_cast<std::size_t>(std::count_if(
       workers_.begin(), workers_.end(), [](const auto& each) { return each->connected; }));
-  if (!reach_.may_add_session(sessions, now)) {
+  if (sessions >= policy_.reach.max_sessions) {
     std::erase_if(requests, [](const auto& request) { return request.idle; });
   }
   auto in_advance = reach_.update(
