Decide by priority, deadline and work which jobs are refused under load

Cause: a new job was refused by the wait of all waiting work, whatever its priority, so that urgent jobs with tight objectives were refused first while large jobs of low priority stayed in the queue.

Change: the module overload orders waiting jobs, plans the backlog at the rate at which it drains and names the jobs to refuse. The scheduler uses it to order the queue, to admit, expire and refuse jobs, and for Retry-After. While agents still connect, nothing is refused for lack of capacity. A job whose tasks fit on workers now is accepted without a plan. The result of a refused job has its priority, work, expected wait and slack; a new cause is displaced.

--- a/include/parsleylead/fleet/fleet_job.hpp
+++ b/include/parsleylead/fleet/fleet_job.hpp
@@ -80,6 +80,10 @@
 /// Returns the estimated time of the longest chain of dependent steps. Precondition: each step
 /// depends on earlier ones only.
 std::chrono::milliseconds critical_path(const std::vector<job_step>& steps);
+/// The same for the steps that are not done. `remaining_tasks`: number of tasks that are not done,
+/// by step. Precondition: it has an element for each step.
+std::chrono::milliseconds remaining_path(const std::vector<job_step>& steps,
+                                         const std::vector<std::uint32_t>& remaining_tasks);
 
 /// A job in memory. Without `ownership` it is not stored anywhere: its callers get the result when
 /// it ends.
@@ -114,7 +118,10 @@
   none,
   attempts_used_up,
   deadline_passed,
+  /// The result would be of no use by the time it is ready.
   objective_out_of_reach,
+  /// Refused, so that a job whose refusal would cost its caller more can be useful.
+  displaced,
   no_capable_worker,
   backlog_full,
   process_stalled,
@@ -150,6 +157,8 @@
     return "deadline_passed";
   case job_cause::objective_out_of_reach:
     return "objective_out_of_reach";
+  case job_cause::displaced:
+    return "displaced";
   case job_cause::no_capable_worker:
     return "no_capable_worker";
   case job_cause::backlog_full:
@@ -178,7 +187,13 @@
   std::chrono::milliseconds retry_after{0};
   std::chrono::milliseconds elapsed{0};
   std::chrono::milliseconds objective{0};
+  std::uint32_t priority = 0;
   std::uint32_t tasks = 0;
+  /// For a job that was not run: CPU milliseconds of its tasks, the expected time until its turn,
+  /// and the longest wait with which it would still have been useful, negative if none would do.
+  double work_cpu_ms = 0;
+  std::chrono::milliseconds expected_wait{0};
+  std::chrono::milliseconds slack{0};
   std::uint32_t starts = 0;
   std::uint32_t failed_runs = 0;
   std::uint32_t lost_runs = 0;
--- a/include/parsleylead/fleet/fleet_scheduler.hpp
+++ b/include/parsleylead/fleet/fleet_scheduler.hpp
@@ -18,6 +18,8 @@
 #include "parsleylead/fleet/fleet_job.hpp"
 #include "parsleylead/fleet/run_types.hpp"
 #include "parsleylead/fleet/worker_search.hpp"
+#include "parsleylead/overload/job_demand.hpp"
+#include "parsleylead/overload/reach_growth.hpp"
 
 namespace parsleylead {
 
@@ -48,6 +50,9 @@
   /// For this long after the first submission, jobs wait for workers of their service to report:
   /// agents need a second or two after a loss of all hosts.
   std::chrono::milliseconds first_report_wait{5'000};
+  /// Number of entries that share a worker: an agent opens this many sessions. What an entry can
+  /// expect of the CPU in reach follows from it.
+  std::uint32_t entries_per_worker = 6;
   /// Maximum number of waiting tasks at one entry.
   std::size_t max_backlog = 20'000;
   /// Number of workers that may crash under a task before its job fails, if the last one ran
@@ -222,6 +227,7 @@
   struct task;
   struct job;
   struct placement_pass;
+  struct backlog_view;
 
   /// A worker for a task, with the task's expected run time there.
   struct placement {
@@ -253,8 +259,17 @@
   /// has none.
   void handle_awaiting_jobs(monotonic_time now);
   void stop_awaiting(job& open_job);
-  /// Accepts a best-effort job for which there are workers, or refuses it.
+  /// Accepts a best-effort job for which there are workers, or refuses it or others that wait.
   void admit(job& open_job, monotonic_time now);
+  /// Refuses the job or others that wait if there is too little capacity for all. Returns whether
+  /// the job remains.
+  bool shed_load(job& open_job, monotonic_time now);
+  /// Returns whether all tasks that the job starts with fit on workers now.
+  bool fits_now(const job& open_job) const;
+  backlog_view view_backlog(const std::string& service, monotonic_time now) const;
+  void observe_reach(monotonic_time now);
+  /// Adds what explains the refusal of a job, and when to submit it again, to its result.
+  void explain_refusal(job& open_job, job_cause cause, monotonic_time now);
   void place_backlog(monotonic_time now);
   /// Returns whether the queue's tasks may use quarantined workers only.
   bool is_confined(const job_terms& terms) const;
@@ -289,7 +304,6 @@
   /// Ends the runs on the worker that were placed up to a time as lost.
   void lose_runs(worker_index index, monotonic_time placed_up_to, monotonic_time now);
   void expire_jobs(monotonic_time now);
-  std::chrono::duration<double, std::milli> expected_wait() const;
 
   fleet_policy policy_;
   std::string availability_zone_;
@@ -316,6 +330,9 @@
   /// When a worker whose agent chose this entry was last usable.
   monotonic_time last_own_worker_{};
   monotonic_time first_submission_{};
+  reach_growth reach_growth_;
+  /// Used for the refusals of one turn of the event loop.
+  std::unique_ptr<backlog_view> refusal_view_;
   crash_history crash_history_;
   /// Names of the confined queues, by service.
   std::map<std::string, std::set<std::string>> confined_queues_;
--- a/src/fleet/fleet_entry.cpp
+++ b/src/fleet/fleet_entry.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <asio/post.hpp>
+#include <cmath>
 #include <utility>
 
 #include "parsleylead/base/call_after.hpp"
@@ -808,7 +809,9 @@
 void fleet_entry::answer_callers(const job_result& result) {
   log_.write("job_ended", "job", format_job(result.id), "verdict", to_string(result.verdict),
              "cause", to_string(result.cause), "ms", result.elapsed.count(), "objective_ms",
-             result.objective.count(), "tasks", result.tasks, "starts", result.starts,
+             result.objective.count(), "priority", result.priority, "work_cpu_ms",
+             std::llround(result.work_cpu_ms), "expected_wait_ms", result.expected_wait.count(),
+             "slack_ms", result.slack.count(), "tasks", result.tasks, "starts", result.starts,
              "failed_runs", result.failed_runs, "lost_runs", result.lost_runs, "crashed_runs",
              result.crashed_runs, "moved_runs", result.moved_runs, "longest_wait_ms",
              result.longest_wait.count(), "last_worker", result.last_worker, "routes_version",
--- a/src/fleet/fleet_job.cpp
+++ b/src/fleet/fleet_job.cpp
@@ -5,14 +5,20 @@
 namespace parsleylead {
 
 std::chrono::milliseconds critical_path(const std::vector<job_step>& steps) {
+  return remaining_path(steps, std::vector<std::uint32_t>(steps.size(), 1));
+}
+
+std::chrono::milliseconds remaining_path(const std::vector<job_step>& steps,
+                                         const std::vector<std::uint32_t>& remaining_tasks) {
   std::chrono::milliseconds longest{0};
   std::vector<std::chrono::milliseconds> path_lengths;
-  for (const auto& step : steps) {
+  for (std::size_t index = 0; index < steps.size(); ++index) {
     std::chrono::milliseconds before{0};
-    for (const auto earlier : step.depends_on) {
+    for (const auto earlier : steps[index].depends_on) {
       before = std::max(before, path_lengths.at(earlier));
     }
-    path_lengths.push_back(before + step.estimate);
+    const bool done = remaining_tasks.at(index) == 0;
+    path_lengths.push_back(before + (done ? std::chrono::milliseconds(0) : steps[index].estimate));
     longest = std::max(longest, path_lengths.back());
   }
   return longest;
--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -10,13 +10,7 @@
 
 using std::chrono::milliseconds;
 
-// Callers of refused jobs retry no sooner; a backlog takes about this long to change.
-constexpr milliseconds min_retry_after{1'000};
-// Callers of a confined queue retry no sooner: its workers take some seconds to restart.
-constexpr milliseconds confined_retry_after{3'000};
 constexpr milliseconds quarantine_update_interval{250};
-// Interval at which waiting jobs are refused for which the site has no worker any more.
-constexpr milliseconds absence_check_interval{250};
 
 } // namespace
 
@@ -43,16 +37,17 @@
   open_job.spec = std::move(spec);
   open_job.queue = queue_hash(open_job.spec.terms.queue);
   last_submissions_[open_job.spec.terms.service][open_job.spec.terms.queue] = now;
-  open_job.critical_path = critical_path(open_job.spec.steps);
+  open_job.remaining_path = critical_path(open_job.spec.steps);
   for (const auto& step : open_job.spec.steps) {
     open_job.tasks.emplace_back(step.count);
     open_job.remaining_tasks.push_back(step.count);
     open_job.result.tasks += step.count;
   }
   const auto objective =
-      std::chrono::round<milliseconds>(open_job.critical_path * open_job.spec.terms.stretch) +
+      std::chrono::round<milliseconds>(open_job.remaining_path * open_job.spec.terms.stretch) +
       open_job.spec.terms.target;
   open_job.result.id = open_job.spec.id;
+  open_job.result.priority = open_job.spec.terms.priority;
   open_job.result.objective = objective;
   open_job.objective = now + objective;
   open_job.late_limit = now + std::chrono::round<milliseconds>(objective * policy_.late_factor);
@@ -108,23 +103,6 @@
   }
 }
 
-void fleet_scheduler::admit(job& open_job, monotonic_time now) {
-  // Place the jobs of the same turn of the event loop first, so that they do not count as backlog.
-  place_backlog(now);
-  const double wait = expected_wait().count();
-  if (wait + ms(open_job.critical_path) >
-          ms(std::min(open_job.late_limit, open_job.deadline) - now) &&
-      wait > 0) {
-    finish(open_job, job_verdict::not_run, job_cause::objective_out_of_reach, now);
-    return;
-  }
-  if (is_confined(open_job.spec.terms) && !choose_worker(open_job, 0, {})) {
-    finish(open_job, job_verdict::not_run, job_cause::queue_confined, now);
-    return;
-  }
-  enable_ready_steps(open_job);
-}
-
 void fleet_scheduler::restore_progress(job& open_job) {
   const auto& ownership = *open_job.spec.ownership;
   bool failed = false;
@@ -155,6 +133,7 @@
                          [](auto left) { return left == 0; })) {
     finish(open_job, job_verdict::completed, job_cause::none, now);
   } else {
+    open_job.remaining_path = remaining_path(open_job.spec.steps, open_job.remaining_tasks);
     enable_ready_steps(open_job);
   }
 }
@@ -254,9 +233,7 @@
   result.cause = cause;
   result.elapsed = std::chrono::round<milliseconds>(now - open_job.arrived);
   if (verdict == job_verdict::not_run) {
-    result.retry_after =
-        std::max(cause == job_cause::queue_confined ? confined_retry_after : min_retry_after,
-                 std::chrono::round<milliseconds>(expected_wait()));
+    explain_refusal(open_job, cause, now);
   }
   results_.push_back(std::move(result));
   const auto id = open_job.spec.id; // `erase` destroys the job and with it a key that refers to it.
@@ -299,6 +276,7 @@
     finish(open_job, job_verdict::completed, job_cause::none, now);
     return;
   }
+  open_job.remaining_path = remaining_path(open_job.spec.steps, open_job.remaining_tasks);
   enable_ready_steps(open_job);
 }
 
@@ -379,42 +357,10 @@
     // The entry keeps some sessions that it requests, so that it stays ready.
     search_.add({}, now);
   }
+  observe_reach(now);
   release_lost_runs(now);
   expire_jobs(now);
   place_waiting(now);
 }
 
-void fleet_scheduler::expire_jobs(monotonic_time now) {
-  std::vector<std::uint64_t> expired;
-  std::vector<std::uint64_t> unreachable;
-  std::vector<std::uint64_t> incapable;
-  const bool check_absence =
-      search_.any_reported_absent() && now - absence_checked_ >= absence_check_interval;
-  absence_checked_ = check_absence ? now : absence_checked_;
-  for (const auto& [id, open_job] : jobs_) {
-    if (open_job->is_durable()) {
-      continue;
-    }
-    if (open_job->deadline <= now) {
-      expired.push_back(id);
-    } else if (!open_job->may_have_run() && open_job->late_limit < now + open_job->critical_path) {
-      unreachable.push_back(id);
-    } else if (check_absence && !open_job->may_have_run() && lacks_worker(*open_job, true, now)) {
-      incapable.push_back(id);
-    }
-  }
-  for (const auto id : incapable) {
-    auto& open_job = *jobs_.at(id);
-    finish(open_job, job_verdict::not_run, cause_of_absence(open_job), now);
-  }
-  for (const auto id : expired) {
-    auto& open_job = *jobs_.at(id);
-    finish(open_job, open_job.may_have_run() ? job_verdict::unknown : job_verdict::not_run,
-           job_cause::deadline_passed, now);
-  }
-  for (const auto id : unreachable) {
-    finish(*jobs_.at(id), job_verdict::not_run, job_cause::objective_out_of_reach, now);
-  }
-}
-
 } // namespace parsleylead
--- a/src/fleet/fleet_scheduler_placement.cpp
+++ b/src/fleet/fleet_scheduler_placement.cpp
@@ -292,26 +292,16 @@
   if (backlog_ == 0) {
     return;
   }
-  std::vector<job*> ready;
+  std::vector<std::pair<job_demand, job*>> ready;
   for (auto& [id, open_job] : jobs_) {
     if (open_job->ready > 0) {
-      ready.push_back(open_job.get());
+      ready.emplace_back(open_job->limits(), open_job.get());
     }
   }
-  // Jobs that can be on time first, then late ones; each by priority, then by objective.
-  std::sort(ready.begin(), ready.end(), [now](const job* a, const job* b) {
-    const bool a_late = a->objective < now + a->critical_path;
-    const bool b_late = b->objective < now + b->critical_path;
-    if (a_late != b_late) {
-      return b_late;
-    }
-    if (a->spec.terms.priority != b->spec.terms.priority) {
-      return a->spec.terms.priority < b->spec.terms.priority;
-    }
-    return a->objective < b->objective;
-  });
+  std::sort(ready.begin(), ready.end(),
+            [now](const auto& a, const auto& b) { return runs_before(a.first, b.first, now); });
   placement_pass pass;
-  for (auto* open_job : ready) {
+  for (const auto& [limits, open_job] : ready) {
     place_ready(*open_job, pass, now);
   }
 }
@@ -353,32 +343,4 @@
   stops_.push_back({index, slow.run, true});
 }
 
-double_ms fleet_scheduler::expected_wait() const {
-  if (backlog_ == 0) {
-    return double_ms{0};
-  }
-  double waiting = 0; // processor-milliseconds
-  for (const auto& [id, each] : jobs_) {
-    if (each->ready == 0 || is_confined(each->spec.terms)) {
-      continue;
-    }
-    for (std::uint32_t step = 0; step < each->tasks.size(); ++step) {
-      const auto& shape = each->spec.steps[step];
-      waiting += static_cast<double>(
-                     std::count_if(each->tasks[step].begin(), each->tasks[step].end(),
-                                   [](const task& candidate) {
-                                     return candidate.current_state == task::state::ready &&
-                                            !candidate.is_to_be_isolated();
-                                   })) *
-                 shape.needs.cpu_millis * ms(shape.estimate);
-    }
-  }
-  // The backlog drains at the rate at which the CPUs of this entry's running tasks do work.
-  double draining = 0;
-  for (const auto& each : workers_) {
-    draining += each->own_cpu_millis / std::max(0.1, each->status.slowdown);
-  }
-  return double_ms{draining > 0 ? waiting / draining : 0};
-}
-
 } // namespace parsleylead
--- a/src/fleet/fleet_scheduler_state.hpp
+++ b/src/fleet/fleet_scheduler_state.hpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "parsleylead/fleet/fleet_scheduler.hpp"
+#include "parsleylead/overload/job_demand.hpp"
 
 namespace parsleylead {
 
@@ -118,8 +119,8 @@
   monotonic_time late_limit;
   /// When the caller stops waiting for the result.
   monotonic_time deadline;
-  /// Estimated time of the longest chain of dependent steps.
-  std::chrono::milliseconds critical_path{0};
+  /// Estimated time of the longest chain of steps that are not done.
+  std::chrono::milliseconds remaining_path{0};
   std::vector<std::vector<task>> tasks;
   /// Number of tasks that are not done, by step.
   std::vector<std::uint32_t> remaining_tasks;
@@ -140,6 +141,38 @@
   bool is_durable() const { return spec.ownership.has_value(); }
 
   bool may_have_run() const { return any_run_ended || placed > 0; }
+
+  /// The job's demand without its work.
+  job_demand limits() const {
+    const bool durable = is_durable();
+    return {spec.id,        spec.terms.priority,
+            objective,      durable ? monotonic_time::max() : late_limit,
+            deadline,       0,
+            remaining_path, durable || may_have_run()};
+  }
+
+  /// CPU milliseconds of the tasks that are neither placed nor done. Tasks that have to run
+  /// isolated are not included: they wait for other workers.
+  double waiting_work_cpu_ms() const {
+    double work = 0;
+    for (std::size_t step = 0; step < tasks.size(); ++step) {
+      const auto waiting = std::count_if(tasks[step].begin(), tasks[step].end(), [](const auto& t) {
+        return (t.current_state == task::state::ready || t.current_state == task::state::blocked) &&
+               !t.is_to_be_isolated();
+      });
+      work += static_cast<double>(waiting) * spec.steps[step].needs.cpu_millis *
+              ms(spec.steps[step].estimate) / 1'000;
+    }
+    return work;
+  }
+};
+
+/// The waiting jobs of a service as of a point in time.
+struct fleet_scheduler::backlog_view {
+  monotonic_time at;
+  std::string service;
+  std::vector<job_demand> waiting;
+  double drain_rate = 0;
 };
 
 /// What one call of `place_waiting` has found out about the workers, so that it asks once for jobs
