Evacuate zones in the soak and judge the starts there

The soak had one zone, and no operator evacuated it. Its hosts now belong to two zones in turn; one of them is evacuated for 1 to 9 s, again and again, beside the other faults, and once more from the end of the faults until the recovery is checked. The record is also deleted while the store is down. A generator of its own draws the evacuations, so that the other faults of a seed stay as they were.

--- a/standins/standin-platform/store_service.hpp
+++ b/standins/standin-platform/store_service.hpp
@@ -38,6 +38,7 @@
 
   absl::Status listen(const endpoint& address) { return server_.listen(address); }
   void set_mode(answer_mode mode) { mode_ = mode; }
+  answer_mode mode() const { return mode_; }
   /// Writes a record as an operator would. An empty value deletes the key.
   void put(const std::string& topic, const std::string& key, const std::string& value);
   /// Moves the group's partitions to other members without notifying the previous holders.
--- a/standins/standin-platform/worker_service.cpp
+++ b/standins/standin-platform/worker_service.cpp
@@ -145,7 +145,9 @@
                        capacity = judged_capacity_,
                        incarnation = incarnation_](const asio::error_code&) {
       if (incarnation == incarnation_) {
+        executing_late_ = true;
         execute(path, body, std::max(capacity, judged_capacity_));
+        executing_late_ = false;
       }
     });
     return;
--- a/standins/standin-platform/worker_service.hpp
+++ b/standins/standin-platform/worker_service.hpp
@@ -81,6 +81,9 @@
   void set_capacity(std::uint32_t cpu_millis);
   const std::string& id() const { return id_; }
   std::size_t running() const { return runs_.size(); }
+  /// Whether the worker executes an order that it left unanswered; see
+  /// `worker_faults::late_request_share`.
+  bool executing_late() const { return executing_late_; }
   std::vector<std::string> running_tasks() const;
 
   /// Number of crashes that tasks caused.
@@ -148,6 +151,7 @@
   web_client agent_;
   asio::steady_timer tick_timer_;
   worker_faults faults_;
+  bool executing_late_ = false;
   std::vector<std::string> labels_{"a", "r1"};
   bool draining_ = false;
   /// The part of the id that is the same in all incarnations.
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -60,6 +60,8 @@
         report.second_route_jobs, report.deadly_jobs, report.worker_crashes,
         report.max_durable_crashes, report.served_before, report.served_beside_deadly,
         report.refused_announcements, report.stalls);
+    std::printf("  %zu evacuations of a zone, %zu starts elsewhere beside them\n",
+                report.evacuations, report.starts_beside_evacuation);
     for (const auto& violation : report.violations) {
       std::printf("  violation: %s\n", violation.c_str());
     }
--- a/tests/soak/soak_judge.cpp
+++ b/tests/soak/soak_judge.cpp
@@ -19,6 +19,10 @@
 // No task of a job may start later than this after the caller was told that the job is cancelled.
 constexpr milliseconds cancel_deadline{3'000};
 
+// No task may be started in an evacuated zone later than this after the store has acknowledged the
+// operator's record; equals bounds.evacuation_ms in the settings that soak_site writes.
+constexpr milliseconds evacuation_bound{5'000};
+
 std::string job_of(const std::string& task) {
   return task.substr(0, task.find('.'));
 }
@@ -151,6 +155,7 @@
     record_violation("task " + task + " was started too long after its job was cancelled");
   }
   check_crash_budget(found->second, task);
+  check_evacuation(worker, task);
   // A job that is not durable may run again from the start when its caller resubmits it.
   if (found->second.accepted) {
     for (const auto completed_run : found->second.completed_runs[task]) {
@@ -172,6 +177,35 @@
   }
 }
 
+void soak_judge::zone_evacuated(const std::vector<std::string>& workers) {
+  for (const auto& worker : workers) {
+    evacuated_since_.emplace(worker, std::chrono::steady_clock::now());
+  }
+}
+
+void soak_judge::evacuation_ended(const std::vector<std::string>& workers) {
+  for (const auto& worker : workers) {
+    evacuated_since_.erase(worker);
+    idle_since_evacuation_.insert(worker);
+  }
+}
+
+void soak_judge::check_evacuation(const std::string& worker, const std::string& task) {
+  const auto now = std::chrono::steady_clock::now();
+  const auto in_force = [now](const auto& each) { return now - each.second > evacuation_bound; };
+  const auto own = evacuated_since_.find(worker);
+  if (own == evacuated_since_.end()) {
+    idle_since_evacuation_.erase(worker);
+    starts_beside_evacuation_ +=
+        std::any_of(evacuated_since_.begin(), evacuated_since_.end(), in_force) ? 1 : 0;
+  } else if (in_force(*own) && !(is_late_ && is_late_(worker))) {
+    const auto age = std::chrono::round<milliseconds>(now - own->second);
+    record_violation("task " + task + " was started on " + worker + " " +
+                     std::to_string(age.count()) +
+                     " ms after the evacuation of its zone was acknowledged");
+  }
+}
+
 void soak_judge::check_crash_budget(job_record& record, const std::string& task) {
   if (!record.durable || task != record.deadly_task || record.crashes[task] < max_crashes) {
     return;
--- a/tests/soak/soak_judge.hpp
+++ b/tests/soak/soak_judge.hpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -39,6 +40,22 @@
   /// that submission only: tasks of an earlier one may have run.
   void job_resubmitted(const std::string& job) { resubmitted_jobs_.insert(job); }
 
+  /// The store has acknowledged that the zone of these workers is evacuated.
+  void zone_evacuated(const std::vector<std::string>& workers);
+  /// The operator takes the evacuation of the zone of these workers back.
+  void evacuation_ended(const std::vector<std::string>& workers);
+  /// `is_late` says whether the worker just executes an order that it had left unanswered. Such
+  /// starts are no violation of an evacuation.
+  void set_late_orders(std::function<bool(const std::string& worker)> is_late) {
+    is_late_ = std::move(is_late);
+  }
+  /// Whether the worker has started a task since the last evacuation of its zone ended, if any did.
+  bool started_since_evacuation(const std::string& worker) const {
+    return !idle_since_evacuation_.contains(worker);
+  }
+  /// Starts elsewhere while an evacuation had been in force for longer than its bound.
+  std::size_t starts_beside_evacuation() const { return starts_beside_evacuation_; }
+
   void run_started(const std::string& worker, const std::string& task, std::uint64_t run,
                    const std::string& payload) override;
   void run_ended(const std::string& worker, const std::string& task, std::uint64_t run,
@@ -74,6 +91,7 @@
     std::map<std::string, std::set<std::uint64_t>> completed_runs;
   };
 
+  void check_evacuation(const std::string& worker, const std::string& task);
   void check_crash_budget(job_record& record, const std::string& task);
 
   std::map<std::string, job_record> jobs_;
@@ -87,6 +105,11 @@
     std::chrono::steady_clock::time_point started_at;
   };
 
+  /// When the evacuation of the worker's zone was acknowledged, by worker.
+  std::map<std::string, std::chrono::steady_clock::time_point> evacuated_since_;
+  std::set<std::string> idle_since_evacuation_;
+  std::function<bool(const std::string&)> is_late_;
+  std::size_t starts_beside_evacuation_ = 0;
   std::chrono::steady_clock::time_point started_at_ = std::chrono::steady_clock::now();
   std::map<std::string, active_run> active_runs_;
   std::vector<std::string> violations_;
--- a/tests/soak/soak_judge_test.cpp
+++ b/tests/soak/soak_judge_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <thread>
+
 namespace parsleylead::soak {
 namespace {
 
@@ -45,4 +47,31 @@
   }
 }
 
+TEST_CASE("starts in an evacuated zone are a violation after the bound only") {
+  // Guards against a judge that overlooks such starts, or that counts the worker's own late ones.
+  auto judge = judge_with_job();
+  bool late = false;
+  judge.set_late_orders([&](const std::string&) { return late; });
+  judge.zone_evacuated({"worker-0"});
+  judge.run_started("worker-0", task, 1, payload);
+  judge.run_ended("worker-0", task, 1, "failed");
+  std::this_thread::sleep_for(std::chrono::milliseconds(5'050));
+  late = true;
+  judge.run_started("worker-0", task, 2, payload);
+  judge.run_ended("worker-0", task, 2, "failed");
+  judge.run_started("worker-1", task, 3, payload);
+  judge.run_ended("worker-1", task, 3, "failed");
+  CHECK(judge.violations().empty());
+  CHECK(judge.starts_beside_evacuation() == 1);
+  late = false;
+  judge.run_started("worker-0", task, 4, payload);
+  judge.run_ended("worker-0", task, 4, "failed");
+  CHECK(judge.violations().size() == 1);
+  judge.evacuation_ended({"worker-0"});
+  CHECK_FALSE(judge.started_since_evacuation("worker-0"));
+  judge.run_started("worker-0", task, 5, payload);
+  CHECK(judge.started_since_evacuation("worker-0"));
+  CHECK(judge.violations().size() == 1);
+}
+
 } // namespace parsleylead::soak
--- a/tests/soak/soak_site.cpp
+++ b/tests/soak/soak_site.cpp
@@ -90,6 +90,13 @@
 constexpr std::uint64_t link_seed_offset = 3'000'000;
 constexpr std::uint64_t long_seed_offset = 4'000'000;
 constexpr std::uint64_t labelled_seed_offset = 5'000'000;
+constexpr std::uint64_t evacuation_seed_offset = 6'000'000;
+// Hosts belong to the zones in turn, so that both zones have entries, and workers of each kind.
+constexpr std::size_t zones = 2;
+// The first evacuation begins so early that it lasts longer than the bound in the short form, too.
+constexpr int max_evacuation_start_ms = 1'000;
+constexpr int min_evacuation_ms = 1'000;
+constexpr int evacuation_range_ms = 8'000;
 // Runs that are long enough for another run of the task to begin before they end. They come beside
 // the other jobs while faults are injected.
 constexpr double long_jobs_per_second = 3;
@@ -139,6 +146,10 @@
          std::to_string(number + 1);
 }
 
+std::string zone_name(std::size_t zone) {
+  return "z" + std::to_string(zone);
+}
+
 constexpr int store_kind = 0;
 constexpr int entry_kind = 1;
 constexpr int agent_kind = 2;
@@ -155,11 +166,17 @@
     : options_(std::move(options)), random_(options_.seed),
       crash_random_(options_.seed + crash_seed_offset),
       long_random_(options_.seed + long_seed_offset),
-      labelled_random_(options_.seed + labelled_seed_offset), load_timer_(io_),
+      labelled_random_(options_.seed + labelled_seed_offset),
+      evacuation_random_(options_.seed + evacuation_seed_offset), load_timer_(io_),
       second_route_timer_(io_), foreign_writer_(io_, options_.seed + foreign_seed_offset, judge_),
       store_(io_), worker_links_(io_, options_.seed + link_seed_offset,
                                  [this](const std::string& line) { log(line); }),
       started_at_(steady_clock::now()) {
+  judge_.set_late_orders([this](const std::string& id) {
+    return std::any_of(workers_.begin(), workers_.end(), [&](const auto& worker) {
+      return worker->id() == id && worker->executing_late();
+    });
+  });
   throw_if_error(store_.listen(store_address()));
   publish_routes();
   for (int i = 0; i < options_.agents; ++i) {
@@ -217,12 +234,12 @@
   json settings{
       {"node_name", added->name},
       {"ip", ip},
-      {"zone", "z"},
+      {"zone", zone_name(added->number % zones)},
       {"internal_ports", {internal_port, internal_port + 5}},
       {"seeds", json::array()},
       {"platform",
        {{"address", to_string(store_address())}, {"parts", standin::store_service::partitions}}},
-      {"bounds", {{"hold_max_ms", 1000}, {"grace_s", 6}}},
+      {"bounds", {{"hold_max_ms", 1000}, {"grace_s", 6}, {"evacuation_ms", 5000}}},
       {"limits", {{"memory_mb", 128}, {"max_fds", 4096}}}};
   const auto address_of = [&ip](std::uint16_t port) { return ip + ":" + std::to_string(port); };
   if (entry) {
@@ -435,6 +452,66 @@
   schedule(milliseconds(100 + random_below(700)), [this] { inject_fault(); });
 }
 
+std::vector<std::string> soak_site::workers_of_zone(std::size_t zone) const {
+  std::vector<std::string> ids;
+  for (std::size_t i = zone; i < workers_.size(); i += zones) {
+    ids.push_back(workers_[i]->id());
+  }
+  return ids;
+}
+
+void soak_site::evacuate_zone() {
+  evacuated_zone_ = evacuation_random_() % zones;
+  ++report_.evacuations;
+  log("evacuate zone " + zone_name(*evacuated_zone_));
+  store_.put("keyed.op", "evacuate/" + zone_name(*evacuated_zone_), "{}");
+  judge_.zone_evacuated(workers_of_zone(*evacuated_zone_));
+}
+
+void soak_site::end_evacuation() {
+  log("end the evacuation of zone " + zone_name(*evacuated_zone_));
+  judge_.evacuation_ended(workers_of_zone(*evacuated_zone_));
+  store_.put("keyed.op", "evacuate/" + zone_name(*evacuated_zone_), "");
+  evacuated_zone_.reset();
+}
+
+void soak_site::inject_evacuation() {
+  if (!injecting_faults_) {
+    return;
+  }
+  // A store that does not answer acknowledges no record. The record may be deleted while it is
+  // down, so that the entries learn that late.
+  if (!evacuated_zone_ && store_.mode() == standin::answer_mode::normal) {
+    evacuate_zone();
+    schedule(milliseconds(min_evacuation_ms +
+                          static_cast<int>(evacuation_random_() % evacuation_range_ms)),
+             [this] {
+               if (injecting_faults_) {
+                 end_evacuation();
+               }
+             });
+  }
+  schedule(milliseconds(100), [this] { inject_evacuation(); });
+}
+
+void soak_site::check_evacuations() {
+  const auto all_used = [this] {
+    return std::all_of(workers_.begin(), workers_.end(), [this](const auto& worker) {
+      return judge_.started_since_evacuation(worker->id());
+    });
+  };
+  const auto end = steady_clock::now() + recovery_timeout;
+  while (!all_used() && steady_clock::now() < end) {
+    run_and_restart_exited(milliseconds(100));
+  }
+  for (const auto& worker : workers_) {
+    if (!judge_.started_since_evacuation(worker->id())) {
+      judge_.record_violation(worker->id() +
+                              " got no task in the time allowed after the evacuation of its zone");
+    }
+  }
+}
+
 void soak_site::inject_capacity_fault() {
   if (!injecting_faults_) {
     return;
@@ -725,6 +802,9 @@
   worker_links_.stop();
   run_for(healing_time);
   store_.set_mode(standin::answer_mode::normal);
+  if (!evacuated_zone_) {
+    evacuate_zone(); // Jobs must be served beside an evacuation.
+  }
   for (auto& relay : relays_) {
     relay->heal();
     relay->set_delay(milliseconds(0));
@@ -1011,6 +1091,8 @@
     injecting_faults_ = true;
     inject_fault();
     inject_capacity_fault();
+    schedule(milliseconds(evacuation_random_() % max_evacuation_start_ms),
+             [this] { inject_evacuation(); });
     worker_links_.start();
     submit_next_long_job();
     submit_next_labelled_job();
@@ -1030,7 +1112,10 @@
       run_for(milliseconds(50));
     }
     heal();
-    if (check_recovery()) {
+    const bool recovered = check_recovery();
+    end_evacuation();
+    if (recovered) {
+      check_evacuations();
       check_labelled_jobs();
       check_planned_work();
       check_ends();
@@ -1039,6 +1124,7 @@
   }
   generating_load_ = false;
   report_.starts = judge_.starts();
+  report_.starts_beside_evacuation = judge_.starts_beside_evacuation();
   report_.link_faults = worker_links_.faults();
   report_.refused_announcements = foreign_writer_.refused();
   report_.max_durable_crashes = judge_.max_durable_crashes();
--- a/tests/soak/soak_site.hpp
+++ b/tests/soak/soak_site.hpp
@@ -50,6 +50,9 @@
   std::size_t faults = 0;
   /// Faults of the links between agents and workers; `faults` leaves them out.
   std::size_t link_faults = 0;
+  /// Evacuations of a zone, and starts elsewhere while one had been in force for 5 s.
+  std::size_t evacuations = 0;
+  std::size_t starts_beside_evacuation = 0;
   /// Jobs whose runs are long; the counts of the first route include them.
   std::size_t long_jobs = 0;
   /// Jobs that only few workers can run; the counts of the first route include them.
@@ -118,6 +121,13 @@
   void schedule(std::chrono::milliseconds delay, std::function<void()> action);
   void heal();
   void inject_capacity_fault();
+  /// Evacuates one of the two zones and takes that back, again and again.
+  void inject_evacuation();
+  void evacuate_zone();
+  void end_evacuation();
+  std::vector<std::string> workers_of_zone(std::size_t zone) const;
+  /// Checks that the workers of all zones are used after the last evacuation.
+  void check_evacuations();
   void send_foreign_announcement();
   void submit_next_job();
   void submit_next_long_job();
@@ -193,6 +203,8 @@
   /// For the jobs with long runs.
   std::mt19937_64 long_random_;
   std::mt19937_64 labelled_random_;
+  std::mt19937_64 evacuation_random_;
+  std::optional<std::size_t> evacuated_zone_;
   asio::io_context io_;
   asio::steady_timer load_timer_;
   asio::steady_timer second_route_timer_;
