Do not count an agent's word as knowledge of the evacuations

Cause: an entry without a state took the one in an agent's hello for the first state, placed tasks, and told its peers. If all entries restart while a zone is evacuated and the store does not answer, the agents have the state from before the evacuation, and tasks were started in the zone on their word. Change: only the store, or an entry that has its state from there or from another such entry, lets an entry place tasks. States of agents are applied, and are told to agents, but not to peers. Routes come from the same sources, so that no entry serves later than before.

--- a/include/parsleylead/fleet/fleet_entry.hpp
+++ b/include/parsleylead/fleet/fleet_entry.hpp
@@ -72,9 +72,10 @@
   /// `zone_evacuations::apply_records`.
   void evacuations_read(std::uint64_t as_of, bool complete,
                         const std::vector<zone_change>& records);
-  /// Returns whether the store or another process has told which zones are evacuated. Until then,
-  /// no task is placed, as the zone of its worker may be evacuated.
-  bool knows_evacuations() const { return evacuations_.state().has_value(); }
+  /// Returns whether the store or another entry that knows has told which zones are evacuated.
+  /// Until then, no task is placed, as the zone of its worker may be evacuated. What agents tell is
+  /// applied, but does not count: they may have had no session for long.
+  bool knows_evacuations() const { return knows_evacuations_; }
 
   /// Runs a job; `done` is called once with its result. Submitting the id of an open job again adds
   /// a caller to that job: both callers get the result.
@@ -136,10 +137,13 @@
   site_access access_to_site();
   void close_surplus_links(monotonic_time now);
   void announce_routes();
-  /// Tells all sessions of changed evacuations, and also of the first known state without any: a
-  /// peer that has none waits for it. `known_before`: whether there was a state before the change.
-  void evacuations_changed(bool known_before, const std::vector<zone_change>& changes,
+  /// Applies changed evacuations and tells the sessions of them. `authoritative`: the source is the
+  /// store or another entry. The first such state is also sent if nothing has changed: a peer that
+  /// has none waits for it.
+  void evacuations_changed(const std::vector<zone_change>& changes, bool authoritative,
                            const std::string& source);
+  /// Returns the evacuations to tell a peer or an agent of.
+  std::optional<evacuation_state> evacuations_for(bool agent) const;
   fleet_frame member_frame() const;
   void send(session& to, fleet_frame frame);
   /// Returns the waiting durable jobs of this entry, by queue.
@@ -171,6 +175,7 @@
   caller_id next_caller_id_ = 1;
   route_update routes_{-1, ""};
   zone_evacuations evacuations_;
+  bool knows_evacuations_ = false;
   monotonic_time last_tick_{};
   monotonic_time last_gossip_{};
   monotonic_time last_traffic_report_{};
--- a/src/fleet/fleet_entry.cpp
+++ b/src/fleet/fleet_entry.cpp
@@ -186,19 +186,21 @@
 
 void fleet_entry::evacuations_read(std::uint64_t as_of, bool complete,
                                    const std::vector<zone_change>& records) {
-  const bool known_before = knows_evacuations();
-  evacuations_changed(known_before, evacuations_.apply_records(as_of, complete, records), "store");
+  evacuations_changed(evacuations_.apply_records(as_of, complete, records), true, "store");
 }
 
-void fleet_entry::evacuations_changed(bool known_before, const std::vector<zone_change>& changes,
+void fleet_entry::evacuations_changed(const std::vector<zone_change>& changes, bool authoritative,
                                       const std::string& source) {
-  if (known_before && changes.empty()) {
+  const bool first_known = authoritative && !knows_evacuations_;
+  if (!first_known && changes.empty()) {
     return;
   }
   const auto& state = *evacuations_.state();
-  if (!known_before) {
+  if (first_known) {
     log_.write("evacuations_known", "offset", state.as_of, "zones", state.zones.size(), "source",
                source);
+    knows_evacuations_ = true;
+    scheduler_.hold_placement(false);
   }
   for (const auto& change : changes) {
     log_.write(change.evacuated ? "zone_evacuated" : "zone_evacuation_ended", "zone", change.zone,
@@ -206,18 +208,21 @@
   }
   metrics_.set("parsleylead_evacuated_zones", {}, static_cast<double>(state.zones.size()));
   scheduler_.set_evacuated_zones(state.zones);
-  scheduler_.hold_placement(false);
-  fleet_frame frame;
-  frame.evacuations = state;
-  frame.routes_version = routes_.version;
   for (const auto& peer : sessions_) {
-    if (peer->established) {
-      send(*peer, frame);
+    fleet_frame frame;
+    frame.evacuations = evacuations_for(peer->is_agent);
+    frame.routes_version = routes_.version;
+    if (peer->established && frame.evacuations) {
+      send(*peer, std::move(frame));
     }
   }
   flush_soon_();
 }
 
+std::optional<evacuation_state> fleet_entry::evacuations_for(bool agent) const {
+  return agent || knows_evacuations_ ? evacuations_.state() : std::nullopt;
+}
+
 void fleet_entry::tick() {
   const auto now = lease_now();
   const auto before = std::exchange(last_tick_, now);
@@ -326,7 +331,7 @@
   frame.members = dialer_.linked_members();
   frame.members.push_back(self_);
   frame.routes_version = routes_.version;
-  frame.evacuations = evacuations_.state();
+  frame.evacuations = evacuations_for(false);
   return frame;
 }
 
@@ -622,6 +627,7 @@
   }
   auto reply = member_frame();
   reply.hello = session_hello{self_, false, 0};
+  reply.evacuations = evacuations_for(true);
   reply.outstanding = same_agent ? scheduler_.outstanding(from->worker) : std::vector<run_id>{};
   if (durable_) {
     reply.claims = durable_->claims();
@@ -644,7 +650,7 @@
     update.routes_version = routes_.version;
     update.routes = routes_.text;
     // The receiver serves with these routes at once.
-    update.evacuations = evacuations_.state();
+    update.evacuations = evacuations_for(false);
     send(from, update);
   }
 }
@@ -680,8 +686,7 @@
     return;
   }
   if (frame.evacuations) {
-    const bool known_before = knows_evacuations();
-    evacuations_changed(known_before, evacuations_.merge(*frame.evacuations), from->peer.name);
+    evacuations_changed(evacuations_.merge(*frame.evacuations), !from->is_agent, from->peer.name);
   }
   if (!from->is_agent) {
     add_members(frame.members);
--- a/src/fleet/fleet_evacuation_test.cpp
+++ b/src/fleet/fleet_evacuation_test.cpp
@@ -164,13 +164,36 @@
   REQUIRE(fleet.run_until([&] { return fleet.logged("source=entry-0"); }));
   auto& started = fleet.add_entry("entry-1");
   fleet.agent->add_members({{"", 0, fleet.addresses[1], ""}});
-  CHECK(fleet.run_until([&] { return started.knows_evacuations(); }));
-  CHECK(fleet.logged("source=agent"));
+  CHECK(fleet.run_until([&] { return fleet.logged("zone=a offset=3 source=agent"); }));
   std::optional<job_result> result;
   started.submit(make_job(1), [&](const job_result& got) { result = got; });
   fleet.run_for(milliseconds(300));
   CHECK(fleet.worker.starts == 0);
 }
 
+TEST_CASE("the state of an agent does not let an entry place tasks") {
+  // Guards against starts on the word of an agent that had no session when the zone was evacuated:
+  // all entries restart, and the store does not answer the first one.
+  evacuable_fleet fleet;
+  fleet.add_entry("entry-0").evacuations_read(3, true, {});
+  fleet.start_agent({0});
+  REQUIRE(fleet.run_until([&] { return fleet.entries[0]->has_worker(); }));
+  fleet.entries[0].reset();
+  auto& started = fleet.add_entry("entry-1");
+  auto& peer = fleet.add_entry("entry-2");
+  peer.add_members({{"", 0, fleet.addresses[1], ""}});
+  fleet.agent->add_members({{"", 0, fleet.addresses[1], ""}});
+  REQUIRE(fleet.run_until([&] { return started.has_worker(); }));
+  std::optional<job_result> result;
+  started.submit(make_job(1), [&](const job_result& got) { result = got; });
+  fleet.run_for(milliseconds(300));
+  CHECK_FALSE(peer.knows_evacuations());
+  CHECK(fleet.worker.starts == 0);
+  peer.evacuations_read(9, true, {{"a", true}});
+  REQUIRE(fleet.run_until([&] { return started.knows_evacuations(); }));
+  fleet.run_for(milliseconds(300));
+  CHECK(fleet.worker.starts == 0);
+}
+
 } // namespace
 } // namespace parsleylead
