--- a/src/fleet/lost_answers_test.cpp
+++ b/src/fleet/lost_answers_test.cpp
@@ -26,6 +26,7 @@
     entry_settings.incarnation = 1;
     entry_settings.listen = address;
     entry.emplace(io, entry_settings, log, metrics, [](const route_update&) {});
+    entry->evacuations_read(1, true, {});
     REQUIRE(entry->start().ok());
     fleet_agent_settings settings;
     settings.name = "agent";
