--- a/src/fleet/fleet_scheduler_reach.cpp
+++ b/src/fleet/fleet_scheduler_reach.cpp
@@ -19,7 +19,7 @@
 milliseconds fleet_scheduler::slack_of(const job& open_job, monotonic_time now) {
   return open_job.is_durable()
              ? milliseconds::max()
-             : std::chrono::floor<milliseconds>(open_job.objective - now) - open_job.critical_path;
+             : std::chrono::floor<milliseconds>(open_job.objective - now) - open_job.remaining_path;
 }
 
 std::size_t fleet_scheduler::usable_workers() const {
