Test lost answers with a worker that answers list requests only at ends

Cause: the simulated worker answered each list request after 6 ms, which hid a lost answer to a start: lost_answers_test passed on the earlier behavior of the agent, too. Change: the worker of these tests answers at the next end or after the whole waiting time.

--- a/src/fleet/fake_worker.hpp
+++ b/src/fleet/fake_worker.hpp
@@ -118,11 +118,18 @@
     latest_lease_end = std::max(latest_lease_end, lease_end.value_or(monotonic_time{}));
     if (lost_lists > 0 || loses_answer()) {
       lost_lists = std::max(0, lost_lists - 1);
-      after(wait + answer_time,
-            [done = std::move(done)] { done(absl::DeadlineExceededError("no answer")); });
+      after(wait + answer_time, [this, done = std::move(done)] {
+        ++overdue_lists;
+        done(absl::DeadlineExceededError("no answer"));
+      });
       return;
     }
-    auto timer = std::make_shared<asio::steady_timer>(io_, ended_.empty() ? wait / 10 : wait * 0);
+    const auto pause = ended_.empty() ? (waits_for_ends ? wait : wait / 10) : wait * 0;
+    auto timer = std::make_shared<asio::steady_timer>(io_, pause);
+    if (waits_for_ends) {
+      std::erase_if(waiting_lists_, [](const auto& each) { return each.expired(); });
+      waiting_lists_.push_back(timer);
+    }
     timer->async_wait([this, timer, done = std::move(done)](const asio::error_code&) {
       run_lists lists;
       for (const auto& [task, active] : active_) {
@@ -154,6 +161,10 @@
   /// List requests that extend no lease.
   int extra_list_requests = 0;
   int lost_lists = 0;
+  /// Number of lost lists whose time has passed.
+  int overdue_lists = 0;
+  /// Answers list requests at the next end or after the whole waiting time, instead of sooner.
+  bool waits_for_ends = false;
   /// Each answer of this number to starts and lists is lost, unless it is 0.
   int lost_answer_interval = 0;
   int lost_starts = 0;
@@ -195,11 +206,18 @@
   void end(const run_id& run, run_outcome ended_as) {
     active_.erase(run.task);
     ended_.push_back({run, ended_as, ++last_end_});
+    for (const auto& each : std::exchange(waiting_lists_, {})) {
+      if (const auto timer = each.lock()) {
+        timer->cancel();
+      }
+    }
   }
 
   asio::io_context& io_;
   std::map<task_key, std::unique_ptr<running>> active_;
   std::vector<finished_run> ended_;
+  /// The list requests that are answered at the next end.
+  std::vector<std::weak_ptr<asio::steady_timer>> waiting_lists_;
   /// Highest attempt of each task that was stopped.
   std::map<task_key, std::uint32_t> stopped_;
   int answers_ = 0;
--- a/src/fleet/lost_answers_test.cpp
+++ b/src/fleet/lost_answers_test.cpp
@@ -20,6 +20,7 @@
 /// One entry and one agent on one event loop.
 struct small_site {
   small_site() : worker(io) {
+    worker.waits_for_ends = true;
     const auto address = free_address(io);
     fleet_entry_settings entry_settings;
     entry_settings.name = "entry";
@@ -105,18 +106,16 @@
 }
 
 TEST_CASE("the end of a run is known soon after the answer to a list request was lost") {
-  // Guards against an end that stays unknown until the lost request times out. The lost answer is
-  // that of the request that was pending when the run was started.
+  // Guards against an end that stays unknown until the time of the lost request has passed.
   small_site site;
-  site.worker.run_time = milliseconds(20);
+  site.worker.run_time = milliseconds(10);
   site.worker.lost_lists = 1;
-  REQUIRE(site.run_until([&] { return site.worker.lost_lists == 0; }));
-  site.run_until([] { return false; }, milliseconds(150));
+  REQUIRE(site.run_until([&] { return site.worker.overdue_lists == 1; }));
+  site.run_until([] { return false; }, milliseconds(100));
   site.worker.lost_lists = 1;
   REQUIRE(site.run_until([&] { return site.worker.lost_lists == 0; }));
-  const auto before = site.worker.extra_list_requests;
   site.run_jobs(1, 1);
-  CHECK(site.worker.extra_list_requests > before);
+  CHECK(site.worker.overdue_lists == 1);
 }
 
 TEST_CASE("a start without an answer that the worker never executes is placed again") {
