Judge replaced workers of an evacuated zone, too

Cause: a worker that crashes comes back under another id, "worker-1-2" after "worker-1". Change: evacuations are kept by the host of the worker.

--- a/src/fleet/fleet_scheduler_evacuation_test.cpp
+++ b/src/fleet/fleet_scheduler_evacuation_test.cpp
@@ -177,6 +177,7 @@
     fixture fleet({});
     // The quarantine takes the first workers by a hash of the agent's name.
     std::vector<std::string> names;
+    names.reserve(10);
     for (int i = 0; i < 10; ++i) {
       names.push_back("agent-" + std::to_string(i));
     }
--- a/tests/soak/soak_judge.cpp
+++ b/tests/soak/soak_judge.cpp
@@ -23,6 +23,11 @@
   return task.substr(0, task.find('.'));
 }
 
+/// Returns the host of a worker: a replaced worker "worker-1" is called "worker-1-2".
+std::string host_of(const std::string& worker) {
+  return worker.substr(0, worker.find('-', worker.find('-') + 1));
+}
+
 } // namespace
 
 void soak_judge::record_violation(const std::string& description) {
@@ -175,23 +180,27 @@
 
 void soak_judge::zone_evacuated(const std::vector<std::string>& workers) {
   for (const auto& worker : workers) {
-    evacuated_since_.emplace(worker, std::chrono::steady_clock::now());
+    evacuated_since_.emplace(host_of(worker), std::chrono::steady_clock::now());
   }
 }
 
 void soak_judge::evacuation_ended(const std::vector<std::string>& workers) {
   for (const auto& worker : workers) {
-    evacuated_since_.erase(worker);
-    idle_since_evacuation_.insert(worker);
+    evacuated_since_.erase(host_of(worker));
+    idle_since_evacuation_.insert(host_of(worker));
   }
 }
 
+bool soak_judge::started_since_evacuation(const std::string& worker) const {
+  return !idle_since_evacuation_.contains(host_of(worker));
+}
+
 void soak_judge::check_evacuation(const std::string& worker, const std::string& task) {
   const auto now = std::chrono::steady_clock::now();
   const auto in_force = [now](const auto& each) { return now - each.second > evacuation_bound; };
-  const auto own = evacuated_since_.find(worker);
+  const auto own = evacuated_since_.find(host_of(worker));
   if (own == evacuated_since_.end()) {
-    idle_since_evacuation_.erase(worker);
+    idle_since_evacuation_.erase(host_of(worker));
     starts_beside_evacuation_ +=
         std::any_of(evacuated_since_.begin(), evacuated_since_.end(), in_force) ? 1 : 0;
   } else if (in_force(*own) && !(is_late_ && is_late_(worker))) {
--- a/tests/soak/soak_judge.hpp
+++ b/tests/soak/soak_judge.hpp
@@ -54,9 +54,7 @@
     is_late_ = std::move(is_late);
   }
   /// Whether the worker has started a task since the last evacuation of its zone ended, if any did.
-  bool started_since_evacuation(const std::string& worker) const {
-    return !idle_since_evacuation_.contains(worker);
-  }
+  bool started_since_evacuation(const std::string& worker) const;
   /// Starts elsewhere while an evacuation had been in force for longer than its bound.
   std::size_t starts_beside_evacuation() const { return starts_beside_evacuation_; }
 
@@ -109,7 +107,7 @@
     std::chrono::steady_clock::time_point started_at;
   };
 
-  /// When the evacuation of the worker's zone was acknowledged, by worker.
+  /// When the evacuation of the zone was acknowledged, by host of its workers.
   std::map<std::string, std::chrono::steady_clock::time_point> evacuated_since_;
   std::set<std::string> idle_since_evacuation_;
   std::function<bool(const std::string&)> is_late_;
--- a/tests/soak/soak_judge_test.cpp
+++ b/tests/soak/soak_judge_test.cpp
@@ -64,8 +64,8 @@
   CHECK(judge.violations().empty());
   CHECK(judge.starts_beside_evacuation() == 1);
   late = false;
-  judge.run_started("worker-0", task, 4, payload);
-  judge.run_ended("worker-0", task, 4, "failed");
+  judge.run_started("worker-0-1", task, 4, payload); // A worker that replaced the first one.
+  judge.run_ended("worker-0-1", task, 4, "failed");
   CHECK(judge.violations().size() == 1);
   judge.evacuation_ended({"worker-0"});
   CHECK_FALSE(judge.started_since_evacuation("worker-0"));
