--- a/src/fleet/fleet_overload_test.cpp
+++ b/src/fleet/fleet_overload_test.cpp
@@ -124,6 +124,10 @@
 constexpr std::uint32_t worker_cpu_millis = 64'000;
 constexpr milliseconds caller_wait{1'500};
 
+double milliseconds_of(milliseconds time) {
+  return static_cast<double>(time.count());
+}
+
 struct kind_result {
   int jobs = 0;
   int on_time = 0;
@@ -150,7 +154,8 @@
       : random_(seed), scheduler_({}, "a", seed), arrivals_(arrivals), connecting_(connecting) {
     double work = 0; // CPU milliseconds per second at the relative rates
     for (const auto& kind : kinds) {
-      work += kind.relative_rate * kind.tasks * kind.estimate.count() * kind_cpu_millis / 1'000;
+      work += kind.relative_rate * kind.tasks * milliseconds_of(kind.estimate) * kind_cpu_millis /
+              1'000;
     }
     rate_factor_ = load * kind_workers * worker_cpu_millis / work;
   }
@@ -170,7 +175,7 @@
         started_.insert(start.order.run.task.job);
         // Estimates are wrong by a factor of up to 1.4.
         const double factor = std::uniform_real_distribution<double>(1 / 1.4, 1.4)(random_);
-        running_.emplace(now + std::llround(start.order.estimate.count() * factor),
+        running_.emplace(now + std::llround(milliseconds_of(start.order.estimate) * factor),
                          std::move(start));
       }
       for (const auto& ended : scheduler_.take_results()) {
@@ -257,7 +262,9 @@
       const auto result = kinds_play(load, milliseconds(burst_ms), milliseconds(0), seed).run();
       CAPTURE(load);
       CAPTURE(seed);
-      const auto& [urgent, normal, large] = result.kinds;
+      const auto& urgent = result.kinds[0];
+      const auto& normal = result.kinds[1];
+      const auto& large = result.kinds[2];
       CAPTURE(urgent.refused);
       CAPTURE(normal.refused);
       CAPTURE(large.refused);
--- a/src/overload/overload_test.cpp
+++ b/src/overload/overload_test.cpp
@@ -26,6 +26,7 @@
 
 std::vector<std::uint64_t> ids(const std::vector<job_refusal>& refused) {
   std::vector<std::uint64_t> all;
+  all.reserve(refused.size());
   for (const auto& each : refused) {
     all.push_back(each.job.id);
   }
@@ -99,7 +100,7 @@
   for (std::uint64_t id = 1; id <= 300; ++id) {
     const auto kind = static_cast<std::uint32_t>(id % 3);
     waiting.push_back(demand(id, kind, 100 + 400 * kind + static_cast<std::int64_t>(id % 70),
-                             300 + 900 * kind + id % 11));
+                             300.0 + 900.0 * kind + static_cast<double>(id % 11)));
   }
   const auto refused = plan_backlog(waiting, 90, at_ms(0));
   CHECK(refused.size() > 30);
