--- a/tests/faults/child_process.hpp
+++ b/tests/faults/child_process.hpp
@@ -20,6 +20,7 @@
   child_process(const child_process&) = delete;
   child_process& operator=(const child_process&) = delete;
 
+  pid_t id() const { return id_; }
   void send(int signal) const;
   /// Sends SIGKILL and waits for the exit.
   void kill();
