Bound the memory of all connections of a process together

Cause: the limits of a web server bound one connection and the number of connections; their product exceeds limits.memory_mb, and 3,000 connections exceed limits.max_fds of some hosts.

Change: memory_budget counts what all connections of a process hold and sheds requests in the order of shed_order: incomplete ones, the oldest first, then complete ones without a job; never one whose job was accepted. Connections are limited by limits.max_fds; at the limit, the one that has been idle or incomplete the longest is closed. A request has at most 100 header fields, a body whose stated length is over the limit is refused at the headers, a response has to be read within 10 s, and the body of a submission is released once it is parsed. Connections no longer have a read buffer of 8 KB each. What the client sends after a refusal for size is discarded, so that the refusal reaches it. Log lines contain at most 256 bytes of a target.

--- a/include/parsleylead/web/web_message.hpp
+++ b/include/parsleylead/web/web_message.hpp
@@ -29,6 +29,12 @@
   std::string body;
 };
 
+/// The part of a request's target that log lines show, since a target may have several kilobytes.
+inline std::string_view logged_target(const web_request& request) {
+  constexpr std::size_t max_logged_bytes = 256;
+  return std::string_view(request.target).substr(0, max_logged_bytes);
+}
+
 /// One HTTP/1.1 response with its whole body.
 struct web_response {
   int status = 200;
--- a/include/parsleylead/web/web_server.hpp
+++ b/include/parsleylead/web/web_server.hpp
@@ -7,6 +7,7 @@
 
 #include "absl/status/status.h"
 #include "parsleylead/base/endpoint.hpp"
+#include "parsleylead/web/memory_budget.hpp"
 #include "parsleylead/web/web_message.hpp"
 
 namespace parsleylead {
@@ -27,6 +28,11 @@
   /// `respond`.
   virtual void reject(web_response response) = 0;
 
+  /// A job was accepted for the request, which is not shed any more. Releases the header fields and
+  /// the body, and keeps only the part of the target that log lines show. `held_bytes` is the
+  /// memory that the work holds in their place until the exchange is destroyed.
+  virtual void accept(std::size_t held_bytes = 0) = 0;
+
   /// Closes the connection without a response.
   virtual void abort() = 0;
 
@@ -44,6 +50,9 @@
   std::chrono::milliseconds idle_timeout{60'000};
   /// A request must be complete within this time of its first byte.
   std::chrono::milliseconds receive_timeout{3'000};
+  std::size_t max_header_fields = 100;
+  /// A response must be read within this time.
+  std::chrono::milliseconds response_timeout{10'000};
 };
 
 /// An HTTP/1.1 server on an Asio loop, without a thread per connection or request. Each connection
@@ -52,7 +61,11 @@
 public:
   using handler = std::function<void(std::shared_ptr<web_exchange>)>;
 
-  web_server(asio::io_context& io, web_server_limits limits, handler on_request);
+  /// `budget` is shared by the servers of a process; without one, the server has its own. Over the
+  /// budget, and at `max_connections`, connections are closed in the order of `shed_order`; those
+  /// whose incomplete request is shed get a 503.
+  web_server(asio::io_context& io, web_server_limits limits, handler on_request,
+             std::shared_ptr<memory_budget> budget = nullptr);
   ~web_server();
   web_server(const web_server&) = delete;
   web_server& operator=(const web_server&) = delete;
--- a/src/web/web_server.cpp
+++ b/src/web/web_server.cpp
@@ -10,6 +10,7 @@
 
 #include "message_parser.hpp"
 #include "parsleylead/link/open_acceptor.hpp"
+#include "release_memory.hpp"
 #include "write_message.hpp"
 
 namespace parsleylead {
@@ -20,21 +21,44 @@
 constexpr std::size_t read_chunk_bytes = std::size_t{8} * 1024;
 // Limit of pipelined data buffered while a request is in progress.
 constexpr std::size_t max_pipelined_bytes = std::size_t{64} * 1024;
-// Interval of the checks for idle and receive time-outs.
+// A buffer that is larger than this is released when it is empty.
+constexpr std::size_t max_kept_buffer_bytes = std::size_t{1} * 1024;
+// Data of a request over its limits that is discarded after the response. A connection that is
+// closed with unread data is reset, which may discard the response at the client.
+constexpr std::size_t max_discarded_bytes = std::size_t{4} * 1024 * 1024;
+// Interval of the checks for time-outs.
 constexpr std::chrono::milliseconds timeout_check_interval{1'000};
 // Delay after a failed accept, so that a lack of file descriptors does not cause a busy loop.
 constexpr std::chrono::milliseconds accept_retry_delay{50};
+// Response to a shed request for which nothing has been begun.
+constexpr std::string_view shed_response =
+    "HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\ncontent-length: 0\r\n"
+    "connection: close\r\n\r\n";
 
 web_response error_response(int status, std::string_view message) {
   return {status, {}, std::string(R"({"error":")") + std::string(message) + "\"}"};
 }
 
+web_response response_to(message_parser::result result) {
+  switch (result) {
+  case message_parser::result::too_large:
+    return error_response(413, "request too large");
+  case message_parser::result::too_many_fields:
+    return error_response(431, "too many header fields");
+  default:
+    return error_response(400, "malformed request");
+  }
+}
+
 } // namespace
 
 class web_server::state : public std::enable_shared_from_this<web_server::state> {
 public:
-  state(asio::io_context& loop, web_server_limits server_limits, handler callback)
-      : io(loop), limits(server_limits), on_request(std::move(callback)), timeout_timer(loop) {}
+  state(asio::io_context& loop, web_server_limits server_limits, handler callback,
+        std::shared_ptr<memory_budget> shared_budget)
+      : io(loop), limits(server_limits), on_request(std::move(callback)),
+        budget(shared_budget ? std::move(shared_budget) : std::make_shared<memory_budget>()),
+        budget_server(budget->add_server(limits.max_connections)), timeout_timer(loop) {}
 
   absl::Status listen(const endpoint& address);
   void accept(tcp::acceptor& acceptor);
@@ -47,9 +71,13 @@
   asio::io_context& io;
   web_server_limits limits;
   handler on_request;
+  std::shared_ptr<memory_budget> budget;
+  memory_budget::server_id budget_server;
   asio::steady_timer timeout_timer;
   std::vector<std::unique_ptr<tcp::acceptor>> acceptors;
   std::unordered_set<std::shared_ptr<connection>> connections;
+  /// Received bytes, until they are appended to the buffer of their connection.
+  std::array<char, read_chunk_bytes> read_chunk{};
   bool closing = false;
   bool listening = true;
   bool stopped = false;
@@ -60,19 +88,45 @@
 public:
   connection(std::shared_ptr<state> server, tcp::socket socket)
       : server_(std::move(server)), socket_(std::move(socket)),
-        parser_(HTTP_REQUEST, server_->limits.max_header_bytes, server_->limits.max_body_bytes) {}
+        parser_(HTTP_REQUEST, server_->limits.max_header_bytes, server_->limits.max_body_bytes,
+                server_->limits.max_header_fields) {}
+
+  ~connection() override { server_->budget->remove(id_); }
+  connection(const connection&) = delete;
+  connection& operator=(const connection&) = delete;
+
+  /// Returns whether the connection was admitted.
+  bool start() {
+    const auto id = server_->budget->admit(
+        server_->budget_server,
+        [weak = weak_from_this()](shed_reason reason) {
+          if (const auto self = weak.lock()) {
+            self->shed(reason);
+          }
+        },
+        std::chrono::steady_clock::now());
+    if (!id) {
+      return false;
+    }
+    id_ = *id;
+    asio::error_code ignored; // Failure only costs latency.
+    socket_.set_option(tcp::no_delay(true), ignored);
+    socket_.non_blocking(true, ignored);
+    update_budget();
+    read();
+    return true;
+  }
 
   void read() {
-    if (reading_ || closed_ || receive_buffer_.size() > max_pipelined_bytes) {
+    if (reading_ || closed_ || !may_read()) {
       return;
     }
     reading_ = true;
-    socket_.async_read_some(
-        asio::buffer(read_chunk_),
-        [self = shared_from_this()](const asio::error_code& error, std::size_t count) {
-          self->reading_ = false;
-          self->received(error, count);
-        });
+    socket_.async_wait(tcp::socket::wait_read,
+                       [self = shared_from_this()](const asio::error_code& error) {
+                         self->reading_ = false;
+                         self->readable(error);
+                       });
   }
 
   const web_request& request() const override { return request_; }
@@ -85,6 +139,12 @@
     on_abandoned_ = nullptr;
     keep_alive_ = keep_alive_ && !server_->closing;
     send_buffer_ = write_response(response, keep_alive_);
+    response_began_ = std::chrono::steady_clock::now();
+    release_request();
+    update_budget();
+    if (closed_) {
+      return;
+    }
     asio::async_write(socket_, asio::buffer(send_buffer_),
                       [self = shared_from_this()](const asio::error_code& error, std::size_t) {
                         self->sent(error);
@@ -102,6 +162,17 @@
     respond(std::move(response));
   }
 
+  void accept(std::size_t held_bytes) override {
+    if (responded_) {
+      return; // The job was refused at once.
+    }
+    accepted_ = true;
+    work_bytes_ = held_bytes;
+    std::string(logged_target(request_)).swap(request_.target);
+    release_request();
+    update_budget();
+  }
+
   void abort() override { close(); }
 
   void on_abandoned(std::function<void()> handler) override { on_abandoned_ = std::move(handler); }
@@ -117,18 +188,39 @@
     if (busy_ && !responded_ && abandoned) {
       abandoned();
     }
+    parser_.reset();
+    release_memory(receive_buffer_);
+    server_->budget->close(id_);
+    update_budget();
     server_->connections.erase(shared_from_this());
   }
 
+  /// Closes the connection to free what it holds.
+  void shed(shed_reason /*reason*/) {
+    if (!busy_ && receiving() && !discarding_) {
+      asio::error_code ignored; // The client may have disconnected, or not read earlier responses.
+      socket_.write_some(asio::buffer(shed_response), ignored);
+    }
+    close();
+    release_request();
+    update_budget();
+  }
+
   bool timed_out(std::chrono::steady_clock::time_point now) const {
     if (busy_) {
       return false;
     }
-    const bool receiving = parser_.started() || !receive_buffer_.empty();
-    const auto limit = receiving ? server_->limits.receive_timeout : server_->limits.idle_timeout;
+    const auto limit = receiving() ? server_->limits.receive_timeout : server_->limits.idle_timeout;
     return now - last_activity_ > limit;
   }
 
+  /// Closes the connection if the client has not read the response in time.
+  void close_if_unread(std::chrono::steady_clock::time_point now) {
+    if (responded_ && busy_ && now - response_began_ > server_->limits.response_timeout) {
+      server_->budget->shed(id_, shed_reason::unread_response);
+    }
+  }
+
   /// Returns whether no request is in progress, including one that the kernel has received but that
   /// has not been read.
   bool idle() const {
@@ -138,16 +230,75 @@
   }
 
 private:
-  void received(const asio::error_code& error, std::size_t count) {
-    if (error) {
+  bool receiving() const { return parser_.started() || !receive_buffer_.empty() || discarding_; }
+
+  /// While a request is in progress, the connection is read to notice that the client disconnects.
+  bool may_read() const {
+    if (!busy_) {
+      return true;
+    }
+    return !discarding_ && receive_buffer_.size() <= max_pipelined_bytes &&
+           (receive_buffer_.empty() || !server_->budget->under_pressure());
+  }
+
+  request_phase phase() const {
+    if (accepted_) {
+      return request_phase::accepted;
+    }
+    if (busy_) {
+      return request_phase::complete;
+    }
+    return receiving() ? request_phase::incomplete : request_phase::idle;
+  }
+
+  /// Reports what the connection holds. May close the connection.
+  void update_budget() {
+    const auto bytes = sizeof(connection) + receive_buffer_.capacity() + parser_.held_bytes() +
+                       request_bytes_ + send_buffer_.capacity() + work_bytes_;
+    server_->budget->update(id_, phase(), bytes, std::chrono::steady_clock::now());
+  }
+
+  /// Releases what is not needed once the request has been handled.
+  void release_request() {
+    release_memory(request_.headers);
+    release_memory(request_.body);
+    request_bytes_ = request_.target.capacity();
+  }
+
+  void readable(const asio::error_code& wait_error) {
+    if (wait_error || closed_) {
       close();
       return;
     }
+    asio::error_code error;
+    const auto count = socket_.read_some(asio::buffer(server_->read_chunk), error);
+    if (error == asio::error::would_block || error == asio::error::try_again) {
+      read();
+    } else if (error) {
+      close();
+    } else if (discarding_) {
+      discard(count);
+    } else {
+      received(count);
+    }
+  }
+
+  void discard(std::size_t count) {
+    discarded_bytes_ += count;
+    if (discarded_bytes_ > max_discarded_bytes) {
+      close();
+    } else {
+      read();
+    }
+  }
+
+  void received(std::size_t count) {
     if (!parser_.started()) {
       last_activity_ = std::chrono::steady_clock::now();
     }
-    receive_buffer_.append(read_chunk_.data(), count);
-    if (!busy_) {
+    receive_buffer_.append(server_->read_chunk.data(), count);
+    update_budget(); // Before a request is handled, so that it is refused if no memory is left.
+    if (!busy_ && !closed_) {
       parse();
     }
     read();
@@ -155,7 +306,11 @@
 
   void parse() {
     const auto result = parser_.feed(receive_buffer_);
-    if (result == message_parser::result::incomplete || closed_) {
+    if (receive_buffer_.empty() && receive_buffer_.capacity() > max_kept_buffer_bytes) {
+      release_memory(receive_buffer_);
+    }
+    if (result == message_parser::result::incomplete) {
+      update_budget();
       return;
     }
     busy_ = true;
@@ -163,44 +318,78 @@
     keep_alive_ = parser_.keep_alive();
     if (result != message_parser::result::complete) {
       keep_alive_ = false;
-      const bool large = result == message_parser::result::too_large;
-      respond(error_response(large ? 413 : 400, large ? "request too large" : "malformed request"));
+      discarding_ = true;
+      parser_.reset();
+      release_memory(receive_buffer_);
+      respond(response_to(result));
       return;
     }
+    request_bytes_ = parser_.held_bytes();
     request_.method = std::move(parser_.method);
     request_.target = std::move(parser_.target);
     request_.headers = std::move(parser_.headers);
     request_.body = std::move(parser_.body);
     parser_.reset();
-    server_->on_request(shared_from_this());
+    update_budget();
+    if (!closed_) {
+      server_->on_request(shared_from_this());
+    }
   }
 
   void sent(const asio::error_code& error) {
+    if (closed_) {
+      return;
+    }
     busy_ = false;
+    accepted_ = false;
+    work_bytes_ = 0;
+    release_memory(send_buffer_);
     last_activity_ = std::chrono::steady_clock::now();
     if (error || !keep_alive_) {
-      if (!error) {
-        asio::error_code ignored; // Fails only if the peer has already disconnected.
-        socket_.shutdown(tcp::socket::shutdown_send, ignored);
-      }
-      close();
+      finish(error);
       return;
     }
     if (!receive_buffer_.empty()) {
       parse();
+    } else {
+      update_budget();
     }
     read();
   }
 
+  /// Ends the connection after its last response.
+  void finish(const asio::error_code& error) {
+    if (!error) {
+      asio::error_code ignored; // Fails only if the peer has already disconnected.
+      socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    }
+    if (error || !discarding_) {
+      close();
+      return;
+    }
+    update_budget();
+    read();
+  }
+
   std::shared_ptr<state> server_;
   tcp::socket socket_;
   message_parser parser_;
-  std::array<char, read_chunk_bytes> read_chunk_{};
   std::string receive_buffer_;
   std::string send_buffer_;
   web_request request_;
   std::function<void()> on_abandoned_;
   std::chrono::steady_clock::time_point last_activity_ = std::chrono::steady_clock::now();
+  std::chrono::steady_clock::time_point response_began_;
+  connection_id id_ = 0;
+  /// Memory of the received request.
+  std::size_t request_bytes_ = 0;
+  /// Memory of the work that was begun for an accepted request.
+  std::size_t work_bytes_ = 0;
+  std::size_t discarded_bytes_ = 0;
+  /// The request was over its limits: what the client still sends is discarded.
+  bool discarding_ = false;
+  /// A job was accepted for the request in progress.
+  bool accepted_ = false;
   bool reading_ = false;
   bool busy_ = false;
   bool responded_ = false;
@@ -245,14 +434,11 @@
 }
 
 void web_server::state::add_connection(tcp::socket socket) {
-  if (connections.size() >= limits.max_connections) {
-    return;
-  }
-  asio::error_code ignored; // Failure only costs latency.
-  socket.set_option(tcp::no_delay(true), ignored);
   auto accepted = std::make_shared<connection>(shared_from_this(), std::move(socket));
   connections.insert(accepted);
-  accepted->read();
+  if (!accepted->start()) {
+    connections.erase(accepted);
+  }
 }
 
 void web_server::state::close_timed_out_connections() {
@@ -265,6 +451,7 @@
     const std::vector<std::shared_ptr<connection>> open_connections(self->connections.begin(),
                                                                     self->connections.end());
     for (const auto& open_connection : open_connections) {
+      open_connection->close_if_unread(now);
       if (open_connection->timed_out(now)) {
         open_connection->close();
       }
@@ -311,8 +498,9 @@
   }
 }
 
-web_server::web_server(asio::io_context& io, web_server_limits limits, handler on_request)
-    : state_(std::make_shared<state>(io, limits, std::move(on_request))) {}
+web_server::web_server(asio::io_context& io, web_server_limits limits, handler on_request,
+                       std::shared_ptr<memory_budget> budget)
+    : state_(std::make_shared<state>(io, limits, std::move(on_request), std::move(budget))) {}
 
 web_server::~web_server() {
   state_->stop();
--- a/src/web/web_test.cpp
+++ b/src/web/web_test.cpp
@@ -217,6 +217,58 @@
             .find("413") != std::string::npos);
 }
 
+TEST_CASE("a request with very many header fields gets status 431") {
+  // Guards against fields that cost far more memory than their bytes.
+  asio::io_context io;
+  const auto address = free_address(io);
+  web_server server(io, {}, [](const std::shared_ptr<web_exchange>& exchange) {
+    exchange->respond({200, {}, ""});
+  });
+  REQUIRE(server.listen(address).ok());
+  const auto request_with = [](int fields) {
+    std::string text = "GET / HTTP/1.1\r\n";
+    for (int i = 0; i < fields; ++i) {
+      text += "a:\r\n";
+    }
+    return text + "\r\n";
+  };
+  CHECK(send_raw(io, address, request_with(100)).find("200") != std::string::npos);
+  CHECK(send_raw(io, address, request_with(101)).find("431") != std::string::npos);
+}
+
+TEST_CASE("an incomplete request is shed, and one whose job was accepted is answered") {
+  asio::io_context io;
+  const auto address = free_address(io);
+  std::shared_ptr<web_exchange> accepted;
+  web_server server(
+      io, {},
+      [&](const std::shared_ptr<web_exchange>& exchange) {
+        accepted = exchange;
+        exchange->accept(100'000);
+        CHECK(exchange->request().body.empty());
+        io.stop();
+      },
+      std::make_shared<memory_budget>(50'000));
+  REQUIRE(server.listen(address).ok());
+  tcp::socket caller(io);
+  caller.connect({asio::ip::make_address(address.ip), address.port});
+  asio::write(caller, asio::buffer(std::string("POST / HTTP/1.1\r\nhost: a\r\n"
+                                               "content-length: 4\r\n\r\nbody")));
+  io.run_for(test_limit);
+  io.restart();
+  REQUIRE(accepted);
+  const auto refused =
+      send_raw(io, address, "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nb");
+  CHECK(refused.find("503") != std::string::npos);
+  CHECK(refused.find("retry-after: 1") != std::string::npos);
+  accepted->respond({200, {}, "ran"});
+  std::string received(1'024, '\0');
+  caller.async_read_some(asio::buffer(received),
+                         [&](const asio::error_code&, std::size_t) { io.stop(); });
+  io.run_for(test_limit);
+  CHECK(received.find("ran") != std::string::npos);
+}
+
 TEST_CASE("a client that disconnects before the response is reported") {
   // Guards against work for disconnected clients.
   asio::io_context io;
