Bound the tasks of open durable jobs

Cause: only the number of open durable jobs was bounded, and one job may have 10,000 tasks.

Change: a submission that would bring the tasks of open durable jobs above 20,000, the limit for jobs that are not stored, is refused before it is stored.

--- a/include/parsleylead/durable/durable_jobs.hpp
+++ b/include/parsleylead/durable/durable_jobs.hpp
@@ -47,6 +47,8 @@
   /// Maximum number of open jobs at one entry: at 10 KB each, a fifth of the memory of a small
   /// host.
   std::size_t max_open_jobs = 4'000;
+  /// Maximum number of tasks of the open jobs at one entry, as for jobs that are not stored.
+  std::size_t max_open_tasks = 20'000;
   /// Clock that is read when the store answers.
   std::function<monotonic_time()> clock = lease_now;
 };
@@ -176,6 +178,9 @@
   static task_progress* find_open_task(partition_state& partition, const task_key& task);
   void count_end(durable_job& job, const run_end& end, bool is_current);
   void close_job(partition_state& partition, std::uint64_t id);
+  /// Counts a job that is open from now on, and one that no longer is.
+  void add_open(const durable_record& record);
+  void remove_open(const durable_record& record);
   durable_answer state_of(const partition_state& partition, std::uint64_t id) const;
   void queue_change(partition_state& partition, store_change change, monotonic_time now,
                     std::chrono::milliseconds delay = {});
@@ -196,6 +201,8 @@
   std::map<partition_number, std::unique_ptr<partition_state>> partitions_;
   std::deque<std::shared_ptr<pending_reply>> pending_replies_;
   std::size_t open_jobs_ = 0;
+  /// Tasks of the open jobs.
+  std::size_t open_tasks_ = 0;
   std::uint64_t next_serial_ = 1;
   std::uint64_t generation_ = 0;
   bool renewing_ = false;
--- a/src/durable/durable_calls.cpp
+++ b/src/durable/durable_calls.cpp
@@ -21,6 +21,14 @@
 constexpr milliseconds holders_refresh_age{1'000};
 constexpr milliseconds max_holders_age{30'000};
 
+std::size_t task_count(const fleet_job& job) {
+  std::size_t tasks = 0;
+  for (const auto& step : job.steps) {
+    tasks += step.count;
+  }
+  return tasks;
+}
+
 /// Returns the epoch whose owner used the attempt.
 std::uint64_t epoch_of_attempt(const durable_record& record, std::uint32_t attempt) {
   return record.first_epoch + (attempt > 0 ? attempt - 1 : 0) / attempts_per_epoch;
@@ -68,9 +76,10 @@
   }
   // While appends fail, a queued submission would only be refused later.
   if (known == partition->jobs.end() &&
-      (open_jobs_ >= settings_.max_open_jobs || partition->append_failing)) {
-    events_.write("job_refused", "job", format_job(id), "open_jobs", open_jobs_, "store_failing",
-                  partition->append_failing);
+      (open_jobs_ >= settings_.max_open_jobs ||
+       open_tasks_ + task_count(job) > settings_.max_open_tasks || partition->append_failing)) {
+    events_.write("job_refused", "job", format_job(id), "open_jobs", open_jobs_, "open_tasks",
+                  open_tasks_, "store_failing", partition->append_failing);
     done(durable_answer::refused);
     return;
   }
@@ -83,8 +92,8 @@
   if (!added) {
     return; // A repeated submission, before the store has answered.
   }
-  ++open_jobs_;
   added_job.record.job = std::move(job);
+  add_open(added_job.record);
   added_job.record.first_epoch = partition->epoch;
   added_job.record.progress = empty_progress(added_job.record.job);
   queue_change(*partition,
@@ -102,7 +111,7 @@
                       start_job(*current, stored_job);
                     }
                   } else {
-                    --open_jobs_;
+                    remove_open(stored_job.record);
                     current->jobs.erase(id);
                   }
                   events_.write(stored ? "job_accepted" : "job_refused", "job", format_job(id),
@@ -174,6 +183,16 @@
   return progress;
 }
 
+void durable_jobs::add_open(const durable_record& record) {
+  ++open_jobs_;
+  open_tasks_ += task_count(record.job);
+}
+
+void durable_jobs::remove_open(const durable_record& record) {
+  --open_jobs_;
+  open_tasks_ -= task_count(record.job);
+}
+
 /// Ends a job whose result has been stored.
 void durable_jobs::close_job(partition_state& partition, std::uint64_t id) {
   auto& job = partition.jobs.at(id);
@@ -183,7 +202,7 @@
   if (job.record.ended) {
     return;
   }
-  --open_jobs_;
+  remove_open(job.record);
   job.record.progress = final_progress(partition, job.record);
   job.record.job = {};
   job.record.ended = job.pending_verdict;
--- a/src/durable/durable_jobs.cpp
+++ b/src/durable/durable_jobs.cpp
@@ -192,7 +192,9 @@
     if (job.running) {
       port_.drop_job(id);
     }
-    open_jobs_ -= job.record.ended ? 0 : 1;
+    if (!job.record.ended) {
+      remove_open(job.record);
+    }
     for (const auto& submitter : job.submitters) {
       // A submission that was never sent cannot take effect.
       submitter->answer(sent_jobs.contains(id) ? sent_submissions : durable_answer::refused);
@@ -366,8 +368,9 @@
     durable_job job;
     job.stored = true;
     job.record = std::move(*parsed);
-    open_jobs_ += job.record.ended ? 0 : 1;
-    if (job.record.ended) {
+    if (!job.record.ended) {
+      add_open(job.record);
+    } else {
       partition.ended.emplace_back(now_ + settings_.ended_retention, key->job);
     }
     partition.jobs.emplace(key->job, std::move(job));
