Correct the test of the bound on tasks of durable jobs

Cause: the test added with the bound did not compile.

Change: the test calls the owner of its fixture.

--- a/src/durable/durable_jobs_test.cpp
+++ b/src/durable/durable_jobs_test.cpp
@@ -147,11 +147,11 @@
 TEST_CASE_FIXTURE(first_owner, "the tasks of open jobs are bounded") {
   // Guards against few jobs of very many tasks that exhaust the memory.
   constexpr std::uint32_t most_tasks = 10'000;
-  CHECK(submit(make_job(job_id, most_tasks)) == durable_answer::accepted);
-  CHECK(submit(make_job(job_id + 1, most_tasks)) == durable_answer::accepted);
-  CHECK(submit(make_job(job_id + 2, 1)) == durable_answer::refused);
-  CHECK(cancel() == durable_answer::cancelled);
-  CHECK(submit(make_job(job_id + 2, 1)) == durable_answer::accepted);
+  CHECK(one.submit(make_job(job_id, most_tasks)) == durable_answer::accepted);
+  CHECK(one.submit(make_job(job_id + 1, most_tasks)) == durable_answer::accepted);
+  CHECK(one.submit(make_job(job_id + 2, 1)) == durable_answer::refused);
+  CHECK(one.cancel() == durable_answer::cancelled);
+  CHECK(one.submit(make_job(job_id + 2, 1)) == durable_answer::accepted);
 }
 
 TEST_CASE_FIXTURE(first_owner, "a job whose id is zero is stored like any other") {
