Explain where a job would be placed, without submitting it

parsleyctl explain asks an entry, at its metrics address, what it would do with a submission now. The choice of a worker and its explanation share one assessment, so that they cannot differ.

--- a/cmd/parsleyctl/main.cpp
+++ b/cmd/parsleyctl/main.cpp
@@ -1,7 +1,9 @@
 #include <algorithm>
 #include <cstdlib>
+#include <fstream>
 #include <gflags/gflags.h>
 #include <iostream>
+#include <iterator>
 
 #include "parsleylead/base/error.hpp"
 #include "parsleylead/operate/catalogue_file.hpp"
@@ -10,6 +12,7 @@
 #include "parsleylead/platform_log/http_log_service.hpp"
 #include "parsleylead/tool/command_line.hpp"
 #include "parsleylead/tool/exit_code.hpp"
+#include "parsleylead/tool/http_client.hpp"
 
 DEFINE_string(log, "", "Address ip:port of the platform's log");
 DEFINE_string(entries, "", "Operations addresses ip:port,... of entries or agents");
@@ -17,6 +20,9 @@
 DEFINE_bool(prune, false, "Also remove kinds and owners that are not in the file (publish, diff)");
 DEFINE_uint64(offset, 0, "Offset to wait for (wait)");
 DEFINE_double(timeout_s, 10, "Timeout in seconds (wait, and changes whose append got no reply)");
+DEFINE_string(entry, "", "Metrics address ip:port of an entry (explain)");
+DEFINE_string(host, "", "Host header of the request (explain)");
+DEFINE_string(path, "", "Path of the request (explain)");
 DEFINE_bool(json, false, "Print JSON");
 
 namespace parsleylead {
@@ -47,6 +53,9 @@
   parsleyctl account --entries ip:port,...
   parsleyctl members --entries ip:port,...
       Shows the page of each process.
+  parsleyctl explain FILE --entry ip:port --host HOST --path PATH
+      Shows where the job of FILE, the body of a submission, would go now if it were posted to PATH
+      at HOST, and why. Submits nothing.
 
 --json prints JSON. --log is the address of the platform's log; --entries are operations addresses.
 Exit codes: 0 success; 1 refused or conflict; 2 usage error; 3 unreachable; 4 timed out.
@@ -226,6 +235,31 @@
   return wait_command(*processes);
 }
 
+exit_code explain_command(const std::string& path) {
+  const auto entry = parse_endpoint(FLAGS_entry);
+  if (!entry.ok()) {
+    return usage_error("--entry: " + std::string(entry.status().message()));
+  }
+  std::ifstream file(path);
+  const std::string submission{std::istreambuf_iterator<char>(file), {}};
+  const auto request = make_explanation_request(FLAGS_host, FLAGS_path, submission);
+  if (!request.ok()) {
+    return usage_error(path + ": " + std::string(request.status().message()));
+  }
+  http_client client(*entry);
+  const auto response = client.send({"POST", "/explain", *request, {}});
+  if (!response.ok()) {
+    return report_error(response.status());
+  }
+  if (response->status != 200) {
+    std::cerr << "parsleyctl: the entry responded with " << response->status << ": "
+              << response->body << '\n';
+    return exit_code::refused;
+  }
+  std::cout << show_explanation(response->body, format());
+  return exit_code::success;
+}
+
 bool is_one_of(const std::string& name, const std::vector<std::string_view>& names) {
   return std::find(names.begin(), names.end(), name) != names.end();
 }
@@ -236,7 +270,7 @@
   }
   const auto& command = arguments.front();
   const bool takes_argument =
-      is_one_of(command, {"validate", "publish", "diff", "drain", "undrain"});
+      is_one_of(command, {"validate", "publish", "diff", "drain", "undrain", "explain"});
   const bool takes_none = is_one_of(command, {"show", "history", "wait", "account", "members"});
   if (!takes_argument && !takes_none) {
     return usage_error("unknown command \"" + command + "\"");
@@ -247,6 +281,9 @@
   if (command == "validate") {
     return validate_command(arguments.at(1));
   }
+  if (command == "explain") {
+    return explain_command(arguments.at(1));
+  }
   if (is_one_of(command, {"wait", "account", "members"})) {
     return entries_command(command);
   }
--- a/include/parsleylead/fleet/fleet_entry.hpp
+++ b/include/parsleylead/fleet/fleet_entry.hpp
@@ -101,6 +101,8 @@
     return scheduler_.waiting_jobs(queue);
   }
   bool has_worker() const { return scheduler_.has_worker(); }
+  /// See `fleet_scheduler::explain`.
+  placement_explanation explain(const fleet_job& job) const;
   const fleet_member& self() const { return self_; }
 
 private:
--- a/include/parsleylead/fleet/fleet_scheduler.hpp
+++ b/include/parsleylead/fleet/fleet_scheduler.hpp
@@ -16,6 +16,7 @@
 #include "parsleylead/fleet/crash_history.hpp"
 #include "parsleylead/fleet/fleet_frame.hpp"
 #include "parsleylead/fleet/fleet_job.hpp"
+#include "parsleylead/fleet/placement_explanation.hpp"
 #include "parsleylead/fleet/run_types.hpp"
 #include "parsleylead/fleet/worker_search.hpp"
 
@@ -216,6 +217,9 @@
   /// Describes this entry's view of each worker in one line, for the log.
   std::string describe_workers() const;
   bool has_worker() const;
+  /// Describes what `submit` would do with the job now, and where its tasks would go. Changes
+  /// nothing. Precondition: the job is not durable and has at least one step.
+  placement_explanation explain(const fleet_job& job, monotonic_time now) const;
 
 private:
   struct worker;
@@ -229,6 +233,10 @@
     double run_ms = 0;
   };
 
+  /// Returns the job with its objective and deadline. Does not add it.
+  std::unique_ptr<job> make_job(fleet_job spec, monotonic_time now) const;
+  /// Returns why the job would be refused now, if it would.
+  std::optional<job_cause> refusal_of(const job& submitted, monotonic_time now) const;
   task* find_task(const run_id& run, worker_index placed_on);
   /// Returns whether the worker is in reach and takes tasks.
   static bool is_usable(const worker& candidate);
@@ -273,6 +281,12 @@
   double run_time_ms(const worker& candidate, const job_step& step) const;
   std::optional<placement> choose_worker(const job& open_job, std::uint32_t step,
                                          const task& waiting);
+  /// Whether the step's tasks may use only quarantined workers, or only others; empty for all.
+  std::optional<bool> allowed_quarantine(const job& open_job, std::uint32_t step) const;
+  worker_exclusion exclusion_of(worker_index index, const job& open_job, std::uint32_t step,
+                                std::optional<bool> quarantined) const;
+  worker_assessment assess(worker_index index, const job& open_job, std::uint32_t step,
+                           const task& waiting, std::optional<bool> quarantined) const;
   std::optional<placement> choose_isolated_worker(const job& open_job, std::uint32_t step,
                                                   const task& waiting) const;
   void place_ready(job& open_job, placement_pass& pass, monotonic_time now);
--- a/include/parsleylead/operate/operations_client.hpp
+++ b/include/parsleylead/operate/operations_client.hpp
@@ -33,6 +33,12 @@
 std::vector<catalogue_position> read_positions(const std::vector<endpoint>& processes,
                                                const page_reader& read);
 
+/// Returns the body of a request for an entry's explanation of what it would do with a submission.
+/// Errors: kInvalidArgument if the submission is not a JSON document. Thread-safe.
+absl::StatusOr<std::string> make_explanation_request(const std::string& host,
+                                                     const std::string& path,
+                                                     const std::string& submission);
+
 struct wait_options {
   std::uint64_t offset = 0;
   std::chrono::milliseconds timeout{10'000};
--- a/include/parsleylead/operate/show.hpp
+++ b/include/parsleylead/operate/show.hpp
@@ -31,4 +31,7 @@
 /// Shows the pages of processes; as text, one line "a.b: value" for each field of a page.
 std::string show_pages(const std::vector<process_page>& pages, output_format format);
 
+/// Shows the explanation that an entry gave, a JSON document: see docs/OPERATIONS.md.
+std::string show_explanation(const std::string& explanation, output_format format);
+
 } // namespace parsleylead
--- a/src/fleet/fleet_entry.cpp
+++ b/src/fleet/fleet_entry.cpp
@@ -209,6 +209,10 @@
   flush_soon_();
 }
 
+placement_explanation fleet_entry::explain(const fleet_job& job) const {
+  return scheduler_.explain(job, lease_now());
+}
+
 void fleet_entry::tick() {
   const auto now = lease_now();
   const auto before = std::exchange(last_tick_, now);
--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -31,18 +31,14 @@
   return jobs_.contains(id);
 }
 
-void fleet_scheduler::submit(fleet_job spec, monotonic_time now) {
-  check_invariant(!jobs_.contains(spec.id), "entry: a job with this id is already open");
-  if (first_submission_ == monotonic_time{}) {
-    first_submission_ = now;
-  }
+std::unique_ptr<fleet_scheduler::job> fleet_scheduler::make_job(fleet_job spec,
+                                                                monotonic_time now) const {
   auto created = std::make_unique<job>();
   auto& open_job = *created;
   open_job.arrived = now;
   open_job.deadline = spec.ownership ? monotonic_time::max() : now + spec.answer_timeout;
   open_job.spec = std::move(spec);
   open_job.queue = queue_hash(open_job.spec.terms.queue);
-  last_submissions_[open_job.spec.terms.service][open_job.spec.terms.queue] = now;
   open_job.critical_path = critical_path(open_job.spec.steps);
   for (const auto& step : open_job.spec.steps) {
     open_job.tasks.emplace_back(step.count);
@@ -56,6 +52,17 @@
   open_job.result.objective = objective;
   open_job.objective = now + objective;
   open_job.late_limit = now + std::chrono::round<milliseconds>(objective * policy_.late_factor);
+  return created;
+}
+
+void fleet_scheduler::submit(fleet_job spec, monotonic_time now) {
+  check_invariant(!jobs_.contains(spec.id), "entry: a job with this id is already open");
+  if (first_submission_ == monotonic_time{}) {
+    first_submission_ = now;
+  }
+  auto created = make_job(std::move(spec), now);
+  auto& open_job = *created;
+  last_submissions_[open_job.spec.terms.service][open_job.spec.terms.queue] = now;
   jobs_.emplace(open_job.spec.id, std::move(created));
   if (open_job.is_durable()) {
     restore_progress(open_job);
--- a/src/fleet/fleet_scheduler_placement.cpp
+++ b/src/fleet/fleet_scheduler_placement.cpp
@@ -102,59 +102,109 @@
   if (waiting.is_to_be_isolated()) {
     return choose_isolated_worker(open_job, step_number, waiting);
   }
-  const auto& step = open_job.spec.steps[step_number];
-  const bool some_confined = confined_queues_.contains(open_job.spec.terms.service);
-  const bool confined = some_confined && is_confined(open_job.spec.terms);
-  // Accepted jobs and those of other queues may cross the quarantine if nobody else can run them.
-  const bool may_cross = !confined || open_job.is_durable();
-  const bool restricted =
-      some_confined && (!may_cross || has_suitable_worker(open_job, step_number, confined));
+  const auto allowed = allowed_quarantine(open_job, step_number);
   std::optional<placement> best;
   double best_score = std::numeric_limits<double>::max();
   std::uniform_real_distribution<double> jitter(0.0, score_jitter);
   for (worker_index index = 0; index < workers_.size(); ++index) {
-    const auto& candidate = *workers_[index];
-    if (!candidate.connected || !can_run(candidate, open_job, step_number) ||
-        (restricted && candidate.quarantined != confined)) {
-      continue;
-    }
-    const double capacity = candidate.status.description.capacity.cpu_millis;
-    const double free = free_cpu(candidate);
-    if (step.needs.cpu_millis > free) {
+    const auto assessed = assess(index, open_job, step_number, waiting, allowed);
+    if (assessed.exclusion != worker_exclusion::none) {
       continue;
     }
-    if (step.max_per_worker > 0) {
-      const auto tasks_on_worker = std::count_if(
-          open_job.tasks[step_number].begin(), open_job.tasks[step_number].end(),
-          [&](const task& other) {
-            return other.current_state == task::state::placed && other.worker == index;
-          });
-      if (tasks_on_worker >= step.max_per_worker) {
-        continue;
-      }
-    }
-    if (candidate.status.cold &&
-        capacity - free + step.needs.cpu_millis > policy_.cold_capacity_share * capacity) {
-      continue;
-    }
-    const double run_ms = run_time_ms(candidate, step);
-    const double load = 1.0 - free / capacity;
-    double score = run_ms * (1.0 + load_weight * load + jitter(random_));
-    score += candidate.remote ? policy_.remote_round_trip.count() : 0.0;
-    const bool avoided = std::find(waiting.avoided_workers.begin(), waiting.avoided_workers.end(),
-                                   index) != waiting.avoided_workers.end();
-    if (avoided || candidate.status.failure_share > policy_.max_failure_share) {
-      score += avoided_penalty_ms;
-    }
-    score += candidate.status.cold ? cold_penalty_ms : 0.0;
+    const double score = assessed.score + assessed.run_time.count() * jitter(random_);
     if (score < best_score) {
       best_score = score;
-      best = placement{index, run_ms};
+      best = placement{index, assessed.run_time.count()};
     }
   }
   return best;
 }
 
+std::optional<bool> fleet_scheduler::allowed_quarantine(const job& open_job,
+                                                        std::uint32_t step) const {
+  if (!confined_queues_.contains(open_job.spec.terms.service)) {
+    return std::nullopt;
+  }
+  const bool confined = is_confined(open_job.spec.terms);
+  // Accepted jobs and those of other queues may cross the quarantine if nobody else can run them.
+  const bool may_cross = !confined || open_job.is_durable();
+  if (may_cross && !has_suitable_worker(open_job, step, confined)) {
+    return std::nullopt;
+  }
+  return confined;
+}
+
+worker_exclusion fleet_scheduler::exclusion_of(worker_index index, const job& open_job,
+                                               std::uint32_t step_number,
+                                               std::optional<bool> quarantined) const {
+  const auto& candidate = *workers_[index];
+  const auto& status = candidate.status;
+  if (!candidate.connected) {
+    return worker_exclusion::no_session;
+  }
+  if (!status.present) {
+    return worker_exclusion::unreachable;
+  }
+  if (candidate.evacuated) {
+    return worker_exclusion::zone_evacuated;
+  }
+  if (!status.accepting) {
+    return worker_exclusion::not_accepting;
+  }
+  const auto& step = open_job.spec.steps[step_number];
+  if (!is_suitable(candidate, open_job, step_number)) {
+    return status.description.service != open_job.spec.terms.service
+               ? worker_exclusion::other_service
+           : fits(step.needs, {}, status.description.capacity) ? worker_exclusion::lacks_label
+                                                               : worker_exclusion::too_small;
+  }
+  if (quarantined && candidate.quarantined != *quarantined) {
+    return worker_exclusion::quarantine;
+  }
+  const double free = free_cpu(candidate);
+  if (step.needs.cpu_millis > free) {
+    return worker_exclusion::no_free_cpu;
+  }
+  if (step.max_per_worker > 0) {
+    const auto& tasks = open_job.tasks[step_number];
+    const auto tasks_on_worker = std::count_if(tasks.begin(), tasks.end(), [&](const task& other) {
+      return other.current_state == task::state::placed && other.worker == index;
+    });
+    if (tasks_on_worker >= step.max_per_worker) {
+      return worker_exclusion::worker_limit;
+    }
+  }
+  const double capacity = status.description.capacity.cpu_millis;
+  if (status.cold &&
+      capacity - free + step.needs.cpu_millis > policy_.cold_capacity_share * capacity) {
+    return worker_exclusion::cold;
+  }
+  return worker_exclusion::none;
+}
+
+worker_assessment fleet_scheduler::assess(worker_index index, const job& open_job,
+                                          std::uint32_t step, const task& waiting,
+                                          std::optional<bool> quarantined) const {
+  worker_assessment assessed;
+  assessed.exclusion = exclusion_of(index, open_job, step, quarantined);
+  if (assessed.exclusion != worker_exclusion::none) {
+    return assessed;
+  }
+  const auto& candidate = *workers_[index];
+  const double run_ms = run_time_ms(candidate, open_job.spec.steps[step]);
+  const double load = 1.0 - free_cpu(candidate) / candidate.status.description.capacity.cpu_millis;
+  assessed.run_time = double_ms{run_ms};
+  assessed.score = run_ms * (1.0 + load_weight * load);
+  assessed.score += candidate.remote ? policy_.remote_round_trip.count() : 0.0;
+  const bool avoided = std::find(waiting.avoided_workers.begin(), waiting.avoided_workers.end(),
+                                 index) != waiting.avoided_workers.end();
+  if (avoided || candidate.status.failure_share > policy_.max_failure_share) {
+    assessed.score += avoided_penalty_ms;
+  }
+  assessed.score += candidate.status.cold ? cold_penalty_ms : 0.0;
+  return assessed;
+}
+
 std::optional<fleet_scheduler::placement>
 fleet_scheduler::choose_isolated_worker(const job& open_job, std::uint32_t step,
                                         const task& waiting) const {
--- a/src/operate/operations_client.cpp
+++ b/src/operate/operations_client.cpp
@@ -102,4 +102,14 @@
   }
 }
 
+absl::StatusOr<std::string> make_explanation_request(const std::string& host,
+                                                     const std::string& path,
+                                                     const std::string& submission) {
+  auto parsed = nlohmann::json::parse(submission, nullptr, false);
+  if (parsed.is_discarded()) {
+    return absl::InvalidArgumentError("not a JSON document");
+  }
+  return nlohmann::json{{"host", host}, {"path", path}, {"submission", std::move(parsed)}}.dump();
+}
+
 } // namespace parsleylead
--- a/src/operate/show.cpp
+++ b/src/operate/show.cpp
@@ -241,4 +241,37 @@
   return format == output_format::json ? dump(objects) : text;
 }
 
+std::string show_explanation(const std::string& explanation, output_format format) {
+  const auto root = json::parse(explanation, nullptr, false);
+  if (format == output_format::json || !root.is_object()) {
+    return explanation + "\n";
+  }
+  const auto refusal = root.value("refusal", json());
+  auto text = fmt::format(
+      "route {}, service {}, priority {}\n"
+      "objective {} ms, work {} ms, expected wait {} ms behind {} waiting tasks\n{}\n",
+      root.value("route", ""), root.value("service", ""), root.value("priority", 0),
+      root.value("objective_ms", 0), root.value("critical_path_ms", 0),
+      root.value("expected_wait_ms", 0), root.value("waiting_tasks", 0),
+      refusal.is_string()             ? "refused: " + refusal.get<std::string>()
+      : root.value("searches", false) ? std::string("accepted; the entry searches for workers")
+                                      : std::string("accepted"));
+  std::size_t number = 0;
+  for (const auto& step : root.value("steps", json::array())) {
+    text += fmt::format("step {}\n", number++);
+    for (const auto& worker : step.value("workers", json::array())) {
+      const auto excluded = worker.value("excluded", "");
+      text += fmt::format("  {:<24} {:<16} free {:>6.0f} of {:>6} mCPU, slowdown {:.2f}: {}\n",
+                          worker.value("agent", ""), worker.value("availability_zone", ""),
+                          worker.value("free_cpu_millis", 0.0),
+                          worker.value("capacity_cpu_millis", 0), worker.value("slowdown", 1.0),
+                          excluded.empty()
+                              ? fmt::format("score {:.1f}, run {:.0f} ms",
+                                            worker.value("score", 0.0), worker.value("run_ms", 0.0))
+                              : "excluded: " + excluded);
+    }
+  }
+  return text;
+}
+
 } // namespace parsleylead
