--- a/include/parsleylead/fleet/fleet_entry.hpp
+++ b/include/parsleylead/fleet/fleet_entry.hpp
@@ -107,6 +107,8 @@
   /// `entry_readiness`.
   bool is_ready() const { return readiness_.is_ready() && has_worker(); }
   std::size_t usable_workers() const { return scheduler_.usable_workers(); }
+  /// See `fleet_scheduler::explain`.
+  placement_explanation explain(const fleet_job& job) const;
   const fleet_member& self() const { return self_; }
 
 private:
--- a/src/fleet/fleet_entry.cpp
+++ b/src/fleet/fleet_entry.cpp
@@ -225,6 +225,10 @@
   return agent || knows_evacuations_ ? evacuations_.state() : std::nullopt;
 }
 
+placement_explanation fleet_entry::explain(const fleet_job& job) const {
+  return scheduler_.explain(job, lease_now());
+}
+
 void fleet_entry::tick() {
   const auto now = lease_now();
   const auto before = std::exchange(last_tick_, now);
