Correct the linter's findings in the test of misbehaving clients

Change: products of int constants are computed as std::size_t, and a shared pointer is passed by reference. Cases, crowds and bounds are the same.

--- a/tests/clients/client_site.cpp
+++ b/tests/clients/client_site.cpp
@@ -146,7 +146,7 @@
   }
 }
 
-void client_site::submit(milliseconds work, std::shared_ptr<int> status) {
+void client_site::submit(milliseconds work, const std::shared_ptr<int>& status) {
   const json step{{"count", 1}, {"cpu", 1'000}, {"mem_mb", 64}, {"estimate_ms", work.count()}};
   const json body{{"spec", std::to_string(work.count()) + " 1000"},
                   {"best_effort", true},
--- a/tests/clients/client_site.hpp
+++ b/tests/clients/client_site.hpp
@@ -36,7 +36,7 @@
   void run_for(std::chrono::milliseconds time);
   /// Submits a job whose task runs for `work`. `*status` becomes the status of its answer, or -1 if
   /// there is none.
-  void submit(std::chrono::milliseconds work, std::shared_ptr<int> status);
+  void submit(std::chrono::milliseconds work, const std::shared_ptr<int>& status);
   /// Submits short jobs until one is answered with 200. Returns whether one was.
   bool serves_job(std::chrono::milliseconds limit);
   /// Samples the descriptors and returns a description of each bound that has been exceeded.
--- a/tests/clients/crowd.cpp
+++ b/tests/clients/crowd.cpp
@@ -89,7 +89,7 @@
   std::optional<tcp::socket> socket_;
   asio::steady_timer write_timer_;
   asio::steady_timer read_timer_;
-  std::array<char, 64 * 1024> read_buffer_{};
+  std::array<char, std::size_t{64} * 1024> read_buffer_{};
   std::size_t sent_ = 0;
   std::size_t generation_ = 0;
 };
--- a/tests/clients/main.cpp
+++ b/tests/clients/main.cpp
@@ -32,7 +32,7 @@
 constexpr milliseconds job_in_progress_work{3'000};
 constexpr milliseconds recovery_limit{10'000};
 
-constexpr std::size_t legal_body_bytes = 256 * 1024;
+constexpr std::size_t legal_body_bytes = std::size_t{256} * 1024;
 constexpr std::size_t missing_bytes = 10;
 
 struct client_case {
@@ -77,7 +77,7 @@
 void add_bodies(std::vector<client_case>& cases, const std::string& place, target address,
                 const std::string& path) {
   const auto whole = with_length(path, legal_body_bytes, legal_body_bytes - missing_bytes);
-  constexpr std::size_t piece_bytes = 4 * 1024;
+  constexpr std::size_t piece_bytes = std::size_t{4} * 1024;
   cases.push_back({"stalled body, " + place, address, crowd_size, {whole}});
   cases.push_back({"stalled body in pieces, " + place,
                    address,
