Let jobs that can wait run after late ones that are more urgent

The check of the order at 100 ms is replaced by two, before and after the large job can no longer wait.

--- a/include/parsleylead/overload/job_demand.hpp
+++ b/include/parsleylead/overload/job_demand.hpp
@@ -37,9 +37,10 @@
 /// Thread-safe.
 bool can_be_useful(const job_demand& job, monotonic_time now);
 
-/// Order of waiting jobs, a strict weak ordering for a fixed `now`: jobs that can be on time, then
-/// those that are late and still useful, then those that are of no use; within each group by
-/// priority, then by objective. Thread-safe.
+/// Order of waiting jobs, a strict weak ordering for a fixed `now`: jobs that have to run now to be
+/// on time, then those that are late and still useful, then those that are on time even if they
+/// wait, then those that are of no use; within each group by priority, then by objective.
+/// Thread-safe.
 bool runs_before(const job_demand& a, const job_demand& b, monotonic_time now);
 
 } // namespace parsleylead
--- a/src/overload/overload_test.cpp
+++ b/src/overload/overload_test.cpp
@@ -39,7 +39,9 @@
   const auto urgent = demand(1, 0, 140, 400);
   const auto large = demand(2, 2, 1'300, 21'000, 760);
   CHECK(runs_before(urgent, large, at_ms(0)));
-  CHECK(runs_before(large, urgent, at_ms(100)));
+  // Until then the large job is on time even if it waits.
+  CHECK(runs_before(urgent, large, at_ms(100)));
+  CHECK(runs_before(large, urgent, at_ms(170)));
   CHECK(runs_before(urgent, large, at_ms(200)) == false);
   CHECK(can_be_useful(urgent, at_ms(370)));
   CHECK_FALSE(can_be_useful(urgent, at_ms(371)));
