Derive the limits of servers in the module web

The adapter decided how the memory and the descriptors of a process are divided. It now passes on what the host grants, and process_limits derives the limits. No limit changes; the tests only name the type.

--- a/platform/client_limits.cpp
+++ b/src/web/process_limits.cpp
@@ -1,8 +1,8 @@
-#include "client_limits.hpp"
+#include "parsleylead/web/process_limits.hpp"
 
 #include <algorithm>
 
-namespace parsleylead::platform {
+namespace parsleylead {
 namespace {
 
 // The rest of the memory is for the program itself (13 MB with 600 connections), jobs, links, and
@@ -19,14 +19,14 @@
 
 } // namespace
 
-std::size_t connection_memory_bytes(const host_settings& settings) {
+std::size_t connection_memory_bytes(const process_limits& process) {
   constexpr std::size_t bytes_per_mb = std::size_t{1024} * 1024;
-  return settings.memory_mb * bytes_per_mb / connections_share;
+  return process.memory_mb * bytes_per_mb / connections_share;
 }
 
-web_server_limits limits_of_server(const host_settings& settings, server_role role) {
+web_server_limits limits_of_server(const process_limits& process, server_role role) {
   const auto available =
-      settings.max_descriptors - std::min(settings.max_descriptors, file_descriptors);
+      process.max_descriptors - std::min(process.max_descriptors, file_descriptors);
   const auto connections = std::max(available - std::min(max_reserved_descriptors, available / 2),
                                     min_caller_connections);
   web_server_limits limits;
@@ -45,4 +45,4 @@
   return limits;
 }
 
-} // namespace parsleylead::platform
+} // namespace parsleylead
