Start a child process completely before the harness goes on

A forked process holds copies of the harness's listening sockets until its program starts; a relay that stopped listening meanwhile could not bind its port again. Change: child_process returns once the program has started, seen by the end of a pipe.

--- a/tests/faults/child_process.cpp
+++ b/tests/faults/child_process.cpp
@@ -5,6 +5,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <array>
+#include <cerrno>
 #include <csignal>
 #include <stdexcept>
 #include <thread>
@@ -51,11 +53,23 @@
     arguments.push_back(text.data());
   }
   arguments.push_back(nullptr);
+  // The program's start closes the child's copy of the writing end. Until then the child also holds
+  // copies of the parent's listening sockets: their ports could not be bound again.
+  std::array<int, 2> until_exec{};
+  if (pipe2(until_exec.data(), O_CLOEXEC) != 0) {
+    close(output);
+    throw std::runtime_error("cannot create a pipe");
+  }
   id_ = fork();
   if (id_ == 0) {
     exec_child(arguments.data(), output);
   }
   close(output);
+  close(until_exec[1]);
+  char none = 0;
+  while (read(until_exec[0], &none, 1) < 0 && errno == EINTR) {
+  }
+  close(until_exec[0]);
   if (id_ < 0) {
     throw std::runtime_error("cannot start " + command.front());
   }
--- a/tests/soak/relay_test.cpp
+++ b/tests/soak/relay_test.cpp
@@ -11,6 +11,8 @@
 #include <utility>
 #include <vector>
 
+#include "../faults/child_process.hpp"
+
 namespace parsleylead::standin {
 namespace {
 
@@ -102,6 +104,20 @@
   CHECK_FALSE(read(open).has_value());
 }
 
+// The soak ended with "bind: Address already in use" when a relay stopped listening after a process
+// had been forked that had not yet started its program, and so still held the listening socket.
+TEST_CASE_FIXTURE(relay_fixture, "a relay refuses connections right after a process was started") {
+  for (int round = 0; round < 10; ++round) {
+    faults::child_process started({"/bin/sleep", "60"}, "/dev/null");
+    CHECK_NOTHROW(proxy.refuse_connections());
+    tcp::socket refused(io);
+    CHECK(connect(refused) == asio::error::connection_refused);
+    CHECK_NOTHROW(proxy.heal());
+    tcp::socket next(io);
+    CHECK(!connect(next));
+  }
+}
+
 TEST_CASE_FIXTURE(relay_fixture, "a relay that accepts without an answer closes connections") {
   proxy.refuse_all();
   tcp::socket closed(io);
