Keep decisions out of the adapter, and check requests for explanations

Found by reading the diff: the adapter chose the share of descriptors for sessions and the memory of a job, which are now functions of the modules that use them. Tests cover the request and its output, which had none.

--- a/include/parsleylead/fleet/fleet_job.hpp
+++ b/include/parsleylead/fleet/fleet_job.hpp
@@ -99,6 +99,9 @@
   std::optional<job_ownership> ownership;
 };
 
+/// Returns the approximate memory that the job holds while it is open, in bytes. Thread-safe.
+std::size_t memory_of(const fleet_job& job);
+
 /// Result of a job as its caller sees it.
 enum class job_verdict : std::uint8_t {
   completed,
--- a/include/parsleylead/fleet/reach_monitor.hpp
+++ b/include/parsleylead/fleet/reach_monitor.hpp
@@ -42,6 +42,10 @@
   std::chrono::milliseconds overload_time{1'000};
 };
 
+/// Returns the settings for a process that may have this many descriptors. The rest of them is for
+/// callers, links to other entries and files. Thread-safe.
+reach_settings limit_sessions(reach_settings settings, std::size_t max_descriptors);
+
 /// CPU of the usable workers in reach that meet a requirement, in thousandths of a CPU. Counts only
 /// multiples of the CPU that the requirement needs.
 struct cpu_in_reach {
--- a/src/fleet/fleet_job.cpp
+++ b/src/fleet/fleet_job.cpp
@@ -37,4 +37,14 @@
   return std::binary_search(attempts.begin(), attempts.end(), attempt);
 }
 
+std::size_t memory_of(const fleet_job& job) {
+  constexpr std::size_t bytes_per_task = 100;
+  std::size_t bytes = sizeof(job) + job.payload.size();
+  for (const auto& step : job.steps) {
+    bytes += sizeof(step) + step.depends_on.size() * sizeof(step.depends_on.front()) +
+             step.count * bytes_per_task;
+  }
+  return bytes;
+}
+
 } // namespace parsleylead
--- a/src/fleet/reach_monitor.cpp
+++ b/src/fleet/reach_monitor.cpp
@@ -10,9 +10,17 @@
 // Later attempts of `worker_search` go to all other entries, since tasks wait for their effect.
 // These requests go to few, so that all entries of a full site may make them.
 constexpr std::uint32_t max_attempt = 2;
+// Share of the descriptors of a process that sessions may use.
+constexpr std::size_t descriptors_per_session = 16;
 
 } // namespace
 
+reach_settings limit_sessions(reach_settings settings, std::size_t max_descriptors) {
+  settings.max_sessions =
+      std::min(settings.max_sessions, max_descriptors / descriptors_per_session);
+  return settings;
+}
+
 void reach_monitor::advance_window(shape& each, monotonic_time now) const {
   const auto passed = now - each.window_start;
   if (passed < settings_.arrival_window) {
--- a/src/operate/operate_test.cpp
+++ b/src/operate/operate_test.cpp
@@ -143,5 +143,25 @@
   CHECK(same_offset.diverged == std::vector<std::string>{"e1", "e2"});
 }
 
+TEST_CASE("operate: an explanation names the worker, the reasons and the refusal") {
+  // Guards against an explanation that shows an excluded worker as usable, or hides a refusal.
+  const std::string explanation =
+      R"({"route":"q","service":"desk","priority":1,"objective_ms":140,"critical_path_ms":50,)"
+      R"("expected_wait_ms":30,"waiting_tasks":4,"searches":false,"refusal":"zone_evacuated",)"
+      R"("steps":[{"workers":[{"agent":"side-1","availability_zone":"z","run_ms":50,"score":55.5,)"
+      R"("free_cpu_millis":2000,"capacity_cpu_millis":8000,"slowdown":1.0},)"
+      R"({"agent":"side-2","availability_zone":"z","excluded":"zone_evacuated",)"
+      R"("free_cpu_millis":8000,"capacity_cpu_millis":8000,"slowdown":1.0}]}]})";
+  const auto text = show_explanation(explanation, output_format::text);
+  CHECK(text.find("refused: zone_evacuated") != std::string::npos);
+  CHECK(text.find("score 55.5, run 50 ms") != std::string::npos);
+  CHECK(text.find("excluded: zone_evacuated") != std::string::npos);
+  CHECK(show_explanation(explanation, output_format::json) == explanation + "\n");
+  CHECK_FALSE(make_explanation_request("h", "/p", "{").ok());
+  const auto request = make_explanation_request("h", "/p", R"({"spec":"x"})");
+  REQUIRE(request.ok());
+  CHECK(nlohmann::json::parse(*request)["submission"]["spec"] == "x");
+}
+
 } // namespace
 } // namespace parsleylead
