--- a/review/lab/site.cpp
+++ b/review/lab/site.cpp
@@ -75,15 +75,14 @@
 }
 
 site::site(const site_shape& shape, const std::string& record)
-    : shape_(shape), network_("127." + std::to_string(40 + getpid() % 150)), record_(record),
-      store_(io_, {}) {
+    : shape_(shape), record_(record), store_(io_, {}) {
   std::signal(SIGPIPE, SIG_IGN);
   const auto base = std::filesystem::temp_directory_path() / "parsleylead-review-XXXXXX";
   folder_ = base.string();
   if (mkdtemp(folder_.data()) == nullptr || !record_) {
     throw std::runtime_error("no folder for the settings, or no record");
   }
-  throw_if_error(store_.listen({ip_of("store"), store_port}));
+  choose_network();
   json routes = json::array();
   for (const auto& each : shape_.queues) {
     routes.push_back({{"name", each.name},
@@ -143,6 +142,20 @@
   }
 }
 
+void site::choose_network() {
+  constexpr int first_network = 40;
+  constexpr int networks = 150;
+  absl::Status listening;
+  for (int i = 0; i < networks; ++i) {
+    network_ = "127." + std::to_string(first_network + (getpid() + i) % networks);
+    listening = store_.listen({ip_of("store"), store_port});
+    if (listening.ok()) {
+      return;
+    }
+  }
+  throw_if_error(listening);
+}
+
 std::string site::ip_of(const std::string& host) const {
   const int kind = host.starts_with("edge") ? 1 : host.starts_with("side") ? 2 : 3;
   const auto dash = host.find('-');
--- a/review/lab/site.hpp
+++ b/review/lab/site.hpp
@@ -106,6 +106,8 @@
     std::chrono::steady_clock::time_point restart_at;
   };
 
+  /// Finds a loopback network that no other run uses.
+  void choose_network();
   std::string address(const std::string& host, std::uint16_t port) const;
   std::string ip_of(const std::string& host) const;
   void add_process(const std::string& role, const std::string& name, std::size_t memory_mb,
--- a/review/lab/worker.cpp
+++ b/review/lab/worker.cpp
@@ -130,13 +130,11 @@
   }
   std::istringstream spec(request["spec"].get<std::string>());
   std::int64_t work_ms = 0;
-  std::uint64_t failing_runs = 0;
-  spec >> work_ms >> failing_runs;
+  spec >> work_ms;
   active_run run;
   run.number = number;
   run.began = steady_clock::now();
   run.ends = run.began + milliseconds(work_ms);
-  run.fails = failures_[task] < failing_runs;
   runs_[task] = run;
   on_event_(shape_.id, task, number, "start");
   return answer(200, nullptr);
@@ -205,7 +203,6 @@
   runs_.erase(task);
   auto& last = last_runs_[task];
   last = std::max(last, number);
-  failures_[task] += how == "failed" ? 1 : 0;
   ends_.push_back({++last_end_, task, number, how});
   on_event_(shape_.id, task, number, how);
 }
@@ -249,7 +246,7 @@
     } else if (run.stopping) {
       ending.emplace_back(task, "stopped");
     } else if (run.ends <= now) {
-      ending.emplace_back(task, run.fails ? "failed" : "done");
+      ending.emplace_back(task, "done");
     }
   }
   for (const auto& [task, how] : ending) {
--- a/review/lab/worker.hpp
+++ b/review/lab/worker.hpp
@@ -28,12 +28,11 @@
 
 /// A worker that does what the platform's pages say: it starts whatever it is told to, holds a
 /// lease for all runs on a clock of its own, lists at most 500 ends that were not taken note of,
-/// and knows nothing of its earlier life after a crash. `spec` begins with the run time in
-/// milliseconds; a second number is the number of runs of each task that end as failed. Used on the
-/// loop's thread only.
+/// and knows nothing of its earlier life after a crash. `spec` is the run time in
+/// milliseconds. Used on the loop's thread only.
 class worker {
 public:
-  /// `event`: "start", "done", "failed", "stopped", "lapsed" or "crashed".
+  /// `event`: "start", "done", "stopped", "lapsed" or "crashed". No run ends as failed.
   using observer = std::function<void(const std::string& worker, const std::string& task,
                                       std::uint64_t run, const std::string& event)>;
 
@@ -58,7 +57,6 @@
     std::uint64_t number = 0;
     time_point began;
     time_point ends;
-    bool fails = false;
     bool stopping = false;
   };
   struct ended_run {
@@ -105,8 +103,6 @@
   std::map<std::string, active_run> runs_;
   /// By task: the highest run that was stopped or has ended.
   std::map<std::string, std::uint64_t> last_runs_;
-  /// By task: runs that have failed, over all lives.
-  std::map<std::string, std::uint64_t> failures_;
   std::vector<ended_run> ends_;
   std::vector<pending_hold> holds_;
 };
