Show a cancelled job that runs on after a hand-over of its partition

After the store has dealt all partitions anew, the earlier owner of a partition answers the cancellation of a job that the next owner has accepted with 410, no such job. The job runs to its end, and tasks of it start more than 3 s after the answer.

The entries of the cases' site start 75 ms apart.

--- a/review/lab/site.cpp
+++ b/review/lab/site.cpp
@@ -10,6 +10,7 @@
 #include <filesystem>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
+#include <thread>
 
 namespace parsleylead::review {
 namespace {
@@ -27,6 +28,8 @@
 constexpr std::uint16_t worker_port = 17'780;
 constexpr std::uint16_t store_port = 17'769;
 constexpr std::size_t client_connections = 16;
+// Machines start within 0.3 s of each other.
+constexpr milliseconds start_interval{75};
 constexpr milliseconds restart_delay{500};
 constexpr milliseconds memory_check_interval{50};
 constexpr milliseconds ready_limit{20'000};
@@ -105,6 +108,7 @@
   for (int i = 0; i < shape_.entries; ++i) {
     const auto name = "edge-" + std::to_string(i + 1);
     add_process("entry", name, shape_.entry_memory_mb, "");
+    std::this_thread::sleep_for(start_interval);
     clients_.push_back(
         std::make_unique<web_client>(io_, endpoint{ip_of(name), callers_port}, client_connections));
   }
@@ -120,6 +124,7 @@
           auto& state = tasks_[task];
           state.running = event == "start";
           state.starts += event == "start" ? 1 : 0;
+          state.last_start = event == "start" ? steady_clock::now() : state.last_start;
           state.done = state.done || event == "done";
           state.failed += event == "failed" ? 1 : 0;
           state.crashed += event == "crashed" ? 1 : 0;
--- a/review/lab/site.hpp
+++ b/review/lab/site.hpp
@@ -46,6 +46,7 @@
   std::uint32_t failed = 0;
   std::uint32_t crashed = 0;
   std::string worker;
+  std::chrono::steady_clock::time_point last_start;
 };
 
 /// A small deployment: the platform's store and workers in this process, entries and agents as
@@ -79,7 +80,7 @@
   std::uint64_t new_job();
   worker& worker_at(std::size_t index) { return *workers_.at(index); }
   std::size_t workers() const { return workers_.size(); }
-  const store& platform_store() const { return store_; }
+  store& platform_store() { return store_; }
   const std::map<std::string, task_state>& tasks() const { return tasks_; }
   task_state task(std::uint64_t job, int step, int index) const;
 
--- a/review/lab/store.hpp
+++ b/review/lab/store.hpp
@@ -35,6 +35,8 @@
   absl::Status listen(const endpoint& address) { return server_.listen(address); }
   /// Writes a record as an operator would.
   void put(const std::string& topic, const std::string& key, const std::string& value);
+  /// Deals all partitions of the group anew, without a request of a member.
+  void reassign_partitions() { group_.reassign_all(std::chrono::steady_clock::now()); }
   /// Number of appends that were refused because of their size.
   std::size_t refused_appends() const { return refused_appends_; }
 
