--- a/review/loopback/lab.py
+++ b/review/loopback/lab.py
@@ -54,25 +54,39 @@
     return lines[0], headers, body
 
 
-async def serve(listen_address, handler):
+class Server:
     """`handler(method, target, headers, body)` returns (status, body)."""
 
-    async def connection(reader, writer):
+    def __init__(self, handler):
+        self.handler = handler
+        self.writers = set()
+        self.listener = None
+
+    async def listen(self, listen_address):
+        ip, port = listen_address.split(":")
+        self.listener = await asyncio.start_server(self.connection, ip, int(port), limit=1 << 22)
+
+    async def connection(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 line, headers, body = await read_message(reader)
                 method, target, _ = line.split(" ")
-                status, reply = await handler(method, target, headers, body)
-                writer.write(b"HTTP/1.1 %d x\r\ncontent-length: %d\r\n\r\n" % (status, len(reply)))
-                writer.write(reply)
+                status, reply = await self.handler(method, target, headers, body)
+                head = "HTTP/1.1 %d x\r\ncontent-length: %d\r\n\r\n" % (status, len(reply))
+                writer.write(head.encode() + reply)
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
-    ip, port = listen_address.split(":")
-    return await asyncio.start_server(connection, ip, int(port), limit=1 << 22)
+    def abort(self):
+        """Refuses connections from now on and resets the open ones."""
+        self.listener.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
 
 
 async def call(server, method, target, body=b"", headers=None, timeout=2.0):
@@ -252,6 +266,10 @@
         self.state = "ready"
         self.on_start = lambda worker, task, run: None
         self.on_end = lambda worker, task, run, how: None
+        self.up = True
+        self.begin_life()
+
+    def begin_life(self):
         self.born = int(time.time() * 1000)
         self.clock_start = time.monotonic()
         self.runs = {}  # task -> [run, end of the work, stopping, begin]
@@ -266,12 +284,26 @@
         return int((time.monotonic() - self.clock_start) * 1000)
 
     async def start(self):
-        await serve(self.address, self.handle)
+        self.server = Server(self.handle)
+        await self.server.listen(self.address)
         self.tasks = [asyncio.ensure_future(self.beat()), asyncio.ensure_future(self.tick())]
 
+    async def crash(self, down_s):
+        """Ends all runs; the worker refuses connections until its next life begins."""
+        self.up = False
+        self.server.abort()
+        self.record("%s: crashed with %d runs" % (self.name, len(self.runs)))
+        self.runs = {}
+        await asyncio.sleep(down_s)
+        self.begin_life()
+        self.server = Server(self.handle)
+        await self.server.listen(self.address)
+        self.record("%s: up again" % self.name)
+
     async def beat(self):
         while True:
-            await self.announce()
+            if self.up:
+                await self.announce()
             await asyncio.sleep(1.0)
 
     async def announce(self):
@@ -471,7 +503,7 @@
 
     async def start(self):
         self.record("site: %d entries, %d agents" % (self.entries, self.agents))
-        await serve(self.store_address(), self.store.handle)
+        await Server(self.store.handle).listen(self.store_address())
         self.publish(1, self.routes)
         for number in range(self.entries):
             self.start_process(True, number)
