Show entries without a configuration after a restart

After all processes are killed and started again, no entry is ready; 24 of 24 requests later than recovery_s are answered 503 (RECOVER), and none of four accepted jobs is answered for (LOST).

--- a/review/loopback/lab.py
+++ b/review/loopback/lab.py
@@ -59,7 +59,6 @@
 
     def __init__(self, handler):
         self.handler = handler
-        self.writers = set()
         self.listener = None
 
     async def listen(self, listen_address):
@@ -67,7 +66,6 @@
         self.listener = await asyncio.start_server(self.connection, ip, int(port), limit=1 << 22)
 
     async def connection(self, reader, writer):
-        self.writers.add(writer)
         try:
             while True:
                 line, headers, body = await read_message(reader)
@@ -79,15 +77,8 @@
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
-            self.writers.discard(writer)
             writer.close()
 
-    def abort(self):
-        """Refuses connections from now on and resets the open ones."""
-        self.listener.close()
-        for writer in list(self.writers):
-            writer.transport.abort()
-
 
 async def call(server, method, target, body=b"", headers=None, timeout=2.0):
     """Returns (status, body); status 0 if there was no complete answer."""
@@ -126,7 +117,6 @@
         self.changed = asyncio.Event()
         self.members = {}
         self.generation = 0
-        self.rotation = 0
         self.holders = [""] * PARTS
         self.assigned = [""] * PARTS
 
@@ -219,17 +209,10 @@
         self.generation += 1
         names = sorted(self.members)
         for part in range(PARTS):
-            self.assigned[part] = names[(part + self.rotation) % len(names)] if names else ""
+            self.assigned[part] = names[part % len(names)] if names else ""
             if self.holders[part] not in self.members:
                 self.holders[part] = self.assigned[part]
 
-    def reassign_all(self):
-        self.generation += 1
-        self.rotation += 1
-        names = sorted(self.members)
-        self.assigned = [names[(part + self.rotation) % len(names)] for part in range(PARTS)]
-        self.holders = list(self.assigned)
-
     def join(self, request):
         now = time.monotonic()
         lapsed = [name for name, end in self.members.items() if end < now]
@@ -266,10 +249,6 @@
         self.state = "ready"
         self.on_start = lambda worker, task, run: None
         self.on_end = lambda worker, task, run, how: None
-        self.up = True
-        self.begin_life()
-
-    def begin_life(self):
         self.born = int(time.time() * 1000)
         self.clock_start = time.monotonic()
         self.runs = {}  # task -> [run, end of the work, stopping, begin]
@@ -284,26 +263,12 @@
         return int((time.monotonic() - self.clock_start) * 1000)
 
     async def start(self):
-        self.server = Server(self.handle)
-        await self.server.listen(self.address)
+        await Server(self.handle).listen(self.address)
         self.tasks = [asyncio.ensure_future(self.beat()), asyncio.ensure_future(self.tick())]
 
-    async def crash(self, down_s):
-        """Ends all runs; the worker refuses connections until its next life begins."""
-        self.up = False
-        self.server.abort()
-        self.record("%s: crashed with %d runs" % (self.name, len(self.runs)))
-        self.runs = {}
-        await asyncio.sleep(down_s)
-        self.begin_life()
-        self.server = Server(self.handle)
-        await self.server.listen(self.address)
-        self.record("%s: up again" % self.name)
-
     async def beat(self):
         while True:
-            if self.up:
-                await self.announce()
+            await self.announce()
             await asyncio.sleep(1.0)
 
     async def announce(self):
@@ -427,6 +392,8 @@
 
 
 class Site:
+    """Entries and agents as processes, the store, and the clients' and the operator's calls."""
+
     def __init__(self, folder, entries=4, agents=2, routes=None):
         self.record = Record(os.path.join(folder, "record.txt"))
         self.network = find_free_network()
@@ -501,26 +468,35 @@
                   "limits": []}
         self.store.put("keyed.op", "config", json.dumps(config))
 
-    async def start(self):
-        self.record("site: %d entries, %d agents" % (self.entries, self.agents))
-        await Server(self.store.handle).listen(self.store_address())
-        self.publish(1, self.routes)
+    def start_all(self):
         for number in range(self.entries):
             self.start_process(True, number)
-            await asyncio.sleep(0.3 / self.entries)  # All start within 0.3 s.
         for number in range(self.agents):
             self.start_process(False, number)
+
+    def kill_all(self):
+        for child in self.children.values():
+            child.kill()
+        for child in self.children.values():
+            child.wait()
+
+    async def ready_entries(self):
+        answers = [await call(address(self.ip(1, number), "ready"), "GET", "/readiness", timeout=1)
+                   for number in range(self.entries)]
+        return sum(status == 200 for status, _ in answers)
+
+    async def start(self):
+        self.record("site: %d entries, %d agents" % (self.entries, self.agents))
+        await Server(self.store.handle).listen(self.store_address())
+        self.publish(1, self.routes)
+        self.start_all()
         for worker in self.workers:
             await worker.start()
         deadline = time.monotonic() + 15
-        while time.monotonic() < deadline:
-            ready = [await call(address(self.ip(1, number), "ready"), "GET", "/readiness",
-                                timeout=1) for number in range(self.entries)]
-            if all(status == 200 for status, _ in ready):
-                break
+        while await self.ready_entries() < self.entries:
+            if time.monotonic() > deadline:
+                raise RuntimeError("the entries don't become ready")
             await asyncio.sleep(0.1)
-        else:
-            raise RuntimeError("the entries don't become ready")
         # The partitions of stored jobs are settled by then.
         await asyncio.sleep(4.5)
         self.record("site: ready")
@@ -556,6 +532,7 @@
 
 
 def partition_of(job_id):
+    """The partition of the topic keyed.jobs that has the job."""
     mixed = (int(job_id, 16) * 0x9E3779B97F4A7C15) & ((1 << 64) - 1)
     return ((mixed >> 32) & ((1 << 32) - 1)) % PARTS
 
