Ask for the accepted jobs of case 6 after finish_s

The question for the accepted jobs comes 14 s after the end of the traffic, as the rule has it, the restart after 0.6 s, inside the site file's down_s, and the free ports are looked for on all hosts.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -12,7 +12,9 @@
 
 CONFIG_APPLY_S = 2.0
 RECOVERY_S = 12.0
-RESTART_S = 0.5
+FINISH_S = 14.0
+# `down_s` of the site file's `kill_all` is 0.58 to 1.1.
+RESTART_S = 0.6
 HOUR_MS = 3_600_000
 JOB = {"spec": json.dumps({"work_ms": 100}),
        "steps": [{"count": 1, "cpu": 1000, "mem_mb": 64, "estimate_ms": 100}]}
@@ -63,6 +65,7 @@
     ready = await site.ready_entries()
     site.record("RECOVER: %d of 4 requests were served before; %d of %d later than recovery_s after "
                 "the start; %d entries are ready" % (before.count(200), served, sent, ready))
+    await asyncio.sleep(FINISH_S)
     known = 0
     for job_id in stored:
         status, _ = await site.state(0, job_id)
--- a/review/loopback/lab.py
+++ b/review/loopback/lab.py
@@ -382,9 +382,11 @@
         network = (random.randrange(10, 250), random.randrange(0, 250, 3))
         try:
             for kind in range(3):
-                for port in PORTS.values():
-                    with socket.socket() as probe:
-                        probe.bind(("127.%d.%d.1" % (network[0], network[1] + kind), port))
+                for host in range(1, 9):
+                    for port in PORTS.values():
+                        with socket.socket() as probe:
+                            ip = "127.%d.%d.%d" % (network[0], network[1] + kind, host)
+                            probe.bind((ip, port))
             return network
         except OSError:
             continue
