--- a/review/site3/standins.py
+++ b/review/site3/standins.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import time
+import traceback
 import urllib.parse
 
 STATUS_TEXT = {200: "OK", 400: "Bad Request", 404: "Not Found", 409: "Conflict", 410: "Gone",
@@ -27,66 +28,113 @@
 
 
 class HttpServer:
-    """A minimal HTTP/1.1 server. `handle(method, target, headers, body)` returns (status, body)."""
+    """A minimal HTTP/1.1 server. `handle(method, target, headers, body)` returns (status, body), or
+    None to close the connection. `answer_at_once` does the same without waiting; if it returns None,
+    `handle` is asked."""
 
     def __init__(self, handle):
         self.handle = handle
+        self.answer_at_once = lambda method, target, headers, body: None
         self.server = None
-        self.writers = set()
+        self.connections = set()
 
     async def start(self, ip, port):
-        self.server = await asyncio.start_server(self._serve, ip, port, reuse_address=True)
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(lambda: HttpConnection(self), ip, port,
+                                               reuse_address=True)
 
     def stop(self):
-        """Closes the listening socket and resets nothing gently: as a killed process does."""
+        """Closes the listening socket and resets the connections, as a killed process does."""
         if self.server is not None:
             self.server.close()
             self.server = None
-        for writer in list(self.writers):
-            writer.transport.abort()
+        for connection in list(self.connections):
+            connection.transport.abort()
+
+
+class HttpConnection(asyncio.Protocol):
+    """A connection of an HttpServer; serves one request after the other."""
+
+    def __init__(self, server):
+        self.server = server
+        self.received = b""
+        self.busy = False
+
+    def connection_made(self, transport):
+        self.transport = transport
+        self.server.connections.add(self)
+
+    def connection_lost(self, error):
+        self.server.connections.discard(self)
+
+    def data_received(self, data):
+        self.received += data
+        self.serve()
+
+    def serve(self):
+        while not self.busy and not self.transport.is_closing():
+            end = self.received.find(b"\r\n\r\n")
+            if end < 0:
+                return
+            first, headers = parse_head(self.received[:end])
+            length = int(headers.get("content-length", "0"))
+            if len(self.received) < end + 4 + length:
+                return
+            body = self.received[end + 4:end + 4 + length]
+            self.received = self.received[end + 4 + length:]
+            method, target, _ = first.split(" ", 2)
+            answer = self.server.answer_at_once(method, target, headers, body)
+            if answer is not None:
+                self.respond(answer)
+                continue
+            self.busy = True
+            asyncio.ensure_future(self.handle(method, target, headers, body))
 
-    async def _serve(self, reader, writer):
-        self.writers.add(writer)
+    async def handle(self, method, target, headers, body):
         try:
-            while True:
-                request = await read_message(reader)
-                if request is None:
-                    break
-                first, headers, body = request
-                method, target, _ = first.split(" ", 2)
-                answer = await self.handle(method, target, headers, body)
-                if answer is None:
-                    break
-                status, payload = answer
-                if not isinstance(payload, bytes):
-                    payload = json.dumps(payload).encode()
-                kind = "application/json" if payload[:1] == b"{" else "application/octet-stream"
-                writer.write((f"HTTP/1.1 {status} {STATUS_TEXT.get(status, 'X')}\r\n"
+            answer = await self.server.handle(method, target, headers, body)
+        except Exception:  # A fault of the stand-in: shown, and the connection ends.
+            traceback.print_exc()
+            answer = None
+        self.busy = False
+        if answer is None:
+            self.transport.abort()
+            return
+        self.respond(answer)
+        self.serve()
+
+    def respond(self, answer):
+        if self.transport.is_closing():
+            return
+        status, payload = answer
+        if not isinstance(payload, bytes):
+            payload = json.dumps(payload).encode()
+        kind = "application/json" if payload[:1] == b"{" else "application/octet-stream"
+        self.transport.write((f"HTTP/1.1 {status} {STATUS_TEXT.get(status, 'X')}\r\n"
                               f"content-type: {kind}\r\ncontent-length: {len(payload)}\r\n\r\n")
                              .encode() + payload)
-                await writer.drain()
-        except (ConnectionError, asyncio.IncompleteReadError, OSError):
-            pass
-        finally:
-            self.writers.discard(writer)
-            writer.close()
+
+
+def parse_head(head):
+    """Returns the first line of a message and its headers, with names in lower case."""
+    first, *fields = head.decode("latin-1").split("\r\n")
+    headers = {}
+    for field in fields:
+        name, _, value = field.partition(":")
+        headers[name.lower()] = value.strip()
+    return first, headers
 
 
 async def read_message(reader):
     """Reads one HTTP message with a content length. Returns (first line, headers, body) or None."""
-    line = await reader.readline()
-    if not line:
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except asyncio.IncompleteReadError:
         return None
-    headers = {}
-    while True:
-        header = await reader.readline()
-        if header in (b"\r\n", b"\n", b""):
-            break
-        name, _, value = header.decode("latin-1").partition(":")
-        headers[name.strip().lower()] = value.strip()
+    first, headers = parse_head(head[:-4])
     length = int(headers.get("content-length", "0"))
     body = await reader.readexactly(length) if length else b""
-    return line.decode("latin-1").strip(), headers, body
+    return first, headers, body
 
 
 async def call(ip, port, method, target, body=b"", headers=None, timeout=5.0):
