Count waiting stored jobs by partition and epoch

An entry that had just started said 0.

Cause: counts were kept by entry and dropped 1.9 s after they were measured, although they belong to a partition. The jobs of a partition that is read, claimed, released or without an owner were counted by nobody.

Change: a count belongs to a partition and the epoch of its owner. It holds until that owner or a later one has counted again; none of the jobs can start while the partition has no owner.

The scheduler's own count is gone, and its test checks has_begun.

--- a/include/parsleylead/durable/durable_jobs.hpp
+++ b/include/parsleylead/durable/durable_jobs.hpp
@@ -101,9 +101,9 @@
   void submit(fleet_job job, monotonic_time now, const reply& done);
   void cancel(std::uint64_t job, monotonic_time now, const reply& done);
   durable_answer query(std::uint64_t job) const;
-  /// Returns the number of jobs of earlier owners that have not begun, as far as is stored, and
-  /// that are not run yet because runs of these owners may be active; by queue.
-  std::vector<queue_count> waiting_jobs() const;
+  /// Returns the number of jobs that have not begun, as far as this owner knows, in each partition
+  /// that this entry has claimed, including those that are being released; by queue.
+  std::vector<partition_counts> waiting_jobs() const;
   /// Returns whether this entry owns the job's partition.
   bool owns(std::uint64_t job) const;
 
--- a/include/parsleylead/fleet/fleet_entry.hpp
+++ b/include/parsleylead/fleet/fleet_entry.hpp
@@ -88,8 +88,12 @@
   /// Returns the durable jobs of this entry after checking their lease. Precondition:
   /// `enable_durable_jobs` was called.
   durable_jobs& durable();
-  /// Number of durable jobs of the queue without a started task, at all entries of the site.
-  std::size_t waiting_durable_jobs(const std::string& queue) const;
+  /// Returns whether the waiting durable jobs of all partitions are known. They are not while this
+  /// entry has just started and no other entry has reported them yet.
+  bool knows_waiting_durable_jobs() const { return waiting_counts_.is_complete(); }
+  /// Number of durable jobs of the queue without a started task, at all entries of the site; the
+  /// jobs of partitions that are not known are missing.
+  std::size_t waiting_durable_jobs(const std::string& queue);
   /// Cancels a job and answers all of its callers. Returns false if no caller waits for the job.
   bool cancel(std::uint64_t id);
   /// Stops the runs of all jobs that are not durable and answers their callers: as not run where no
@@ -154,8 +158,11 @@
   std::optional<evacuation_state> evacuations_for(bool agent) const;
   fleet_frame member_frame() const;
   void send(session& to, fleet_frame frame);
-  /// Returns the waiting durable jobs of this entry, by queue.
-  std::vector<queue_count> own_waiting_durable_jobs() const;
+  /// Counts the waiting durable jobs of this entry.
+  void count_waiting_jobs(monotonic_time now);
+  /// Counts them and tells all other entries what is news to them.
+  void report_waiting_jobs(monotonic_time now);
+  void send_waiting_jobs(session& to);
   void run_ended(session& from, const run_end& end, monotonic_time now);
   void flush();
   void answer_callers(const job_result& result);
@@ -187,6 +194,8 @@
   bool knows_evacuations_ = false;
   monotonic_time last_tick_{};
   monotonic_time last_gossip_{};
+  monotonic_time waiting_jobs_counted_{};
+  monotonic_time waiting_jobs_reported_{};
   monotonic_time last_traffic_report_{};
   monotonic_time reach_reported_{};
   monotonic_time last_surplus_check_{};
--- a/include/parsleylead/fleet/fleet_frame.hpp
+++ b/include/parsleylead/fleet/fleet_frame.hpp
@@ -76,14 +76,15 @@
   bool operator==(const queue_count&) const = default;
 };
 
-/// Waiting jobs of one entry by queue, as known to the sender.
-struct entry_counts {
-  std::string entry;
-  /// Time since the entry counted.
-  std::chrono::milliseconds age{0};
+/// Waiting durable jobs of one partition by queue.
+struct partition_counts {
+  /// The ownership in which the jobs were counted.
+  partition_claim claim;
+  /// Increases with each change within the epoch.
+  std::uint32_t revision = 0;
   std::vector<queue_count> counts;
 
-  bool operator==(const entry_counts&) const = default;
+  bool operator==(const partition_counts&) const = default;
 };
 
 /// One message between two processes. Batches everything that is due; see schema/fleet.capnp.
@@ -110,8 +111,8 @@
   /// new claim.
   std::vector<partition_claim> claims;
   std::vector<end_ack> end_acks;
-  /// Durable jobs without a started task, at the sender and at the entries that it knows of.
-  std::vector<entry_counts> waiting_durable_jobs;
+  /// Durable jobs without a started task, in the partitions whose counts are news to the receiver.
+  std::vector<partition_counts> waiting_durable_jobs;
   /// Crashes of the sender's worker that point to a queue.
   std::vector<crash_report> crashes;
   /// When an agent sent the frame, on its clock; 0 in frames of entries.
--- a/include/parsleylead/fleet/fleet_scheduler.hpp
+++ b/include/parsleylead/fleet/fleet_scheduler.hpp
@@ -223,8 +223,6 @@
   std::size_t open_jobs() const { return jobs_.size(); }
   /// Number of jobs of the queue without a started task, not counting durable jobs.
   std::size_t waiting_jobs(const std::string& queue) const;
-  /// Number of durable jobs without a started task, by queue.
-  std::vector<queue_count> waiting_durable_jobs() const;
   std::size_t backlog() const { return backlog_; }
   /// Names of the queues that are confined to quarantined workers.
   std::set<std::string> confined_queues() const;
--- a/include/parsleylead/fleet/waiting_counts.hpp
+++ b/include/parsleylead/fleet/waiting_counts.hpp
@@ -1,47 +1,51 @@
 #pragma once
 
-#include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
-#include "parsleylead/base/time.hpp"
 #include "parsleylead/fleet/fleet_frame.hpp"
 
 namespace parsleylead {
 
-/// Durable jobs without a started task at all entries of a site. Entries pass on what they know of
-/// others, so that an entry with links to a few of them learns of all. Does no I/O. Not
+/// Durable jobs without a started task at all entries of a site. A count belongs to a partition and
+/// the epoch of its owner: it holds until this owner or a later one has counted again, also while
+/// the partition has no owner, as none of its jobs can start meanwhile. Entries pass on what they
+/// know, so that an entry with links to a few of them learns of all partitions. Does no I/O. Not
 /// thread-safe.
 class waiting_counts {
 public:
-  /// Older counts are neither used nor passed on. Callers may be told a count that is two seconds
-  /// old.
-  static constexpr std::chrono::milliseconds max_age{1'900};
-
-  explicit waiting_counts(std::string own_name) : own_name_(std::move(own_name)) {}
+  /// `partitions`: number of partitions of the durable jobs.
+  explicit waiting_counts(std::uint32_t partitions = 1) : partitions_(partitions) {}
+
+  /// Sets what this entry has counted in the partitions that it owns. The revisions are ignored.
+  void set_own(std::vector<partition_counts> counted);
+
+  /// What another entry knows, as far as this one can tell.
+  class peer_view {
+  private:
+    friend class waiting_counts;
+    /// Epoch and revision.
+    using version = std::pair<std::uint64_t, std::uint32_t>;
+    std::map<partition_number, version> versions_;
+  };
 
-  /// Sets the counts of this entry.
-  void set_own(std::vector<queue_count> counts, monotonic_time now);
-  /// Adds what another entry knows. Counts that are older than the known ones change nothing.
-  void learn(const std::vector<entry_counts>& reported, monotonic_time now);
+  /// Adds what the other entry reports. Counts that are older than the known ones change nothing.
+  void learn(const std::vector<partition_counts>& reported, peer_view& peer);
+  /// Returns what to report to the other entry, and notes that it knows this from now on.
+  std::vector<partition_counts> news_for(peer_view& peer) const;
 
-  /// Number of waiting jobs of the queue at the entries other than this one.
-  std::size_t of_others(const std::string& queue, monotonic_time now) const;
-  /// Returns what to tell other entries: nothing if no jobs have waited anywhere lately.
-  std::vector<entry_counts> report(monotonic_time now);
+  /// Number of waiting jobs of the queue.
+  std::size_t of_queue(const std::string& queue) const;
+  /// Returns whether all partitions have been counted, so that the numbers are those of the site.
+  bool is_complete() const { return known_.size() >= partitions_; }
 
 private:
-  struct known_counts {
-    monotonic_time measured{};
-    std::vector<queue_count> counts;
-  };
-
-  std::string own_name_;
-  std::map<std::string, known_counts> by_entry_;
-  /// When this entry last had waiting jobs.
-  monotonic_time own_last_used_{};
+  std::uint32_t partitions_;
+  std::map<partition_number, partition_counts> known_;
 };
 
 } // namespace parsleylead
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -115,13 +115,21 @@
   jobs @1 :UInt32;
 }
 
-# Waiting durable jobs of one entry, counted `ageMs` ago.
+# No longer used.
 struct EntryCounts {
   entry @0 :Text;
   ageMs @1 :UInt32;
   counts @2 :List(QueueCount);
 }
 
+# Waiting durable jobs of one partition, as counted by the owner of this epoch.
+struct PartitionCounts {
+  claim @0 :Claim;
+  # Increases with each change within the epoch.
+  revision @1 :UInt32;
+  counts @2 :List(QueueCount);
+}
+
 # Properties of a worker that rarely change. Sent first in each session, then on each change.
 struct WorkerDescription {
   workerId @0 :Text;
@@ -238,8 +246,8 @@
   obsoleteWaiting @16 :List(QueueCount);
   # The sender asks for the text of the receiver's routes.
   routesWanted @17 :Bool;
-  # Durable jobs that have not started, at the sender and at the entries that it knows of.
-  waiting @18 :List(EntryCounts);
+  # No longer used.
+  obsoleteWaitingByEntry @18 :List(EntryCounts);
   # Crashes of the sender's worker that point to a queue. Sent to all entries.
   crashes @19 :List(CrashReport);
   # When the agent sent this frame, on its own clock; 0 in frames of entries.
--- a/src/durable/durable_calls.cpp
+++ b/src/durable/durable_calls.cpp
@@ -211,22 +211,24 @@
                 to_string(*job.pending_verdict));
 }
 
-std::vector<queue_count> durable_jobs::waiting_jobs() const {
-  std::map<std::string, std::uint32_t> counts;
+std::vector<partition_counts> durable_jobs::waiting_jobs() const {
+  std::vector<partition_counts> all;
   for (const auto& [number, partition] : partitions_) {
-    if (partition->current_stage != partition_state::stage::settling) {
+    if (!partition->claimed) {
       continue;
     }
+    std::map<std::string, std::uint32_t> by_queue;
     for (const auto& [id, job] : partition->jobs) {
-      if (job.awaits_restart() && job.record.progress == empty_progress(job.record.job)) {
-        ++counts[job.record.job.terms.queue];
+      if (job.is_open() && !port_.has_begun(id) &&
+          job.record.progress == empty_progress(job.record.job)) {
+        ++by_queue[job.record.job.terms.queue];
       }
     }
-  }
-  std::vector<queue_count> all;
-  all.reserve(counts.size());
-  for (const auto& [queue, jobs] : counts) {
-    all.push_back({queue, jobs});
+    auto& counted = all.emplace_back();
+    counted.claim = {number, partition->epoch};
+    for (const auto& [queue, jobs] : by_queue) {
+      counted.counts.push_back({queue, jobs});
+    }
   }
   return all;
 }
--- a/src/durable/durable_jobs.cpp
+++ b/src/durable/durable_jobs.cpp
@@ -342,6 +342,7 @@
     return;
   }
   restore_jobs(partition, std::exchange(partition.read_records, {}));
+  partition.claimed = true;
   const bool at_once = partition.previous_released;
   partition.settle_end = at_once ? now : now + settings_.settle_time;
   partition.current_stage = partition_state::stage::settling;
--- a/src/durable/durable_jobs_test.cpp
+++ b/src/durable/durable_jobs_test.cpp
@@ -426,14 +426,49 @@
   one.submit(make_job(job_id + 1));
   one.end(make_end(0, 1));
   one.advance(200);
-  CHECK(one.jobs->waiting_jobs().empty()); // The scheduler counts them.
+  const auto one_waits = [](std::uint64_t epoch) {
+    return std::vector<partition_counts>{{{0, epoch}, 0, {{"queue", 1}}}};
+  };
+  CHECK(one.jobs->waiting_jobs() == one_waits(1)); // The other one has an end.
   log.holder = "two";
   owner two(log, "two", one.now);
   two.advance(1'000);
-  CHECK(two.jobs->waiting_jobs() == std::vector<queue_count>{{"queue", 1}});
+  CHECK(two.port.running.empty());
+  CHECK(two.jobs->waiting_jobs() == one_waits(2));
   two.advance(4'000);
   CHECK(two.port.running.size() == 2);
+  CHECK(two.jobs->waiting_jobs() == one_waits(2));
+  two.port.placed = true;
+  CHECK(two.jobs->waiting_jobs() == std::vector<partition_counts>{{{0, 2}, 0, {}}});
+}
+
+TEST_CASE_FIXTURE(first_owner, "jobs are counted until their partition has been released") {
+  // Guards against a queue that is said to be empty while its partition moves to another entry.
+  one.submit();
+  log.current_mode = fake_log::mode::silent;
+  one.jobs->leave(at_ms(one.now));
+  CHECK(one.jobs->waiting_jobs() == std::vector<partition_counts>{{{0, 1}, 0, {{"queue", 1}}}});
+  log.current_mode = fake_log::mode::normal;
+  one.advance(1'500);
+  CHECK(one.jobs->waiting_jobs().empty());
+}
+
+TEST_CASE_FIXTURE(first_owner, "a partition whose claim is not stored is not counted") {
+  // Guards against a count of no jobs that replaces the true one of the owner.
+  one.submit();
+  log.holder = "two";
+  owner two(log, "two", one.now);
+  two.jobs->tick(at_ms(two.now));
+  const auto appends = log.appends;
+  while (log.appends == appends && !log.answers.empty()) {
+    const auto next = std::move(log.answers.front());
+    log.answers.pop_front();
+    next();
+  }
+  REQUIRE(log.appends == appends + 1); // The claim, without its answer.
   CHECK(two.jobs->waiting_jobs().empty());
+  log.deliver();
+  CHECK(two.jobs->waiting_jobs() == std::vector<partition_counts>{{{0, 2}, 0, {{"queue", 1}}}});
 }
 
 TEST_CASE_FIXTURE(first_owner, "an owner that gives a partition up withdraws its claim") {
--- a/src/durable/durable_state.hpp
+++ b/src/durable/durable_state.hpp
@@ -40,8 +40,10 @@
   bool forgotten = false;
   std::vector<std::shared_ptr<pending_reply>> submitters;
 
+  /// The job is accepted and has no result.
+  bool is_open() const { return stored && !record.ended && !pending_verdict; }
   /// The job was accepted earlier, possibly by another owner, and has to be run.
-  bool awaits_restart() const { return stored && !running && !record.ended && !pending_verdict; }
+  bool awaits_restart() const { return is_open() && !running; }
 };
 
 struct durable_jobs::store_change {
@@ -63,6 +65,8 @@
   std::uint64_t serial = 0;
   stage current_stage = stage::reading;
   std::uint64_t epoch = 0;
+  /// The claim of this epoch is stored, and `jobs` holds the jobs of earlier owners.
+  bool claimed = false;
   /// See `durable_owner`.
   std::uint64_t restart_epoch = 0;
   std::uint64_t log_end = 0;
--- a/src/fleet/fleet_entry.cpp
+++ b/src/fleet/fleet_entry.cpp
@@ -15,6 +15,8 @@
 // A backlog that lasts this long is logged, with this entry's view of the workers.
 constexpr milliseconds backlog_notice{1'000};
 constexpr milliseconds reach_report_interval{1'000};
+// Shortest interval between two counts of this entry's waiting durable jobs.
+constexpr milliseconds count_interval{100};
 // A connection without a hello is closed after this time.
 constexpr milliseconds hello_timeout{2'000};
 
@@ -80,8 +82,7 @@
       acceptor_(io, [this](auto link) { link_accepted(std::move(link)); }),
       dialer_(settings_.timing, settings_.name, settings_.availability_zone, self_.address,
               settings_.max_peers, link_preference::all_zones),
-      scheduler_(settings_.policy, settings_.availability_zone, settings_.incarnation),
-      waiting_counts_(settings_.name) {
+      scheduler_(settings_.policy, settings_.availability_zone, settings_.incarnation) {
   // Stored jobs are restored regardless of callers, and perhaps before the evacuations are known.
   scheduler_.hold_placement(true);
 }
@@ -108,6 +109,7 @@
 }
 
 void fleet_entry::enable_durable_jobs(durable_settings settings, partition_log& log) {
+  waiting_counts_ = waiting_counts(settings.partitions);
   durable_job_port_ = std::make_unique<durable_job_port>(*this);
   durable_ =
       std::make_unique<durable_jobs>(std::move(settings), log, *durable_job_port_, log_, metrics_);
@@ -119,27 +121,36 @@
   return *durable_;
 }
 
-std::size_t fleet_entry::waiting_durable_jobs(const std::string& queue) const {
-  std::size_t jobs = waiting_counts_.of_others(queue, lease_now());
-  for (const auto& count : own_waiting_durable_jobs()) {
-    jobs += count.queue == queue ? count.jobs : 0;
+std::size_t fleet_entry::waiting_durable_jobs(const std::string& queue) {
+  if (const auto now = lease_now(); durable_ && now - waiting_jobs_counted_ >= count_interval) {
+    count_waiting_jobs(now);
   }
-  return jobs;
+  return waiting_counts_.of_queue(queue);
 }
 
-std::vector<queue_count> fleet_entry::own_waiting_durable_jobs() const {
-  auto counts = scheduler_.waiting_durable_jobs();
-  for (const auto& restored : durable_ ? durable_->waiting_jobs() : std::vector<queue_count>{}) {
-    const auto known = std::find_if(counts.begin(), counts.end(), [&](const auto& count) {
-      return count.queue == restored.queue;
-    });
-    if (known == counts.end()) {
-      counts.push_back(restored);
-    } else {
-      known->jobs += restored.jobs;
-    }
+void fleet_entry::count_waiting_jobs(monotonic_time now) {
+  waiting_jobs_counted_ = now;
+  waiting_counts_.set_own(durable().waiting_jobs());
+}
+
+void fleet_entry::report_waiting_jobs(monotonic_time now) {
+  if (!durable_ || now - waiting_jobs_reported_ < settings_.timing.peer_keepalive_interval) {
+    return;
+  }
+  waiting_jobs_reported_ = now;
+  count_waiting_jobs(now);
+  for (const auto& peer : peers()) {
+    send_waiting_jobs(*peer);
+  }
+}
+
+void fleet_entry::send_waiting_jobs(session& to) {
+  fleet_frame frame;
+  frame.waiting_durable_jobs = waiting_counts_.news_for(to.waiting_jobs_known);
+  if (!frame.waiting_durable_jobs.empty()) {
+    frame.routes_version = routes_.version;
+    send(to, std::move(frame));
   }
-  return counts;
 }
 
 void fleet_entry::set_routes(const route_update& routes) {
@@ -213,6 +224,7 @@
   }
   close_surplus_links(now);
   gossip(now);
+  report_waiting_jobs(now);
   request_newer_routes(now);
   relay_requests(now);
   scheduler_.tick(now);
@@ -276,7 +288,6 @@
 
 void fleet_entry::check_sessions(monotonic_time now) {
   const auto open_sessions = sessions_;
-  std::optional<std::vector<entry_counts>> waiting; // Computed once for all peers.
   for (const auto& peer : open_sessions) {
     const bool is_entry = peer->established && !peer->is_agent;
     const auto& timing = settings_.timing;
@@ -290,13 +301,6 @@
                now - peer->link->last_sent() >
                    (is_entry ? timing.peer_keepalive_interval : timing.keepalive_interval)) {
       peer->outgoing.routes_version = routes_.version;
-      if (durable_ && !peer->is_agent) {
-        if (!waiting) {
-          waiting_counts_.set_own(own_waiting_durable_jobs(), now);
-          waiting = waiting_counts_.report(now);
-        }
-        peer->outgoing.waiting_durable_jobs = *waiting;
-      }
       send(*peer, std::exchange(peer->outgoing, {}));
     }
   }
@@ -481,6 +485,8 @@
     reply.hello = session_hello{self_, false, 0};
     send(*from, reply);
   }
+  // An entry that has just started learns the counts as soon as it has a link.
+  send_waiting_jobs(*from);
 }
 
 void fleet_entry::agent_hello_received(const std::shared_ptr<session>& from,
@@ -570,7 +576,7 @@
   if (!from->is_agent) {
     add_members(frame.members);
     routes_received(*from, frame);
-    waiting_counts_.learn(frame.waiting_durable_jobs, now);
+    waiting_counts_.learn(frame.waiting_durable_jobs, from->waiting_jobs_known);
     for (auto& request : frame.worker_requests) {
       worker_requested(from, std::move(request), now);
     }
--- a/src/fleet/fleet_entry_session.hpp
+++ b/src/fleet/fleet_entry_session.hpp
@@ -22,6 +22,8 @@
   monotonic_time opened{};
   std::int64_t routes_version = -1;
   fleet_frame outgoing;
+  /// What another entry knows of the waiting durable jobs.
+  waiting_counts::peer_view waiting_jobs_known;
   /// Time of the agent's newest frame, on its clock.
   std::chrono::milliseconds newest_sent{0};
 };
--- a/src/fleet/fleet_frame.cpp
+++ b/src/fleet/fleet_frame.cpp
@@ -264,14 +264,14 @@
 template <class List, class Values>
 void read_all(List list, Values& values);
 
-void write(wire::EntryCounts::Builder out, const entry_counts& known) {
-  out.setEntry(known.entry);
-  out.setAgeMs(static_cast<std::uint32_t>(known.age.count()));
+void write(wire::PartitionCounts::Builder out, const partition_counts& known) {
+  write(out.initClaim(), known.claim);
+  out.setRevision(known.revision);
   write_all(out.initCounts(static_cast<unsigned>(known.counts.size())), known.counts);
 }
 
-entry_counts read(wire::EntryCounts::Reader in) {
-  entry_counts known{text(in.getEntry()), milliseconds(in.getAgeMs()), {}};
+partition_counts read(wire::PartitionCounts::Reader in) {
+  partition_counts known{read(in.getClaim()), in.getRevision(), {}};
   read_all(in.getCounts(), known.counts);
   return known;
 }
--- a/src/fleet/fleet_frame_test.cpp
+++ b/src/fleet/fleet_frame_test.cpp
@@ -54,7 +54,7 @@
   frame.heard = milliseconds(1'700'000'000'045);
   frame.claims = {{3, 12}};
   frame.end_acks = {{{{9, 0, 1}, 1}, true}};
-  frame.waiting_durable_jobs = {{"entry-3", milliseconds(40), {{"queue", 5}}}};
+  frame.waiting_durable_jobs = {{{3, 40}, 7, {{"queue", 5}}}};
   frame.crashes = {{17, true}};
   frame.worker_requests = {{{"entry-4", 3, "127.0.0.1:82", "c"},
                             21,
--- a/src/fleet/fleet_scheduler_describe.cpp
+++ b/src/fleet/fleet_scheduler_describe.cpp
@@ -87,19 +87,4 @@
   return text;
 }
 
-std::vector<queue_count> fleet_scheduler::waiting_durable_jobs() const {
-  std::map<std::string, std::uint32_t> counts;
-  for (const auto& [id, open_job] : jobs_) {
-    if (open_job->is_durable() && !open_job->may_have_run()) {
-      ++counts[open_job->spec.terms.queue];
-    }
-  }
-  std::vector<queue_count> all;
-  all.reserve(counts.size());
-  for (const auto& [queue, jobs] : counts) {
-    all.push_back({queue, jobs});
-  }
-  return all;
-}
-
 } // namespace parsleylead
--- a/src/fleet/fleet_scheduler_test.cpp
+++ b/src/fleet/fleet_scheduler_test.cpp
@@ -570,16 +570,16 @@
   fleet.scheduler.process_stalled(at_ms(20'000));
   fleet.scheduler.tick(at_ms(60'000));
   CHECK(fleet.scheduler.take_results().empty());
-  // Counted only by `waiting_durable_jobs`, whose counts of all entries are added up.
+  // Counted only by the owner of its partition, which asks whether it has begun.
   CHECK(fleet.scheduler.waiting_jobs("queue") == 0);
-  REQUIRE(fleet.scheduler.waiting_durable_jobs().size() == 1);
-  CHECK(fleet.scheduler.waiting_durable_jobs()[0].jobs == 1);
+  CHECK(fleet.scheduler.is_open(1));
+  CHECK_FALSE(fleet.scheduler.has_begun(1));
   const auto worker = fleet.scheduler.worker_for("agent", "a");
   fleet.scheduler.session_opened(worker, false, at_ms(60'000));
   fleet.scheduler.worker_reported(worker, idle_worker(), at_ms(60'000));
   fleet.scheduler.place_waiting(at_ms(60'000));
   CHECK(fleet.scheduler.take_starts().size() == 2);
-  CHECK(fleet.scheduler.waiting_durable_jobs().empty());
+  CHECK(fleet.scheduler.has_begun(1));
 }
 
 TEST_CASE("a lost run of a durable job is repeated only after its loss is stored") {
--- a/src/fleet/waiting_counts.cpp
+++ b/src/fleet/waiting_counts.cpp
@@ -1,42 +1,58 @@
 #include "parsleylead/fleet/waiting_counts.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace parsleylead {
 
-using std::chrono::milliseconds;
-
-void waiting_counts::set_own(std::vector<queue_count> counts, monotonic_time now) {
-  if (!counts.empty()) {
-    own_last_used_ = now;
-  }
-  if (own_last_used_ == monotonic_time{} || now - own_last_used_ > 2 * max_age) {
-    by_entry_.erase(own_name_);
-    return;
+void waiting_counts::set_own(std::vector<partition_counts> counted) {
+  for (auto& each : counted) {
+    auto& known = known_[each.claim.partition];
+    if (each.claim.epoch < known.claim.epoch) {
+      continue; // Another entry has claimed the partition since.
+    }
+    const bool same_epoch = each.claim.epoch == known.claim.epoch;
+    if (same_epoch && each.counts == known.counts) {
+      continue;
+    }
+    each.revision = same_epoch ? known.revision + 1 : 0;
+    known = std::move(each);
   }
-  // Empty counts are reported for a while, so that they replace the earlier ones elsewhere.
-  by_entry_[own_name_] = {now, std::move(counts)};
 }
 
-void waiting_counts::learn(const std::vector<entry_counts>& reported, monotonic_time now) {
+void waiting_counts::learn(const std::vector<partition_counts>& reported, peer_view& peer) {
   for (const auto& each : reported) {
-    if (each.entry == own_name_ || each.age > max_age) {
-      continue;
+    const auto number = each.claim.partition;
+    if (number >= partitions_) {
+      continue; // Only an entry with other settings reports it.
     }
-    const auto measured = now - each.age;
-    auto& known = by_entry_[each.entry];
-    if (measured > known.measured) {
-      known = {measured, each.counts};
+    const peer_view::version version{each.claim.epoch, each.revision};
+    auto& told = peer.versions_[number];
+    told = std::max(told, version);
+    const auto [position, added] = known_.try_emplace(number, each);
+    auto& known = position->second;
+    if (!added && version > peer_view::version{known.claim.epoch, known.revision}) {
+      known = each;
     }
   }
 }
 
-std::size_t waiting_counts::of_others(const std::string& queue, monotonic_time now) const {
-  std::size_t jobs = 0;
-  for (const auto& [entry, known] : by_entry_) {
-    if (entry == own_name_ || now - known.measured > max_age) {
-      continue;
+std::vector<partition_counts> waiting_counts::news_for(peer_view& peer) const {
+  std::vector<partition_counts> news;
+  for (const auto& [number, known] : known_) {
+    const peer_view::version version{known.claim.epoch, known.revision};
+    auto& told = peer.versions_[number];
+    if (version > told) {
+      told = version;
+      news.push_back(known);
     }
+  }
+  return news;
+}
+
+std::size_t waiting_counts::of_queue(const std::string& queue) const {
+  std::size_t jobs = 0;
+  for (const auto& [number, known] : known_) {
     for (const auto& count : known.counts) {
       jobs += count.queue == queue ? count.jobs : 0;
     }
@@ -44,15 +60,4 @@
   return jobs;
 }
 
-std::vector<entry_counts> waiting_counts::report(monotonic_time now) {
-  std::erase_if(by_entry_,
-                [now](const auto& each) { return now - each.second.measured > max_age; });
-  std::vector<entry_counts> all;
-  all.reserve(by_entry_.size());
-  for (const auto& [entry, known] : by_entry_) {
-    all.push_back({entry, std::chrono::ceil<milliseconds>(now - known.measured), known.counts});
-  }
-  return all;
-}
-
 } // namespace parsleylead
