Serve legal terms of queues, and leave out only routes that cannot be read

What callers saw: a configuration with one queue whose target_duration_ms is 48 hours was ignored as a whole.

Cause: parse_routes refused everything if one field was above a limit of our own (24 h; 10,000 for priority and max_attempts) or of another type.

Change: numbers above what the types hold count as the largest one, and sums of times saturate (longest_duration, bounded_milliseconds); the same for estimate_ms, anti_affinity and the terms in job records, which a later owner refused above 366 days, so that the accepted job would have been lost. A route that cannot be read takes no new jobs: POST is answered 503 with the field, unless the job was accepted before; jobs that are stored are run, shown and cancelled as before. All other routes are in force. One log line a route (route_unusable) and parsleylead_entry_unusable_routes tell of it.

Two checks of codec_test expected that a configuration is refused because of one route; they now expect that exactly this route is left out.

--- a/include/parsleylead/base/time.hpp
+++ b/include/parsleylead/base/time.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <ctime>
 
 namespace parsleylead {
@@ -11,6 +13,17 @@
 /// Wall-clock time, for records and keys only.
 using wall_time = std::chrono::sys_time<std::chrono::milliseconds>;
 
+/// Longest time that a job or a queue may state; longer ones count as this one. Three of them and a
+/// `monotonic_time` can be added without an overflow.
+inline constexpr std::chrono::milliseconds longest_duration = std::chrono::hours(24 * 366 * 50);
+
+/// Returns a number of milliseconds as a duration between 0 and `longest_duration`. Thread-safe.
+inline std::chrono::milliseconds bounded_milliseconds(double count) {
+  const auto longest = static_cast<double>(longest_duration.count());
+  return std::chrono::milliseconds(
+      std::llround(count > 0 ? std::min(count, longest) : 0.0)); // Not a number counts as 0.
+}
+
 /// Current time for leases and time-outs. Unlike `steady_clock`, it also advances while the host is
 /// suspended. Thread-safe.
 inline monotonic_time lease_now() {
--- a/src/durable/durable_record.cpp
+++ b/src/durable/durable_record.cpp
@@ -7,6 +7,7 @@
 #include <stdexcept>
 
 #include "../base/json_number.hpp"
+#include "parsleylead/base/time.hpp"
 #include "parsleylead/fleet/format_run.hpp"
 
 namespace parsleylead {
@@ -24,8 +25,7 @@
 constexpr std::size_t crashed_attempts_column = 8;
 // Limits of what a record may hold; submissions are limited to less.
 constexpr std::uint64_t max_tasks = 100'000;
-constexpr std::int64_t max_milliseconds = 366LL * 24 * 3600 * 1000;
-constexpr double max_stretch = 1'000;
+constexpr double max_stretch = 1e12;
 // Each claim raises the epoch by one, so that this one is never reached.
 constexpr std::uint64_t max_epoch = std::uint64_t{1} << 48U;
 // More than the attempts of any task; keeps a malformed count from taking up the memory.
@@ -58,13 +58,13 @@
   return *number;
 }
 
-/// Reads a time; larger ones could not be added to others.
+/// Reads a time. A job is not lost because a process of another version allows longer ones.
 milliseconds milliseconds_at(const json& object, const char* name) {
   const auto count = integer_at<std::int64_t>(object, name);
-  if (count < 0 || count > max_milliseconds) {
-    throw record_error(std::string(name) + " is out of range");
+  if (count < 0) {
+    throw record_error(std::string(name) + " is negative");
   }
-  return milliseconds(count);
+  return std::min(milliseconds(count), longest_duration);
 }
 
 /// Reads a list of attempts, which a foreign writer may have left unsorted.
--- a/src/durable/durable_record_test.cpp
+++ b/src/durable/durable_record_test.cpp
@@ -2,6 +2,10 @@
 
 #include <doctest/doctest.h>
 
+#include <chrono>
+
+#include "parsleylead/base/time.hpp"
+
 namespace parsleylead {
 namespace {
 
@@ -96,5 +100,21 @@
   }
 }
 
+TEST_CASE("a stored job is read back whatever terms its queue has") {
+  // Guards against accepted jobs that the next owner loses because it allows less than their queue.
+  durable_record record;
+  record.job.id = 7;
+  record.job.terms = {"queue", "desk",         std::chrono::milliseconds(9'007'199'254'740'992),
+                      1e9,     4'294'967'295U, 4'294'967'295U};
+  record.job.steps.resize(1);
+  record.job.steps[0].estimate = std::chrono::hours(24 * 1'000);
+  const auto read = parse_durable_submission(7, write_submission(record));
+  REQUIRE(read.ok());
+  CHECK(read->job.terms.target == longest_duration);
+  CHECK(read->job.terms.stretch == doctest::Approx(1e9));
+  CHECK(read->job.terms.priority == 4'294'967'295U);
+  CHECK(read->job.steps[0].estimate == std::chrono::hours(24 * 1'000));
+}
+
 } // namespace
 } // namespace parsleylead
--- a/src/fleet/fleet_frame.cpp
+++ b/src/fleet/fleet_frame.cpp
@@ -1,10 +1,12 @@
 #include "parsleylead/fleet/fleet_frame.hpp"
 
+#include <algorithm>
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
 #include <cmath>
 #include <kj/exception.h>
 #include <kj/io.h>
+#include <limits>
 
 #include "generated/fleet.capnp.h"
 
@@ -57,7 +59,8 @@
 void write(wire::Start::Builder out, const start_order& order) {
   write(out.initRun(), order.run);
   write(out.initNeeds(), order.needs);
-  out.setEstimateMs(static_cast<std::uint32_t>(order.estimate.count()));
+  out.setEstimateMs(static_cast<std::uint32_t>(
+      std::min<std::int64_t>(order.estimate.count(), std::numeric_limits<std::uint32_t>::max())));
   out.setDueInMs(order.due_in.count());
   out.setMaxWaitMs(static_cast<std::uint32_t>(order.max_wait.count()));
   out.setPriority(order.priority);
--- a/src/fleet/fleet_job.cpp
+++ b/src/fleet/fleet_job.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "parsleylead/base/time.hpp"
+
 namespace parsleylead {
 
 std::chrono::milliseconds critical_path(const std::vector<job_step>& steps) {
@@ -21,7 +23,7 @@
     path_lengths.push_back(before + (done ? std::chrono::milliseconds(0) : steps[index].estimate));
     longest = std::max(longest, path_lengths.back());
   }
-  return longest;
+  return std::min(longest, longest_duration);
 }
 
 bool add_attempt(std::vector<std::uint32_t>& attempts, std::uint32_t attempt) {
--- a/src/fleet/fleet_scheduler.cpp
+++ b/src/fleet/fleet_scheduler.cpp
@@ -39,9 +39,10 @@
     open_job.remaining_tasks.push_back(step.count);
     open_job.result.tasks += step.count;
   }
+  const auto& terms = open_job.spec.terms;
   const auto objective =
-      std::chrono::round<milliseconds>(open_job.remaining_path * open_job.spec.terms.stretch) +
-      open_job.spec.terms.target;
+      bounded_milliseconds(static_cast<double>(open_job.remaining_path.count()) * terms.stretch +
+                           static_cast<double>(terms.target.count()));
   open_job.result.id = open_job.spec.id;
   open_job.result.priority = open_job.spec.terms.priority;
   open_job.result.objective = objective;
--- a/src/fleet/fleet_scheduler_test.cpp
+++ b/src/fleet/fleet_scheduler_test.cpp
@@ -1179,5 +1179,17 @@
   CHECK(fleet.submit(job_of_queue(100, "sound", 8), 10).size() == 8);
 }
 
+TEST_CASE("the longest terms of a queue give objectives far in the future") {
+  // Guards against sums of times that wrap, so that a job counts as late at once.
+  fixture fleet(1);
+  auto job = make_job(1, 1);
+  job.terms.target = longest_duration;
+  job.terms.stretch = 1e12;
+  const auto starts = fleet.submit(std::move(job));
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].order.due_in > std::chrono::hours(24));
+  CHECK(fleet.scheduler.take_results().empty());
+}
+
 } // namespace
 } // namespace parsleylead
--- a/src/routes/route_table.cpp
+++ b/src/routes/route_table.cpp
@@ -1,16 +1,22 @@
 #include "parsleylead/routes/route_table.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace parsleylead {
 
-route_table::route_table(std::int64_t version, std::vector<route> routes)
-    : version_(version), routes_(std::move(routes)) {
+route_table::route_table(std::int64_t version, std::vector<route> routes,
+                         std::vector<route_defect> defects)
+    : version_(version), routes_(std::move(routes)), defects_(std::move(defects)) {
+  // Of two routes that match the same requests, the one that takes jobs comes first.
   std::sort(routes_.begin(), routes_.end(), [](const route& a, const route& b) {
     if (a.host != b.host) {
       return a.host < b.host;
     }
-    return a.path_prefix.size() > b.path_prefix.size();
+    if (a.path_prefix.size() != b.path_prefix.size()) {
+      return a.path_prefix.size() > b.path_prefix.size();
+    }
+    return a.defect.empty() && !b.defect.empty();
   });
 }
 
