Start nothing on a worker by what its earlier incarnation announced

Cause: the first list of a new incarnation was taken as a sign that the worker can be used, with the description of the earlier one.

Change: a description belongs to an incarnation. Without one of the present incarnation the agent starts nothing, returns waiting orders, and tells entries that the worker takes none and is undescribed; jobs wait for its announcement instead of being refused for want of a worker. Orders carry the incarnation that they were placed for, and are returned if it has changed. After a request for lists broke off, nothing starts before a list has named the incarnation. Learned speed and failures end with the incarnation; late lists and a late farewell of an earlier one are ignored.

--- a/include/parsleylead/fleet/fleet_agent.hpp
+++ b/include/parsleylead/fleet/fleet_agent.hpp
@@ -3,6 +3,8 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 #include <chrono>
+#include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -89,8 +91,8 @@
                         std::function<void(const absl::Status&)> done);
   /// The worker with this id says that it leaves: it gets no more tasks. Its runs count as ended
   /// once it no longer answers, since the message may be a late or a foreign one. Ignored for other
-  /// ids.
-  void worker_left(const std::string& id);
+  /// ids, and for other incarnations unless `incarnation` is 0, which stands for any.
+  void worker_left(const std::string& id, std::int64_t incarnation = 0);
 
   /// Stops accepting orders. Calls `done` once no run has been active or waiting for
   /// `link_timing::leave_notice`, or after `limit`.
@@ -131,6 +133,9 @@
   void worker_confirmed(const worker_announcement& announcement);
   /// Applies the evacuations that an entry reported.
   void evacuations_reported(const evacuation_state& state, const std::string& entry);
+  /// Returns whether the worker's present incarnation has announced itself. What an earlier one had
+  /// announced does not hold for it: it may be of another kind and size.
+  bool is_described() const;
   /// Returns whether the worker may be given new tasks.
   bool accepts_tasks() const;
   /// Applies what may change in the lifetime of a worker.
@@ -171,6 +176,8 @@
   monotonic_time next_lease_end(monotonic_time now) const;
   void schedule_list(std::chrono::milliseconds delay);
   void set_worker_suspected(bool suspected, const std::string& cause);
+  /// Lets the table start runs or not, depending on what is known of the worker.
+  void update_suspension();
   void flush();
   void send(session& to, fleet_frame frame);
   void send_reports();
@@ -207,6 +214,9 @@
   std::optional<monotonic_time> departed_at_;
   /// Incarnation of the worker that the known end numbers belong to; 0 if none is known.
   std::int64_t worker_incarnation_ = 0;
+  /// Earlier incarnations of the worker with this id, the latest last. Their answers may arrive
+  /// late.
+  std::deque<std::int64_t> former_incarnations_;
   owner_id next_owner_ = 1;
   bool listing_ = false;
   bool extra_list_pending_ = false;
@@ -217,6 +227,9 @@
   /// When the latest list request that was answered was sent.
   monotonic_time answered_request_{};
   bool suspected_ = false;
+  /// A request for lists broke off. The worker may have restarted, and nothing is started before a
+  /// list tells its incarnation.
+  bool awaiting_incarnation_ = false;
   /// The latest request of `list_runs` failed, and no later one was answered.
   bool last_list_failed_ = false;
   monotonic_time list_failed_at_{};
--- a/include/parsleylead/fleet/fleet_frame.hpp
+++ b/include/parsleylead/fleet/fleet_frame.hpp
@@ -91,6 +91,9 @@
 struct fleet_frame {
   std::optional<session_hello> hello;
   std::vector<start_order> starts;
+  /// The worker's incarnation that `starts` were placed for, as the entry was told last; 0 if it is
+  /// not known.
+  std::int64_t worker_incarnation = 0;
   std::vector<run_id> stops;
   /// Runs to stop whose end has to be reported, because the task will be placed again.
   std::vector<run_id> moves;
--- a/include/parsleylead/fleet/fleet_scheduler.hpp
+++ b/include/parsleylead/fleet/fleet_scheduler.hpp
@@ -212,6 +212,8 @@
   /// Returns whether a session with the worker that was requested is to be kept.
   bool is_needed(worker_index worker) const;
 
+  /// Returns the worker's incarnation that starts are placed for; 0 if it is not known.
+  std::int64_t incarnation_of(worker_index index) const;
   std::vector<placed_start> take_starts() { return std::exchange(starts_, {}); }
   std::vector<placed_stop> take_stops() { return std::exchange(stops_, {}); }
   /// Runs of durable jobs that were lost. Their tasks wait for `restart_task`.
@@ -275,6 +277,8 @@
   static worker_requirement requirement_of(const job& open_job, std::uint32_t step);
   /// Searches for a worker for the step if none is reachable.
   void require_worker(const job& open_job, std::uint32_t step, monotonic_time now);
+  /// Returns whether a worker has restarted that may turn out to fit once it announces itself.
+  bool awaits_description() const;
   /// Returns whether the site is known to have no worker for a step of the job. `lastingly`: and
   /// none has been reachable for some time.
   bool lacks_worker(const job& open_job, bool lastingly, monotonic_time now) const;
--- a/include/parsleylead/fleet/run_types.hpp
+++ b/include/parsleylead/fleet/run_types.hpp
@@ -242,6 +242,8 @@
   std::string rack;
   std::vector<std::string> labels;
   resource_needs capacity;
+  /// The worker's incarnation that has these properties; 0 if it states none.
+  std::int64_t incarnation = 0;
 
   bool operator==(const worker_description&) const = default;
 };
@@ -276,7 +278,8 @@
 struct worker_status {
   /// The worker has announced itself and answers requests.
   bool present = false;
-  /// The worker accepts new tasks: neither it nor its agent is shutting down.
+  /// The worker accepts new tasks: neither it nor its agent is shutting down, and its present
+  /// incarnation has announced itself.
   bool accepting = false;
   worker_description description;
   /// False if `description` is omitted because it did not change since the session's last report.
@@ -293,6 +296,9 @@
   double failure_share = 0.0;
   /// The worker is still slow after its start.
   bool cold = false;
+  /// The worker has restarted and not announced itself since: `description` is that of its earlier
+  /// incarnation.
+  bool undescribed = false;
 };
 
 } // namespace parsleylead
--- a/include/parsleylead/runs/run_table.hpp
+++ b/include/parsleylead/runs/run_table.hpp
@@ -115,6 +115,10 @@
 
   /// A worker with another id replaced the previous one. All runs end as lost.
   void worker_replaced(const resource_needs& capacity, monotonic_time now);
+  /// The worker has restarted. Returns the waiting orders unstarted, because they were placed for
+  /// its earlier incarnation, and forgets what was measured on that. The runs are ended by the
+  /// lists.
+  void worker_restarted(monotonic_time now);
   void set_capacity(const resource_needs& capacity) { capacity_ = capacity; }
   /// The worker cannot be reached, and all of its leases have expired: its runs have ended.
   /// `worker_crashed` or `worker_answered` report later whether it had crashed.
@@ -139,6 +143,8 @@
   void set_suspended(bool suspended) { suspended_ = suspended; }
 
   void add(owner_id owner, start_order order, monotonic_time now);
+  /// Reports an order as not started, because it was placed for another incarnation of the worker.
+  void refuse(owner_id owner, const start_order& order);
   /// Removes a waiting order or stops a run. Without `report_end`, its end is not reported.
   void stop(owner_id owner, const run_id& run, bool report_end, monotonic_time now);
   /// The owner is gone: stops all of its runs, removes all of its orders, and withdraws its claims.
@@ -299,6 +305,7 @@
   /// Ends the started runs as lost and returns the waiting orders.
   void lose_all(loss_cause cause, monotonic_time now);
   void count_end(run_outcome outcome, monotonic_time now);
+  void forget_measurements();
   void remove_waiting(const task_key& key);
   void start(run& candidate, monotonic_time now);
   /// Starts a waiting isolated order if no run is active. Returns whether there is such an order or
--- a/schema/fleet.capnp
+++ b/schema/fleet.capnp
@@ -137,6 +137,8 @@
   rack @2 :Text;
   labels @3 :List(Text);
   capacity @4 :Needs;
+  # The worker's incarnation that the other fields describe; 0 if it states none.
+  incarnation @5 :Int64;
 }
 
 # Load of a worker. Sent on changes, at a limited rate.
@@ -156,6 +158,9 @@
   ownCpuMillis @7 :UInt32;
   # The worker is still slow after its start.
   cold @8 :Bool;
+  # The worker has restarted and not announced itself since: `description` is that of its earlier
+  # incarnation.
+  undescribed @9 :Bool;
 }
 
 # A run that takes far longer than estimated.
@@ -262,4 +267,8 @@
   keepSession @24 :Bool;
   # The newest state that the sender knows; absent if unchanged or unknown.
   evacuations @25 :ZoneEvacuations;
+  # Durable jobs that have not started, in the partitions whose counts are news to the receiver.
+  waiting @26 :List(PartitionCounts);
+  # The worker's incarnation that the starts were placed for; 0 if it is not known.
+  workerIncarnation @27 :Int64;
 }
--- a/src/fleet/fake_worker.hpp
+++ b/src/fleet/fake_worker.hpp
@@ -81,6 +81,9 @@
       return;
     }
     ++starts;
+    if (on_start) {
+      on_start();
+    }
     auto& slot = active_[order.run.task];
     CHECK_MESSAGE(!slot, "two runs of one task at a time");
     slot = std::make_unique<running>(running{order.run, asio::steady_timer(io_, run_time)});
@@ -110,6 +113,10 @@
                  std::chrono::milliseconds wait, std::chrono::milliseconds answer_time,
                  std::function<void(absl::StatusOr<run_lists>)> done) override {
     extra_list_requests += lease_end ? 0 : 1;
+    if (breaking_lists) {
+      post([done = std::move(done)] { done(absl::UnknownError("connection reset")); });
+      return;
+    }
     if (refusing || (refusing_extra_lists && !lease_end)) {
       ++refused_lists;
       post([done = std::move(done)] { done(absl::UnavailableError("connection refused")); });
@@ -160,7 +167,11 @@
   int stops = 0;
   /// List requests that extend no lease.
   int extra_list_requests = 0;
+  /// Called for each start before it is carried out.
+  std::function<void()> on_start;
   int lost_lists = 0;
+  /// The connections of requests for lists break.
+  bool breaking_lists = false;
   /// Number of lost lists whose time has passed.
   int overdue_lists = 0;
   /// Answers list requests at the next end or after the whole waiting time, instead of sooner.
--- a/src/fleet/fleet_agent.cpp
+++ b/src/fleet/fleet_agent.cpp
@@ -349,7 +349,17 @@
   for (const auto& run : frame.moves) {
     table_.stop(from.owner, run, true, now);
   }
+  const bool outdated =
+      frame.worker_incarnation != 0 && worker_ && frame.worker_incarnation != worker_->incarnation;
+  if (outdated && !frame.starts.empty()) {
+    log_.write("starts_outdated", "entry", from.entry, "starts", frame.starts.size(), "placed_for",
+               frame.worker_incarnation, "life", worker_->incarnation);
+  }
   for (auto& order : frame.starts) {
+    if (outdated) {
+      table_.refuse(from.owner, order);
+      continue;
+    }
     if (const auto later = table_.later_claim(order)) {
       // Inform the sender that the partition has a newer owner.
       from.outgoing.claims.push_back(*later);
@@ -415,6 +425,7 @@
       table_.worker_crashed(last_list_failed_ ? failing_since_ : now);
     }
     table_.worker_replaced(announcement.capacity, now);
+    former_incarnations_.clear();
   }
   worker_ = announcement;
   update_worker_incarnation(announcement.incarnation);
@@ -446,8 +457,12 @@
   flush_soon_();
 }
 
+bool fleet_agent::is_described() const {
+  return worker_ && (worker_incarnation_ == 0 || worker_->incarnation == worker_incarnation_);
+}
+
 bool fleet_agent::accepts_tasks() const {
-  return worker_ && !worker_->draining && !departed_at_ && !leaving_ &&
+  return is_described() && !worker_->draining && !departed_at_ && !leaving_ &&
          !evacuations_.is_evacuated(settings_.availability_zone);
 }
 
@@ -470,7 +485,13 @@
              worker_->capacity.cpu_millis, "rack", worker_->rack);
 }
 
-void fleet_agent::worker_left(const std::string& id) {
+void fleet_agent::worker_left(const std::string& id, std::int64_t incarnation) {
+  const bool other_incarnation = worker_ && worker_->id == id && incarnation != 0 &&
+                                 worker_incarnation_ != 0 && incarnation != worker_incarnation_;
+  if (other_incarnation) {
+    log_.write("departure_late", "worker", id, "life", incarnation, "present", worker_incarnation_);
+    return;
+  }
   candidates_.remove(id);
   if (!worker_ || worker_->id != id || departed_at_) {
     return;
@@ -483,9 +504,9 @@
 }
 
 void fleet_agent::set_worker_suspected(bool suspected, const std::string& cause) {
-  table_.set_suspended(suspected || table_.has_superseded_end());
-  if (suspected != suspected_) {
-    suspected_ = suspected;
+  const bool changed = std::exchange(suspected_, suspected) != suspected;
+  update_suspension();
+  if (changed) {
     status_dirty_ = true;
     log_.write(suspected ? "worker_suspected" : "worker_answers", "worker",
                worker_ ? worker_->id : "", "runs", table_.running(), "list_age_ms",
@@ -493,6 +514,10 @@
   }
 }
 
+void fleet_agent::update_suspension() {
+  table_.set_suspended(suspected_ || awaiting_incarnation_ || table_.has_superseded_end());
+}
+
 fleet_agent::session* fleet_agent::find_session(owner_id owner) {
   for (auto& [address, peer] : sessions_) {
     if (peer->owner == owner) {
@@ -559,8 +584,9 @@
   }
   status.accepting = accepts_tasks() && !to.closing_since;
   status.cold = lease_now() < cold_until_;
-  status.description = {worker_->id, worker_->service, worker_->rack, worker_->labels,
-                        table_.capacity()};
+  status.undescribed = !is_described();
+  status.description = {worker_->id,     worker_->service,  worker_->rack,
+                        worker_->labels, table_.capacity(), worker_->incarnation};
   status.committed = table_.committed();
   status.queued_cpu_millis = table_.queued_cpu_millis();
   status.own_cpu_millis = table_.owner_cpu_millis(to.owner);
@@ -575,8 +601,9 @@
   }
   const auto& sent = *to.sent_status;
   return status.present != sent.present || status.accepting != sent.accepting ||
-         status.cold != sent.cold || status.description != sent.description ||
-         status.committed != sent.committed || status.queued_cpu_millis != sent.queued_cpu_millis ||
+         status.cold != sent.cold || status.undescribed != sent.undescribed ||
+         status.description != sent.description || status.committed != sent.committed ||
+         status.queued_cpu_millis != sent.queued_cpu_millis ||
          status.own_cpu_millis != sent.own_cpu_millis ||
          std::abs(status.slowdown - sent.slowdown) > min_reported_change * sent.slowdown ||
          std::abs(status.failure_share - sent.failure_share) > min_reported_change;
--- a/src/fleet/fleet_agent_calls.cpp
+++ b/src/fleet/fleet_agent_calls.cpp
@@ -17,6 +17,8 @@
 
 // Largest relative clock error of a worker; its leases may last longer by this share.
 constexpr double worker_clock_error = 0.02;
+// A late answer is at most some seconds old.
+constexpr std::size_t max_former_incarnations = 8;
 // Time that a worker needs to stop its runs.
 constexpr milliseconds worker_stop_time{60};
 // Delay before lists are requested again after a failure. It is longer while the worker is
@@ -120,7 +122,7 @@
   if (awaiting_lease_expiry_ && now > runs_end()) {
     awaiting_lease_expiry_ = false;
     table_.release_superseded();
-    table_.set_suspended(suspected_);
+    update_suspension();
     log_.write("superseded_ends_released", "worker", worker_->id);
     status_dirty_ = true;
     flush_soon_();
@@ -191,20 +193,37 @@
 
 void fleet_agent::update_worker_incarnation(std::int64_t incarnation) {
   if (incarnation != 0 && incarnation != worker_incarnation_) {
+    const auto now = lease_now();
     log_.write("worker_life", "life", incarnation, "previous", worker_incarnation_);
-    if (worker_incarnation_ != 0 && worker_ && !worker_->draining && !departed_at_) {
-      table_.worker_crashed(last_list_failed_ ? failing_since_ : lease_now());
+    if (worker_incarnation_ != 0) {
+      const bool had_left = departed_at_ || (is_described() && worker_->draining);
+      if (worker_ && !had_left) {
+        table_.worker_crashed(last_list_failed_ ? failing_since_ : now);
+      }
+      former_incarnations_.push_back(worker_incarnation_);
+      if (former_incarnations_.size() > max_former_incarnations) {
+        former_incarnations_.pop_front();
+      }
+      table_.worker_restarted(now);
+      cold_until_ = {};
     }
     worker_incarnation_ = incarnation;
+    table_.set_accepting(accepts_tasks());
+    status_dirty_ = true;
     // It may have taken a start whose lease ends at a time of its predecessor's clock. The worker
     // shortens that to its longest lease.
-    lease_end_ = std::max(lease_end_, lease_now() + settings_.worker_lease);
+    lease_end_ = std::max(lease_end_, now + settings_.worker_lease);
     table_.end_numbers_reset();
   }
 }
 
 void fleet_agent::apply_lists(const run_lists& lists, monotonic_time requested) {
   const auto now = lease_now();
+  if (std::find(former_incarnations_.begin(), former_incarnations_.end(), lists.incarnation) !=
+      former_incarnations_.end()) {
+    log_.write("lists_outdated", "life", lists.incarnation, "present", worker_incarnation_);
+    return;
+  }
   update_worker_incarnation(lists.incarnation);
   if (lists.incarnation != 0) { // Otherwise the lists may be those of the next incarnation.
     table_.worker_answered();
@@ -216,6 +235,7 @@
   last_list_failed_ = last_list_failed_ && requested < list_failed_at_;
   connection_refused_ = false;
   crash_suspected_ = false;
+  awaiting_incarnation_ = awaiting_incarnation_ && requested < list_failed_at_;
   set_worker_suspected(false, "");
   table_.observe(lists.active, lists.finished, lists.complete, requested, now);
   for (const auto& [owner, slow] : table_.slow_runs(now)) {
@@ -236,6 +256,10 @@
   if (!std::exchange(last_list_failed_, true)) {
     failing_since_ = now;
   }
+  if (!absl::IsDeadlineExceeded(status)) {
+    awaiting_incarnation_ = true;
+    update_suspension();
+  }
   const bool refused = absl::IsUnavailable(status);
   const bool first_refusal = refused && !connection_refused_;
   refused_since_ = first_refusal ? now : refused_since_;
@@ -270,7 +294,7 @@
 void fleet_agent::worker_refused(monotonic_time now) {
   table_.return_waiting(now);
   // A worker that leaves ends its runs itself.
-  const bool leaving = worker_->draining || departed_at_;
+  const bool leaving = departed_at_ || (is_described() && worker_->draining);
   if (!leaving && !crash_suspected_ && now - refused_since_ > settings_.suspect_after) {
     crash_suspected_ = true;
     table_.suspect_crash(refused_since_);
--- a/src/fleet/fleet_entry.cpp
+++ b/src/fleet/fleet_entry.cpp
@@ -676,7 +676,9 @@
   request_workers(now);
   for (auto& [index, order] : scheduler_.take_starts()) {
     if (const auto found = agents_.find(index); found != agents_.end()) {
-      found->second->outgoing.starts.push_back(std::move(order));
+      auto& out = found->second->outgoing;
+      out.starts.push_back(std::move(order));
+      out.worker_incarnation = scheduler_.incarnation_of(index);
     }
   }
   for (const auto& [index, run, report_end] : scheduler_.take_stops()) {
--- a/src/fleet/fleet_frame.cpp
+++ b/src/fleet/fleet_frame.cpp
@@ -91,6 +91,7 @@
     labels.set(i, description.labels[i]);
   }
   write(out.initCapacity(), description.capacity);
+  out.setIncarnation(description.incarnation);
 }
 
 worker_description read(wire::WorkerDescription::Reader in) {
@@ -102,6 +103,7 @@
     description.labels.push_back(text(label));
   }
   description.capacity = read(in.getCapacity());
+  description.incarnation = in.getIncarnation();
   return description;
 }
 
@@ -117,6 +119,7 @@
   out.setSlowdownMillis(static_cast<std::uint32_t>(std::lround(status.slowdown * thousandth)));
   out.setFailureMillis(static_cast<std::uint32_t>(std::lround(status.failure_share * thousandth)));
   out.setCold(status.cold);
+  out.setUndescribed(status.undescribed);
 }
 
 worker_status read(wire::WorkerStatus::Reader in) {
@@ -133,6 +136,7 @@
   status.slowdown = in.getSlowdownMillis() / thousandth;
   status.failure_share = in.getFailureMillis() / thousandth;
   status.cold = in.getCold();
+  status.undescribed = in.getUndescribed();
   return status;
 }
 
@@ -351,6 +355,7 @@
     frame.hello = read_hello(in.getHello());
   }
   read_starts(in, frame.starts);
+  frame.worker_incarnation = in.getWorkerIncarnation();
   read_all(in.getStops(), frame.stops);
   read_all(in.getMoves(), frame.moves);
   read_all(in.getEnds(), frame.ends);
@@ -399,6 +404,7 @@
   }
   if (!frame.starts.empty()) {
     write_starts(out, frame.starts);
+    out.setWorkerIncarnation(frame.worker_incarnation);
   }
   if (!frame.stops.empty()) {
     write_all(out.initStops(count(frame.stops.size())), frame.stops);
--- a/src/fleet/fleet_link_test.cpp
+++ b/src/fleet/fleet_link_test.cpp
@@ -362,8 +362,13 @@
   std::optional<job_result> lost;
   fleet.entry->submit(make_job(1, 1), [&](const job_result& got) { lost = got; });
   REQUIRE(fleet.run_until([&] { return fleet.worker.starts == 1; }));
-  fleet.worker.crash();
+  // The restarted worker gets this start before any list or announcement has named its incarnation.
   fleet.entry->submit(make_job(2, 1), [](const job_result&) {});
+  fleet.worker.on_start = [&] {
+    if (fleet.worker.starts == 2) {
+      fleet.worker.crash();
+    }
+  };
   REQUIRE(fleet.run_until([&] { return fleet.worker.starts >= 2; }));
   fleet.worker.run_time = milliseconds(20);
   auto restarted = announcement();
@@ -375,6 +380,87 @@
   CHECK(fleet.worker.is_active({{2, 0, 0}, 1}));
 }
 
+/// Announcement of the next incarnation, which is of another kind.
+worker_announcement restarted_announcement() {
+  auto restarted = announcement();
+  restarted.incarnation = 2;
+  restarted.labels = {"a"};
+  restarted.capacity = {16'000, 32'768, 0};
+  return restarted;
+}
+
+TEST_CASE("a restarted worker gets no task before it has announced itself") {
+  // Guards against tasks that are started by the kind and size of the worker's earlier incarnation
+  // (review/13).
+  small_fleet fleet;
+  fleet.worker.crash();
+  REQUIRE(fleet.run_until([&] { return !fleet.entry->has_worker(); }, milliseconds(500)));
+  std::optional<job_result> result;
+  fleet.entry->submit(make_job(1, 1), [&](const job_result& got) { result = got; });
+  fleet.run_until([] { return false; }, milliseconds(300));
+  CHECK(fleet.worker.starts == 0);
+  CHECK(fleet.agent->sessions() == 1);
+  CHECK_FALSE(result);
+  CHECK(fleet.announce(restarted_announcement()).ok());
+  REQUIRE(fleet.run_until([&] { return result.has_value(); }));
+  CHECK(result->verdict == job_verdict::completed);
+}
+
+TEST_CASE("starts that were placed for the worker's earlier incarnation are returned") {
+  // Guards against a start that an entry sends before it hears of the worker's new kind.
+  small_fleet fleet;
+  auto labelled = announcement();
+  labelled.incarnation = 2;
+  labelled.labels = {"b"};
+  fleet.worker.crash();
+  CHECK(fleet.announce(labelled).ok());
+  fleet.run_until([] { return false; }, milliseconds(200));
+  fleet.worker.crash();
+  auto restarted = restarted_announcement();
+  restarted.incarnation = 3;
+  fleet.agent->worker_announced(restarted, [](const absl::Status&) {});
+  auto job = make_job(1, 2);
+  job.steps[0].required_label = "b";
+  fleet.entry->submit(std::move(job), [](const job_result&) {});
+  fleet.run_until([] { return false; }, milliseconds(500));
+  CHECK(fleet.worker.starts == 0);
+}
+
+TEST_CASE("nothing is started between a broken connection and the worker's next answer") {
+  // Guards against a start that a worker gets that has restarted, as another kind, within a
+  // fraction of a second.
+  small_fleet fleet;
+  fleet.worker.breaking_lists = true;
+  fleet.run_until([] { return false; }, milliseconds(50));
+  fleet.worker.crash();
+  fleet.entry->submit(make_job(1, 1), [](const job_result&) {});
+  fleet.run_until([] { return false; }, milliseconds(100));
+  CHECK(fleet.worker.starts == 0);
+  fleet.worker.breaking_lists = false;
+  fleet.run_until([] { return false; }, milliseconds(200));
+  CHECK(fleet.worker.starts == 0);
+  CHECK(fleet.announce(restarted_announcement()).ok());
+  CHECK(fleet.run_until([&] { return fleet.worker.starts == 1; }, milliseconds(1'000)));
+}
+
+TEST_CASE("late answers and a late farewell of a worker's earlier incarnation change nothing") {
+  // Guards against a worker that is taken for restarted or gone because of a delayed message.
+  small_fleet fleet;
+  fleet.worker.crash();
+  CHECK(fleet.announce(restarted_announcement()).ok());
+  fleet.run_until([] { return false; }, milliseconds(300));
+  REQUIRE(fleet.entry->has_worker());
+  fleet.agent->worker_left("w-1", 1);
+  fleet.worker.incarnation = 1; // The next lists are those of the earlier incarnation.
+  CHECK_FALSE(fleet.run_until([&] { return !fleet.entry->has_worker(); }, milliseconds(150)));
+  fleet.worker.incarnation = 2;
+  std::optional<job_result> result;
+  fleet.entry->submit(make_job(1, 1), [&](const job_result& got) { result = got; });
+  REQUIRE(fleet.run_until([&] { return result.has_value(); }));
+  CHECK(result->verdict == job_verdict::completed);
+  CHECK(result->lost_runs == 0);
+}
+
 TEST_CASE("ends of a restarted worker are handled from its first list on") {
   // Guards against runs that count as lost and are repeated because their end numbers were already
   // used in the previous incarnation. Found by the soak test, seed 1001.
@@ -383,6 +469,9 @@
   fleet.entry->submit(make_job(1, 6), [&](const job_result& got) { first = got; });
   REQUIRE(fleet.run_until([&] { return first.has_value(); }));
   fleet.worker.crash();
+  auto restarted = announcement();
+  restarted.incarnation = 2;
+  CHECK(fleet.announce(restarted).ok());
   std::optional<job_result> second;
   fleet.entry->submit(make_job(2, 3), [&](const job_result& got) { second = got; });
   REQUIRE(fleet.run_until([&] { return second.has_value(); }));
@@ -677,6 +766,9 @@
   fleet.worker.crash();
   fleet.worker.lost_lists = 0;
   fleet.worker.run_time = milliseconds(20);
+  auto restarted = announcement();
+  restarted.incarnation = 2;
+  CHECK(fleet.announce(restarted).ok());
   REQUIRE(fleet.run_until([&] { return result.has_value(); }));
   CHECK(result->crashed_runs == 1);
 }
--- a/src/fleet/fleet_scheduler_workers.cpp
+++ b/src/fleet/fleet_scheduler_workers.cpp
@@ -42,7 +42,8 @@
                                       monotonic_time /*now*/) {
   auto& known = workers_.at(index)->status;
   workers_changed_ = workers_changed_ || status.has_description ||
-                     status.present != known.present || status.accepting != known.accepting;
+                     status.present != known.present || status.accepting != known.accepting ||
+                     status.undescribed != known.undescribed;
   auto description = std::move(known.description);
   known = status;
   if (!status.has_description) {
@@ -50,6 +51,10 @@
   }
 }
 
+std::int64_t fleet_scheduler::incarnation_of(worker_index index) const {
+  return workers_.at(index)->status.description.incarnation;
+}
+
 void fleet_scheduler::session_opened(worker_index index, bool same_agent, monotonic_time now) {
   auto& target = *workers_.at(index);
   target.connected = true;
@@ -120,8 +125,14 @@
   }
 }
 
+bool fleet_scheduler::awaits_description() const {
+  return std::any_of(workers_.begin(), workers_.end(), [](const auto& each) {
+    return each->connected && !each->evacuated && each->status.present && each->status.undescribed;
+  });
+}
+
 bool fleet_scheduler::lacks_worker(const job& open_job, bool lastingly, monotonic_time now) const {
-  if (service_may_appear(open_job.spec.terms.service, now)) {
+  if (service_may_appear(open_job.spec.terms.service, now) || awaits_description()) {
     return false;
   }
   for (std::uint32_t step = 0; step < open_job.spec.steps.size(); ++step) {
--- a/src/runs/run_table.cpp
+++ b/src/runs/run_table.cpp
@@ -70,6 +70,15 @@
   explain_losses(false);
   foreign_runs_.clear();
   capacity_ = capacity;
+  forget_measurements();
+}
+
+void run_table::worker_restarted(monotonic_time now) {
+  return_waiting(now);
+  forget_measurements();
+}
+
+void run_table::forget_measurements() {
   pace_ = {};
   failures_ = 0;
   counted_ends_ = 0;
@@ -276,12 +285,12 @@
     return; // Duplicate order.
   }
   if (later_claim(order)) {
-    ends_.push_back({owner, {order.run, run_outcome::not_started, {}, {}}});
+    refuse(owner, order);
     return;
   }
   if (runs_.contains(key)) {
     // Another run of this task is present, and two runs must not overlap.
-    ends_.push_back({owner, {order.run, run_outcome::not_started, {}, {}}});
+    refuse(owner, order);
     return;
   }
   run added;
@@ -296,6 +305,10 @@
   waiting_.push_back(key);
 }
 
+void run_table::refuse(owner_id owner, const start_order& order) {
+  ends_.push_back({owner, {order.run, run_outcome::not_started, {}, {}}});
+}
+
 void run_table::remove_waiting(const task_key& key) {
   std::erase(waiting_, key);
 }
--- a/src/runs/run_table_test.cpp
+++ b/src/runs/run_table_test.cpp
@@ -830,5 +830,33 @@
   CHECK_FALSE(ends[0].end.worker_crashed);
 }
 
+TEST_CASE("a restart of the worker returns waiting orders and forgets how fast it was") {
+  // Guards against orders and estimates of a worker's earlier incarnation, which may have been of
+  // another kind.
+  auto table = make_table();
+  table.add(entry, make_order(1, 8'000), at_ms(0));
+  table.start_waiting(at_ms(0));
+  table.start_answered({{1, 0, 0}, 1}, start_answer::started, at_ms(1));
+  for (int now = 50; now <= 1'500; now += 50) {
+    table.observe({{{{1, 0, 0}, 1}, 1}}, {}, true, at_ms(now - 1), at_ms(now));
+  }
+  table.observe({}, {{{{1, 0, 0}, 1}, run_outcome::failed, 1}}, true, at_ms(2'000), at_ms(2'001));
+  table.take_ends();
+  CHECK(table.pace().slowdown() > 2.0);
+  CHECK(table.failure_share() > 0.0);
+  table.add(entry, make_order(2, 8'000), at_ms(2'010));
+  table.add(entry, make_order(3, 8'000), at_ms(2'010));
+  table.start_waiting(at_ms(2'010));
+  CHECK(table.waiting() == 1);
+  table.worker_restarted(at_ms(2'020));
+  CHECK(table.waiting() == 0);
+  CHECK(table.running() == 1); // The lists tell whether the new incarnation runs it.
+  const auto ends = table.take_ends();
+  REQUIRE(ends.size() == 1);
+  CHECK(ends[0].end.outcome == run_outcome::not_started);
+  CHECK(table.pace().slowdown() == doctest::Approx(1.0));
+  CHECK(table.failure_share() == doctest::Approx(0.0));
+}
+
 } // namespace
 } // namespace parsleylead
