Use a restarted worker from its announcement on, and wait for it a bounded time

And while a worker answered without ever announcing itself, best-effort jobs that no other worker can run waited for their objective instead of being refused.

Cause: worker_confirmed treated an incarnation that lists have shown like an unknown one; undescribed had no end.

Change: lists that have named the incarnation count. A worker is undescribed for 5 s at most (description_wait).

Two tests that had given an announcement are as strict as before again: ends of a restarted worker are handled without any announcement, as the starts reach the new incarnation first; and the one on crashes also checks that nothing starts before the announcement.

--- a/include/parsleylead/fleet/fleet_agent.hpp
+++ b/include/parsleylead/fleet/fleet_agent.hpp
@@ -63,6 +63,9 @@
   std::chrono::milliseconds held_list_interval{10};
   /// Number of partitions of durable jobs; must be the same at all entries.
   std::uint32_t partitions = 1;
+  /// For how long a restarted worker is expected to announce itself. Until then, jobs wait for it
+  /// that no other worker can run. Workers announce themselves every few seconds.
+  std::chrono::milliseconds description_wait{5'000};
   /// A worker that has not answered a request for lists for this long gets no new runs. One that
   /// has refused connections for this long may have crashed.
   std::chrono::milliseconds suspect_after{200};
@@ -214,6 +217,8 @@
   std::optional<monotonic_time> departed_at_;
   /// Incarnation of the worker that the known end numbers belong to; 0 if none is known.
   std::int64_t worker_incarnation_ = 0;
+  /// When that incarnation became known.
+  monotonic_time undescribed_since_{};
   /// Earlier incarnations of the worker with this id, the latest last. Their answers may arrive
   /// late.
   std::deque<std::int64_t> former_incarnations_;
--- a/src/fleet/fleet_agent.cpp
+++ b/src/fleet/fleet_agent.cpp
@@ -418,6 +418,10 @@
 void fleet_agent::worker_confirmed(const worker_announcement& announcement) {
   const auto now = lease_now();
   const bool other_worker = !worker_ || worker_->id != announcement.id;
+  // Lists of this incarnation have shown what it runs.
+  const bool is_listed = !other_worker && worker_incarnation_ != 0 &&
+                         worker_incarnation_ == announcement.incarnation && !suspected_ &&
+                         !awaiting_incarnation_;
   // A worker that leaves says so first.
   const bool replaces_lost_worker = worker_ && !worker_->draining && !departed_at_;
   if (other_worker) {
@@ -430,11 +434,13 @@
   worker_ = announcement;
   update_worker_incarnation(announcement.incarnation);
   departed_at_.reset();
-  // A restarted worker with the same id may already execute orders that were sent since its
-  // restart. Its next list shows which runs are lost.
-  port_.attach(announcement);
-  lease_end_ = now + settings_.worker_lease;
-  set_worker_suspected(true, "new worker");
+  if (!is_listed) {
+    // A restarted worker with the same id may already execute orders that were sent since its
+    // restart. Its next list shows which runs are lost.
+    port_.attach(announcement);
+    lease_end_ = now + settings_.worker_lease;
+    set_worker_suspected(true, "new worker");
+  }
   apply_announcement(announcement);
   log_worker();
   status_dirty_ = true;
@@ -584,7 +590,8 @@
   }
   status.accepting = accepts_tasks() && !to.closing_since;
   status.cold = lease_now() < cold_until_;
-  status.undescribed = !is_described();
+  status.undescribed =
+      !is_described() && lease_now() - undescribed_since_ < settings_.description_wait;
   status.description = {worker_->id,     worker_->service,  worker_->rack,
                         worker_->labels, table_.capacity(), worker_->incarnation};
   status.committed = table_.committed();
--- a/src/fleet/fleet_agent_calls.cpp
+++ b/src/fleet/fleet_agent_calls.cpp
@@ -208,6 +208,7 @@
       cold_until_ = {};
     }
     worker_incarnation_ = incarnation;
+    undescribed_since_ = now;
     table_.set_accepting(accepts_tasks());
     status_dirty_ = true;
     // It may have taken a start whose lease ends at a time of its predecessor's clock. The worker
--- a/src/fleet/fleet_link_test.cpp
+++ b/src/fleet/fleet_link_test.cpp
@@ -123,9 +123,8 @@
 
 /// One entry and one agent on one event loop.
 struct small_fleet {
-  small_fleet() : address(free_address(io)), worker(io) {
+  explicit small_fleet(fleet_agent_settings settings = {}) : address(free_address(io)), worker(io) {
     entry = make_entry(1);
-    fleet_agent_settings settings;
     settings.name = "agent";
     settings.incarnation = 5;
     agent.emplace(io, settings, worker, log, metrics);
@@ -406,6 +405,46 @@
   CHECK(result->verdict == job_verdict::completed);
 }
 
+TEST_CASE("a worker that restarts and does not announce itself does not make jobs wait for good") {
+  // Guards against jobs that wait for their deadline instead of being refused at once.
+  fleet_agent_settings settings;
+  settings.description_wait = milliseconds(400);
+  small_fleet fleet(settings);
+  fleet.worker.crash();
+  REQUIRE(fleet.run_until([&] { return !fleet.entry->has_worker(); }, milliseconds(500)));
+  std::optional<job_result> result;
+  fleet.entry->submit(make_job(1, 1), [&](const job_result& got) { result = got; });
+  REQUIRE(fleet.run_until([&] { return result.has_value(); }, milliseconds(3'000)));
+  CHECK(result->verdict == job_verdict::not_run);
+  CHECK(result->cause == job_cause::no_capable_worker);
+  CHECK(fleet.worker.starts == 0);
+}
+
+TEST_CASE("a restarted worker whose lists are known is used from its announcement on") {
+  // Guards against a further wait for a list, and a report that the worker is lost, once the worker
+  // has announced itself.
+  small_fleet fleet;
+  fleet.worker.crash();
+  REQUIRE(fleet.run_until([&] { return !fleet.entry->has_worker(); }, milliseconds(500)));
+  const auto suspicions = [&] {
+    const auto log = fleet.log.buffered();
+    std::size_t count = 0;
+    for (auto at = log.find("event=worker_suspected"); at != std::string::npos;
+         at = log.find("event=worker_suspected", at + 1)) {
+      ++count;
+    }
+    return count;
+  };
+  const auto before = suspicions();
+  CHECK(fleet.announce(restarted_announcement()).ok());
+  REQUIRE(fleet.run_until([&] { return fleet.entry->has_worker(); }, milliseconds(500)));
+  CHECK(suspicions() == before);
+  std::optional<job_result> result;
+  fleet.entry->submit(make_job(1, 1), [&](const job_result& got) { result = got; });
+  REQUIRE(fleet.run_until([&] { return result.has_value(); }));
+  CHECK(result->verdict == job_verdict::completed);
+}
+
 TEST_CASE("starts that were placed for the worker's earlier incarnation are returned") {
   // Guards against a start that an entry sends before it hears of the worker's new kind.
   small_fleet fleet;
@@ -468,10 +507,13 @@
   std::optional<job_result> first;
   fleet.entry->submit(make_job(1, 6), [&](const job_result& got) { first = got; });
   REQUIRE(fleet.run_until([&] { return first.has_value(); }));
-  fleet.worker.crash();
-  auto restarted = announcement();
-  restarted.incarnation = 2;
-  CHECK(fleet.announce(restarted).ok());
+  // The restarted worker gets these starts before any list or announcement has named its
+  // incarnation, and does not announce itself.
+  fleet.worker.on_start = [&] {
+    if (fleet.worker.starts == 7) {
+      fleet.worker.crash();
+    }
+  };
   std::optional<job_result> second;
   fleet.entry->submit(make_job(2, 3), [&](const job_result& got) { second = got; });
   REQUIRE(fleet.run_until([&] { return second.has_value(); }));
@@ -766,6 +808,8 @@
   fleet.worker.crash();
   fleet.worker.lost_lists = 0;
   fleet.worker.run_time = milliseconds(20);
+  fleet.run_until([] { return false; }, milliseconds(200));
+  CHECK(fleet.worker.starts == 1); // The restarted worker has not announced itself.
   auto restarted = announcement();
   restarted.incarnation = 2;
   CHECK(fleet.announce(restarted).ok());
