Refuse waiting tasks of kinds that an upstream no longer serves

Kinds were checked on arrival only. A new announcement now refuses such tasks as not run, so that they are placed elsewhere.

--- a/src/agent/agent_core.cpp
+++ b/src/agent/agent_core.cpp
@@ -273,8 +273,7 @@
   if (!upstream_present(steady_clock::now())) {
     return refuse(session, request, reason::upstream_absent, "no upstream is announced");
   }
-  const auto& kinds = upstream_->kinds;
-  if (!std::binary_search(kinds.begin(), kinds.end(), call.kind)) {
+  if (!serves(call.kind)) {
     return refuse(session, request, reason::kind_not_served,
                   "the upstream does not serve " + call.kind);
   }
@@ -458,10 +457,12 @@
   }
 }
 
-void agent_core::refuse_unstarted_tasks(reason cause, const std::string& detail) {
+void agent_core::refuse_unstarted_tasks(
+    reason cause, const std::string& detail,
+    const std::function<bool(const std::string& kind)>& is_refused) {
   std::vector<std::uint64_t> waiting;
   for (const auto& [ticket, task] : tasks_) {
-    if (!task.started) {
+    if (!task.started && is_refused(task.call.kind)) {
       waiting.push_back(ticket);
     }
   }
@@ -471,6 +472,15 @@
   }
 }
 
+bool agent_core::serves(const std::string& kind) const {
+  return std::binary_search(upstream_->kinds.begin(), upstream_->kinds.end(), kind);
+}
+
+void agent_core::refuse_unserved_tasks() {
+  refuse_unstarted_tasks(reason::kind_not_served, "the upstream no longer serves the kind",
+                         [this](const std::string& kind) { return !serves(kind); });
+}
+
 void agent_core::cancel(session_id session, const std::vector<std::uint64_t>& sequences) {
   auto* state = find_session(session);
   if (state == nullptr) {
@@ -608,6 +618,7 @@
   log_->info("upstream {} at {} announced, slots: {}", announcement.name,
              to_string(announcement.address), announcement.usable_slots());
   upstream_ = std::move(announcement);
+  refuse_unserved_tasks();
   send_update();
   apply(slot_ledger_.resize(upstream_->usable_slots(), expected_sessions()));
 }
--- a/src/agent/agent_core.hpp
+++ b/src/agent/agent_core.hpp
@@ -168,7 +168,17 @@
   void count_outcome(const upstream_outcome& outcome);
   void refuse_task(std::uint64_t ticket, reason cause, std::string detail,
                    std::uint32_t credits = 0);
-  void refuse_unstarted_tasks(reason cause, const std::string& detail);
+  /// `is_refused`: whether waiting tasks of a kind are refused; all by default.
+  void refuse_unstarted_tasks(
+      reason cause, const std::string& detail,
+      const std::function<bool(const std::string& kind)>& is_refused = [](const std::string&) {
+        return true;
+      });
+  /// Precondition: an upstream is announced.
+  bool serves(const std::string& kind) const;
+  /// Refuses the waiting tasks whose kind the upstream no longer serves since its last
+  /// announcement.
+  void refuse_unserved_tasks();
   void apply(const slot_actions& actions);
   void send_grant(session_id session, std::uint32_t credits);
   void send_recall(session_id session, std::uint32_t credits);
--- a/src/agent/agent_process_test.cpp
+++ b/src/agent/agent_process_test.cpp
@@ -139,10 +139,11 @@
   agent_process* agent_ = nullptr;
 };
 
-int announce(const agent_thread& agent, const endpoint& upstream) {
+int announce(const agent_thread& agent, const endpoint& upstream,
+             const std::string& kind = "work") {
   httplib::Client client(agent.announce.ip, agent.announce.port);
-  const auto body =
-      R"({"name":"u","kinds":["work"],"slots":2,"address":")" + to_string(upstream) + R"("})";
+  const auto body = R"({"name":"u","kinds":[")" + kind + R"("],"slots":2,"address":")" +
+                    to_string(upstream) + R"("})";
   const auto result = client.Post("/v1/announce", body, "application/json");
   return result ? result->status : 0;
 }
@@ -226,13 +227,14 @@
   }
 
   kj::Promise<task_result> send(std::uint64_t sequence, const std::string& body,
-                                std::uint32_t budget_ms = 20'000) {
+                                std::uint32_t budget_ms = 20'000, bool queue_if_busy = false) {
     auto request = session_.dispatchRequest();
     auto task = request.initTask();
     task.setSequence(sequence);
     task.setSubmission("job");
     task.setKind("work");
     task.setBudgetMs(budget_ms);
+    task.setQueueIfBusy(queue_if_busy);
     task.setPayload(kj::arrayPtr(reinterpret_cast<const kj::byte*>(body.data()), body.size()));
     return request.send().then([](auto&& response) { return read(response.getResult()); });
   }
@@ -412,6 +414,25 @@
   CHECK(wait_until(test.loop, [&] { return session.messages->grants == 2; }));
 }
 
+TEST_CASE("waiting tasks of a kind that a restarted upstream no longer serves do not start") {
+  // Guards against tasks that start by what the earlier life of the upstream announced (review/13).
+  fixture test;
+  test_session session(test.loop, test.agent, 1);
+  auto first = session.send(1, "hold");
+  auto second = session.send(2, "hold");
+  REQUIRE(wait_until(test.loop, [&] { return test.upstream.starts == 2; }));
+  auto third = session.send(3, "a", 20'000, true);
+  test.loop.wait(test.loop.sleep_for(50ms));
+  REQUIRE(announce(test.agent, test.upstream.address(), "other") == 200);
+  const auto end = test.loop.wait(kj::mv(third));
+  CHECK(end.state == wire::TaskState::NOT_RUN);
+  CHECK(end.cause == reason::kind_not_served);
+  test.upstream.release();
+  CHECK(test.loop.wait(kj::mv(first)).answer == "answer to hold");
+  CHECK(test.loop.wait(kj::mv(second)).answer == "answer to hold");
+  CHECK(test.upstream.starts == 2);
+}
+
 // Sends the given bytes in response to one request and closes the connection.
 class scripted_upstream {
 public:
