--- a/src/durable/durable_record.cpp
+++ b/src/durable/durable_record.cpp
@@ -121,6 +121,24 @@
   return std::nullopt;
 }
 
+/// Reads the row of one task. Throws if it cannot be read, and changes nothing then.
+void read_progress_row(const json& row, durable_record& record) {
+  auto& task =
+      record.progress.at(integer<std::size_t>(row.at(0))).at(integer<std::size_t>(row.at(1)));
+  const auto optional_column = [&row](std::size_t column) {
+    return row.size() > column ? integer<std::uint32_t>(row.at(column)) : 0;
+  };
+  const auto attempts = [&row](std::size_t column, std::uint32_t count, std::uint32_t latest) {
+    return row.size() > column ? read_attempts(row.at(column)) : assumed_attempts(count, latest);
+  };
+  const auto ended_attempt = integer<std::uint32_t>(row.at(4));
+  const auto lost_attempt = optional_column(lost_attempt_column);
+  task = {row.at(2).get<bool>(),
+          attempts(failed_attempts_column, integer<std::uint32_t>(row.at(3)), ended_attempt),
+          ended_attempt, lost_attempt,
+          attempts(crashed_attempts_column, optional_column(crashes_column), lost_attempt)};
+}
+
 } // namespace
 
 std::string submission_key(std::uint64_t job) {
@@ -259,30 +277,19 @@
 }
 
 absl::Status parse_durable_progress(const std::string& text, durable_record& record) {
-  const auto optional_column = [](const json& row, std::size_t column) {
-    return row.size() > column ? integer<std::uint32_t>(row.at(column)) : 0;
-  };
-  try {
-    auto progress = record.progress;
-    for (const auto& row : json::parse(text)) {
-      auto& task = progress.at(integer<std::size_t>(row.at(0))).at(integer<std::size_t>(row.at(1)));
-      const auto attempts = [&row](std::size_t column, std::uint32_t count, std::uint32_t latest) {
-        return row.size() > column ? read_attempts(row.at(column))
-                                   : assumed_attempts(count, latest);
-      };
-      const auto ended_attempt = integer<std::uint32_t>(row.at(4));
-      const auto lost_attempt = optional_column(row, lost_attempt_column);
-      task = {
-          row.at(2).get<bool>(),
-          attempts(failed_attempts_column, integer<std::uint32_t>(row.at(3)), ended_attempt),
-          ended_attempt, lost_attempt,
-          attempts(crashed_attempts_column, optional_column(row, crashes_column), lost_attempt)};
+  const auto rows = json::parse(text, nullptr, false);
+  if (!rows.is_array()) {
+    return absl::InvalidArgumentError("malformed record: not a list");
+  }
+  absl::Status status;
+  for (const auto& row : rows) {
+    try {
+      read_progress_row(row, record);
+    } catch (const std::exception& error) { // Includes rows of unknown tasks.
+      status.Update(malformed(error));
     }
-    record.progress = std::move(progress);
-    return absl::OkStatus();
-  } catch (const std::exception& error) { // Includes rows of unknown tasks.
-    return malformed(error);
   }
+  return status;
 }
 
 std::string write_owner(const durable_owner& owner) {
