--- a/src/durable/durable_calls.cpp
+++ b/src/durable/durable_calls.cpp
@@ -29,6 +29,14 @@
   return tasks;
 }
 
+/// Returns whether an end or a loss of a run is stored.
+bool has_progress(const durable_record& record) {
+  return std::any_of(record.progress.begin(), record.progress.end(), [](const auto& step) {
+    return std::any_of(step.begin(), step.end(),
+                       [](const auto& task) { return task != task_progress{}; });
+  });
+}
+
 /// Returns the epoch whose owner used the attempt.
 std::uint64_t epoch_of_attempt(const durable_record& record, std::uint32_t attempt) {
   return record.first_epoch + (attempt > 0 ? attempt - 1 : 0) / attempts_per_epoch;
@@ -219,8 +227,7 @@
     }
     std::map<std::string, std::uint32_t> by_queue;
     for (const auto& [id, job] : partition->jobs) {
-      if (job.is_open() && !port_.has_begun(id) &&
-          job.record.progress == empty_progress(job.record.job)) {
+      if (job.is_open() && !has_progress(job.record) && !port_.has_begun(id)) {
         ++by_queue[job.record.job.terms.queue];
       }
     }
--- a/src/fleet/fleet_scheduler_test.cpp
+++ b/src/fleet/fleet_scheduler_test.cpp
@@ -572,6 +572,7 @@
   CHECK(fleet.scheduler.take_results().empty());
   // Counted only by the owner of its partition, which asks whether it has begun.
   CHECK(fleet.scheduler.waiting_jobs("queue") == 0);
+  CHECK(fleet.scheduler.open_jobs() == 1);
   CHECK(fleet.scheduler.is_open(1));
   CHECK_FALSE(fleet.scheduler.has_begun(1));
   const auto worker = fleet.scheduler.worker_for("agent", "a");
--- a/src/fleet/waiting_counts_test.cpp
+++ b/src/fleet/waiting_counts_test.cpp
@@ -55,6 +55,39 @@
     CHECK(entry.of_queue("desk") == 2 * entries);
     CHECK(entry.of_queue("other") == 0);
   }
+  // What all know does not circulate, also once its owner is gone.
+  ring[0].set_own({});
+  for (std::size_t i = 0; i < entries; ++i) {
+    for (const auto peer : {(i + 1) % entries, (i + entries - 1) % entries}) {
+      ring[peer].learn(ring[i].news_for(views[i][peer]), views[peer][i]);
+    }
+  }
+  for (std::size_t i = 0; i < entries; ++i) {
+    for (const auto peer : {(i + 1) % entries, (i + entries - 1) % entries}) {
+      CHECK(ring[i].news_for(views[i][peer]).empty());
+    }
+  }
+}
+
+TEST_CASE("an entry without waiting jobs tells of each of its partitions once") {
+  // Guards against reports that are sent while nothing waits, and against earlier counts that are
+  // not replaced elsewhere.
+  waiting_counts counts(2);
+  waiting_counts::peer_view peer;
+  counts.set_own({});
+  CHECK(counts.news_for(peer).empty());
+  counts.set_own({count(0, 1, 0)});
+  REQUIRE(counts.news_for(peer).size() == 1);
+  counts.set_own({count(0, 1, 0)});
+  CHECK(counts.news_for(peer).empty());
+  counts.set_own({count(0, 1, 1)});
+  CHECK(counts.news_for(peer).size() == 1);
+  counts.set_own({count(0, 1, 0)});
+  const auto emptied = counts.news_for(peer);
+  REQUIRE(emptied.size() == 1);
+  CHECK(emptied[0].counts.empty());
+  counts.set_own({});
+  CHECK(counts.news_for(peer).empty());
 }
 
 TEST_CASE("older counts do not replace newer ones") {
